--- /dev/null
+++ b/peridotcove/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/peridotcove/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers."""
--- /dev/null
+++ b/peridotcove/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards engines and plain services."""
--- /dev/null
+++ b/peridotcove/models.py
@@ -0,0 +1,402 @@
+"""The nouns of the domain: customers, zones, engines, services, requests."""
+
+import enum
+
+from attrs import field, frozen
+
+from peridotcove.schema import key, within
+
+ZONES = key("zones")
+MODELS = key("models")
+ENGINES = key("engines")
+SERVICES = key("services")
+CUSTOMERS = key("customers")
+
+
+class Status(enum.Enum):
+    """Stage of an endpoint's life, as the operator describes it."""
+
+    ON_ORDER = "on-order"
+    IN_SERVICE = "in-service"
+    LEAVING = "leaving"
+    RETIRED = "retired"
+
+
+class State(enum.Enum):
+    """State of an instance in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@frozen
+class Customer:
+    """A firm or branch that calls.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    key_digests : tuple of str
+        Hex SHA-256 digests of the API keys.
+    requests_per_second : float
+        Rate over all nodes.
+    concurrency : int
+        Requests in progress at once over all nodes.
+    weight : float
+        Share in fair queuing against other customers.
+    priority : int
+        Class in the queue; 0 goes first.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    requests_per_second: float = within(0.001, 1e6, default=100.0)
+    concurrency: int = within(1, 1_000_000, default=64)
+    weight: float = within(0.001, 1000, default=1.0)
+    priority: int = within(0, 9, default=1)
+
+
+@frozen
+class Zone:
+    """An availability zone.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    region : str
+        Region that the zone belongs to.
+    """
+
+    name: str
+    region: str
+
+
+@frozen
+class Model:
+    """A model that engines serve.
+
+    Attributes
+    ----------
+    name : str
+        Name that callers use.
+    version : str
+        Version of the weights that engines are to run.
+    adapters : tuple of str
+        Adapters that callers may name after the model, as ``model:adapter``.
+    weight_bytes : int
+        Size of the weights in bytes.
+    """
+
+    name: str
+    version: str = "1"
+    adapters: tuple[str, ...] = ()
+    weight_bytes: int = within(0, 1 << 50, default=0)
+
+
+@frozen
+class Engine:
+    """A model server.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    url : str
+        Base URL, ``http://IP:PORT``.
+    zone : str
+        Availability zone.
+    model : str
+        Name of the model that it is to serve.
+    capacity : int
+        Requests that it can run at once.
+    weight : float
+        Capacity relative to other engines; the load bound is in its measure.
+    cache_tokens : int
+        Size of the prefix cache in tokens.
+    role : str
+        Role that it is to have, such as ``"mixed"``.
+    status : Status
+        Stage of life.
+    checks_fencing : bool
+        Whether it refuses orders with an old fencing number.
+    """
+
+    name: str
+    url: str
+    zone: str
+    model: str
+    capacity: int = within(1, 100_000, default=32)
+    weight: float = within(0.001, 1000, default=1.0)
+    cache_tokens: int = within(0, 1 << 40, default=1_000_000)
+    role: str = "mixed"
+    status: Status = Status.IN_SERVICE
+    checks_fencing: bool = True
+
+
+@frozen
+class Endpoint:
+    """A server of a plain service.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    url : str
+        Base URL, ``http://IP:PORT``.
+    zone : str
+        Availability zone.
+    status : Status
+        Stage of life.
+    """
+
+    name: str
+    url: str
+    zone: str
+    status: Status = Status.IN_SERVICE
+
+
+@frozen
+class Route:
+    """A rule that says which calls of a service may be repeated.
+
+    Attributes
+    ----------
+    prefix : str
+        Path prefix below the service, such as ``"/reservations"``.
+    methods : tuple of str
+        HTTP methods that the rule covers; all when empty.
+    repeatable : bool
+        Whether a call may run more than once.
+    """
+
+    prefix: str = "/"
+    methods: tuple[str, ...] = ()
+    repeatable: bool = False
+
+
+@frozen
+class Service:
+    """A plain service beside the engines.
+
+    Attributes
+    ----------
+    name : str
+        Name in the path, ``/services/NAME/...``.
+    endpoints : tuple of Endpoint
+        Servers of the service.
+    routes : tuple of Route
+        Rules; the longest matching prefix holds, and without one a call that is
+        not GET or HEAD may not be repeated.
+    checks_keys : bool
+        Whether the endpoints refuse a second request with the same
+        ``Idempotency-Key``.
+    """
+
+    name: str
+    endpoints: tuple[Endpoint, ...] = ()
+    routes: tuple[Route, ...] = ()
+    checks_keys: bool = False
+
+    def repeatable(self, method, path):
+        """Return whether a call may run more than once.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method in capitals.
+        path : str
+            Path below the service, with a leading slash.
+        """
+        best = None
+        for route in self.routes:
+            if route.methods and method not in route.methods:
+                continue
+            if path.startswith(route.prefix) and (
+                best is None or len(route.prefix) > len(best.prefix)
+            ):
+                best = route
+        if best is not None:
+            return best.repeatable
+        return method in ("GET", "HEAD")
+
+
+@frozen
+class Bounds:
+    """Limits that hold for the whole fleet.
+
+    Attributes
+    ----------
+    load_bound : float
+        Highest load of an engine as a multiple of the mean; at least 1.
+    block_chars : int
+        Characters of a prompt per cache block.
+    queue_ms : int
+        Longest wait for an engine in ms.
+    retry_share : float
+        Retries allowed as a share of first tries.
+    shard_engines : int
+        Most engines that one owner decides for.
+    ticket_ms : int
+        Time in ms for which a ticket is valid.
+    weight_store_bytes_per_second : int
+        Rate of the weight store.
+    """
+
+    load_bound: float = within(1.0, 100.0, default=1.25)
+    block_chars: int = within(16, 65_536, default=256)
+    queue_ms: int = within(0, 600_000, default=10_000)
+    retry_share: float = within(0.0, 1.0, default=0.1)
+    shard_engines: int = within(1, 10_000, default=16)
+    ticket_ms: int = within(1_000, 86_400_000, default=3_600_000)
+    weight_store_bytes_per_second: int = within(1, 1 << 50, default=1_000_000_000)
+
+
+@frozen
+class Configuration:
+    """One accepted revision of what the operators describe.
+
+    Attributes
+    ----------
+    revision : int
+        Grows with every change; 0 is the empty configuration.
+    bounds : Bounds
+        Limits for the whole fleet.
+    zone_by_name, model_by_name, engine_by_name : dict
+        Zones, models and engines by name.
+    service_by_name, customer_by_name : dict
+        Services and customers by name.
+    """
+
+    revision: int = within(0, 1 << 62, default=0)
+    bounds: Bounds = Bounds()
+    zone_by_name: dict[str, Zone] = field(factory=dict, metadata=ZONES)
+    model_by_name: dict[str, Model] = field(factory=dict, metadata=MODELS)
+    engine_by_name: dict[str, Engine] = field(factory=dict, metadata=ENGINES)
+    service_by_name: dict[str, Service] = field(factory=dict, metadata=SERVICES)
+    customer_by_name: dict[str, Customer] = field(factory=dict, metadata=CUSTOMERS)
+
+
+@frozen
+class Instance:
+    """An instance in the platform's list.
+
+    Attributes
+    ----------
+    name : str
+        Name; for an engine or endpoint the name in the configuration.
+    kind : str
+        ``"node"``, ``"engine"`` or ``"endpoint"``.
+    host : str
+        IP number.
+    port : int
+        Port; for a node the port of its links.
+    zone : str
+        Availability zone.
+    state : State
+        Live or leaving.
+    """
+
+    name: str
+    kind: str
+    host: str
+    port: int
+    zone: str
+    state: State = State.LIVE
+
+
+@frozen
+class LoadReport:
+    """An engine's own report of its load, which lags.
+
+    Attributes
+    ----------
+    engine : str
+        Name of the engine.
+    running, waiting : int
+        Requests in progress and in its queue.
+    at_ms : int
+        Wall time in ms at which the engine took the report.
+    """
+
+    engine: str
+    running: int
+    waiting: int
+    at_ms: int
+
+
+@frozen
+class LeaseRequest:
+    """What an entry node asks of the owner of a shard of engines.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Unique id of the request, 8 bytes.
+    entry : str
+        Name of the entry node.
+    customer : str
+        Customer that pays.
+    model : str
+        Model, with its adapter if any.
+    prefixes : tuple of int
+        Hashes of the chat's prefix blocks, 64 bits each, shortest prefix first;
+        the last is the chat's whole history so far.
+    hint : str
+        Engine of the chat's last turn, or empty.
+    zone : str
+        Zone of the entry node.
+    deadline_ms : int
+        Longest wait in ms from arrival at the owner.
+    priority : int
+        Class in the queue; 0 goes first.
+    """
+
+    request_id: bytes
+    entry: str
+    customer: str
+    model: str
+    prefixes: tuple
+    hint: str = ""
+    zone: str = ""
+    deadline_ms: int = 10_000
+    priority: int = 1
+
+
+@frozen
+class Grant:
+    """A lease on one place at an engine.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Id of the request.
+    engine : str
+        Engine that is to run it.
+    cached_blocks : int
+        Prefix blocks that the owner expects in the engine's cache.
+    """
+
+    request_id: bytes
+    engine: str
+    cached_blocks: int = 0
+
+
+@frozen
+class Refusal:
+    """The owner's refusal of a lease: the request did not run.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Id of the request.
+    code : str
+        Reason, such as ``"overloaded"`` or ``"deadline"``.
+    retry_after_ms : int
+        Time in ms after which another try is worthwhile.
+    """
+
+    request_id: bytes
+    code: str
+    retry_after_ms: int = 1000
--- /dev/null
+++ b/peridotcove/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the nodes."""
--- /dev/null
+++ b/peridotcove/nodes/messages.py
@@ -0,0 +1,191 @@
+"""Typed messages between nodes and their CBOR form.
+
+A frame is one CBOR array: ``[VERSION, code, revision, fields...]``, where revision is
+that of the sender's configuration. Fields stand in the order of the class. Additional
+fields at the end are ignored, so that two versions of the program can be in the fleet
+at once.
+"""
+
+import attrs
+import cbor2
+from attrs import frozen
+
+from peridotcove.exceptions import ProtocolError
+from peridotcove.registry import Registry
+
+VERSION = 1
+MAX_FRAME_BYTES = 8 << 20
+HEAD_FIELDS = 3
+
+messages = Registry("message")
+
+
+def message(code):
+    """Return a decorator that registers a frozen attrs class as a message.
+
+    Parameters
+    ----------
+    code : int
+        Number of the message on the wire; never used again.
+    """
+
+    def enter(cls):
+        cls.CODE = code
+        return messages.register(code)(cls)
+
+    return enter
+
+
+@message(1)
+@frozen
+class Hello:
+    """First frame of a link in each direction, with proof of the shared secret.
+
+    Attributes
+    ----------
+    node, zone : str
+        Name and zone of the sender.
+    incarnation : int
+        Wall time in ms at which the sender's process started.
+    nonce : bytes
+        Fresh random bytes, 16 of them.
+    proof : bytes
+        HMAC-SHA-256 over the peer's nonce, node and incarnation; empty at first.
+    """
+
+    node: str
+    zone: str
+    incarnation: int
+    nonce: bytes
+    proof: bytes = b""
+
+
+@message(2)
+@frozen
+class AskLease:
+    """An entry node asks for a lease; see `peridotcove.models.LeaseRequest`."""
+
+    request_id: bytes
+    shard: str
+    customer: str
+    model: str
+    prefixes: list
+    hint: str
+    zone: str
+    deadline_ms: int
+    priority: int
+
+
+@message(3)
+@frozen
+class GiveLease:
+    """The owner grants a lease; see `peridotcove.models.Grant`."""
+
+    request_id: bytes
+    engine: str
+    cached_blocks: int
+
+
+@message(4)
+@frozen
+class RefuseLease:
+    """The owner refuses a lease; see `peridotcove.models.Refusal`."""
+
+    request_id: bytes
+    code: str
+    retry_after_ms: int
+
+
+@message(5)
+@frozen
+class ReleaseLease:
+    """A lease ends, or the entry no longer waits for one.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Id of the request.
+    shard : str
+        Shard of the lease.
+    outcome : str
+        ``"done"``, ``"failed"`` or ``"cancelled"``.
+    cached_blocks : int
+        Prefix blocks that the engine said it reused; -1 if it said nothing.
+    """
+
+    request_id: bytes
+    shard: str
+    outcome: str
+    cached_blocks: int = -1
+
+
+@message(6)
+@frozen
+class HoldLeases:
+    """An entry tells a new owner which leases of a shard it holds.
+
+    Attributes
+    ----------
+    shard : str
+        The shard.
+    leases : list
+        Triples of request id, engine and customer.
+    """
+
+    shard: str
+    leases: list
+
+
+def encode(item, revision):
+    """Return the frame of a message.
+
+    Parameters
+    ----------
+    item : object
+        An instance of a registered class.
+    revision : int
+        Sender's configuration revision.
+    """
+    values = [getattr(item, spec.name) for spec in attrs.fields(type(item))]
+    return cbor2.dumps([VERSION, item.CODE, revision, *values])
+
+
+def decode(frame):
+    """Return the message of a frame and the sender's configuration revision.
+
+    Parameters
+    ----------
+    frame : bytes
+        One frame.
+
+    Raises
+    ------
+    ProtocolError
+        If the frame is no message.
+    """
+    if len(frame) > MAX_FRAME_BYTES:
+        raise ProtocolError(f"a frame of {len(frame)} bytes is too large")
+    try:
+        values = cbor2.loads(frame)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        raise ProtocolError(f"a frame is no CBOR: {error}") from None
+    if not isinstance(values, list) or len(values) < HEAD_FIELDS:
+        raise ProtocolError("a frame has no head")
+    version, code, revision = values[:HEAD_FIELDS]
+    if version != VERSION or not isinstance(revision, int):
+        raise ProtocolError(f"version {version!r} is not {VERSION}")
+    cls = messages.by_name.get(code) if isinstance(code, int) else None
+    if cls is None:
+        raise ProtocolError(f"message {code!r} is not known")
+    return _build(cls, values[HEAD_FIELDS:]), revision
+
+
+def _build(cls, values):
+    specs = attrs.fields(cls)
+    required = sum(spec.default is attrs.NOTHING for spec in specs)
+    if len(values) < required:
+        raise ProtocolError(f"{cls.__name__} has {len(values)} of {required} fields")
+    for spec, value in zip(specs, values, strict=False):
+        if type(value) is not spec.type:
+            raise ProtocolError(f"{cls.__name__}.{spec.name} is {value!r}")
+    return cls(*values[: len(specs)])
--- /dev/null
+++ b/peridotcove/platform/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform publishes, read only."""
--- /dev/null
+++ b/peridotcove/schema.py
@@ -0,0 +1,197 @@
+"""Builds attrs classes from plain JSON values and names every fault at once.
+
+Field metadata says what is allowed: `within` gives a range, `key` the name that the
+field has in a file when it differs from the attribute.
+"""
+
+import enum
+import types
+import typing
+
+import attrs
+
+from peridotcove.exceptions import InvalidSettings, SettingError
+
+TYPE_WORDS = {
+    str: "a string",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+}
+
+
+def within(low, high, default=attrs.NOTHING):
+    """Return an attrs field for a number in a closed range.
+
+    Parameters
+    ----------
+    low, high : int or float
+        Lowest and highest allowed value.
+    default : int or float
+        Value when the file has none.
+    """
+    return attrs.field(default=default, metadata={"low": low, "high": high})
+
+
+def key(name):
+    """Return field metadata that sets the field's name in a file.
+
+    Parameters
+    ----------
+    name : str
+        Name in the file.
+    """
+    return {"key": name}
+
+
+def build(cls, raw, path):
+    """Return an instance of an attrs class made from a JSON value.
+
+    Parameters
+    ----------
+    cls : type
+        An attrs class.
+    raw : object
+        The JSON value.
+    path : str
+        Where the value stands, for error messages.
+
+    Raises
+    ------
+    InvalidSettings
+        With one `SettingError` for each fault.
+    """
+    faults = []
+    value = _build(cls, raw, path, faults)
+    if faults:
+        raise InvalidSettings(f"{path} is not valid", faults)
+    return value
+
+
+def dump(value):
+    """Return the JSON value of an attrs instance, without fields left at defaults.
+
+    Parameters
+    ----------
+    value : object
+        An attrs instance, or a value that one holds.
+    """
+    if attrs.has(type(value)):
+        return _dump_instance(value)
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, dict):
+        return {name: _dump_member(item) for name, item in value.items()}
+    if isinstance(value, tuple):
+        return [dump(item) for item in value]
+    return value
+
+
+def _dump_instance(value):
+    raw = {}
+    for spec in attrs.fields(type(value)):
+        item = getattr(value, spec.name)
+        if not _is_default(spec, item):
+            raw[_name(spec)] = dump(item)
+    return raw
+
+
+def _dump_member(item):
+    raw = dump(item)
+    if isinstance(raw, dict) and attrs.has(type(item)):
+        raw.pop("name", None)
+    return raw
+
+
+def _is_default(spec, item):
+    default = spec.default
+    if isinstance(default, attrs.Factory):
+        default = default.factory()
+    return default is not attrs.NOTHING and item == default
+
+
+def _name(spec):
+    return spec.metadata.get("key", spec.name)
+
+
+def _build(kind, raw, path, faults, name=None):
+    if attrs.has(kind):
+        return _build_instance(kind, raw, path, faults, name)
+    origin = typing.get_origin(kind)
+    if origin is tuple:
+        return _build_tuple(typing.get_args(kind)[0], raw, path, faults)
+    if origin is dict:
+        return _build_dict(typing.get_args(kind)[1], raw, path, faults)
+    if origin in (typing.Union, types.UnionType):
+        inner = [arg for arg in typing.get_args(kind) if arg is not type(None)][0]
+        return None if raw is None else _build(inner, raw, path, faults)
+    if isinstance(kind, type) and issubclass(kind, enum.Enum):
+        return _build_enum(kind, raw, path, faults)
+    return _build_scalar(kind, raw, path, faults)
+
+
+def _build_instance(cls, raw, path, faults, name):
+    if not isinstance(raw, dict):
+        faults.append(SettingError(path, raw, "an object"))
+        return None
+    spec_by_key = {_name(spec): spec for spec in attrs.fields(cls)}
+    if name is not None:
+        raw = {"name": name, **raw}
+    values = {}
+    for word in raw:
+        if word not in spec_by_key:
+            allowed = "one of " + ", ".join(sorted(spec_by_key))
+            faults.append(SettingError(f"{path}.{word}", word, allowed))
+    count = len(faults)
+    for word, spec in spec_by_key.items():
+        if word in raw:
+            inner = f"{path}.{word}"
+            values[spec.name] = _build(spec.type, raw[word], inner, faults)
+            _check_range(spec, values[spec.name], inner, faults)
+        elif spec.default is attrs.NOTHING:
+            faults.append(SettingError(f"{path}.{word}", "nothing", "a value"))
+    return None if len(faults) > count else cls(**values)
+
+
+def _check_range(spec, value, path, faults):
+    if "low" not in spec.metadata or value is None:
+        return
+    low, high = spec.metadata["low"], spec.metadata["high"]
+    if not low <= value <= high:
+        faults.append(SettingError(path, value, f"{low} to {high}"))
+
+
+def _build_tuple(kind, raw, path, faults):
+    if not isinstance(raw, list):
+        faults.append(SettingError(path, raw, "a list"))
+        return None
+    pairs = enumerate(raw)
+    return tuple(_build(kind, item, f"{path}[{i}]", faults) for i, item in pairs)
+
+
+def _build_dict(kind, raw, path, faults):
+    if not isinstance(raw, dict):
+        faults.append(SettingError(path, raw, "an object"))
+        return None
+    named = attrs.has(kind) and "name" in {spec.name for spec in attrs.fields(kind)}
+    return {
+        word: _build(kind, item, f"{path}.{word}", faults, word if named else None)
+        for word, item in raw.items()
+    }
+
+
+def _build_enum(kind, raw, path, faults):
+    known = {item.value: item for item in kind}
+    if not isinstance(raw, str) or raw not in known:
+        faults.append(SettingError(path, raw, "one of " + ", ".join(sorted(known))))
+        return None
+    return known[raw]
+
+
+def _build_scalar(kind, raw, path, faults):
+    if kind is float and isinstance(raw, int) and not isinstance(raw, bool):
+        return float(raw)
+    if kind in TYPE_WORDS and type(raw) is not kind:
+        faults.append(SettingError(path, raw, TYPE_WORDS[kind]))
+        return None
+    return raw
--- /dev/null
+++ b/peridotcove/settings.py
@@ -0,0 +1,210 @@
+"""Settings of one node, read from a file of JSON with comments."""
+
+import os
+import pathlib
+
+import pyjson5
+from attrs import frozen
+
+from peridotcove.exceptions import InvalidSettings, SettingError
+from peridotcove.schema import build, within
+
+
+@frozen
+class Address:
+    """Where a server of the node listens.
+
+    Attributes
+    ----------
+    host : str
+        IP number.
+    port : int
+        Port.
+    """
+
+    host: str
+    port: int = within(1, 65_535)
+
+
+@frozen
+class TlsFiles:
+    """Certificate for callers.
+
+    Attributes
+    ----------
+    certificate_file : str
+        PEM file with the certificate chain.
+    key_file : str
+        PEM file with the private key.
+    """
+
+    certificate_file: str
+    key_file: str
+
+
+@frozen
+class Secret:
+    """A secret from a file or from the environment; just one of the two.
+
+    Attributes
+    ----------
+    file : str or None
+        File whose stripped content is the secret.
+    variable : str or None
+        Environment variable that holds it.
+    """
+
+    file: str | None = None
+    variable: str | None = None
+
+    def read(self, path):
+        """Return the secret as bytes.
+
+        Parameters
+        ----------
+        path : str
+            Where the setting stands, for error messages.
+
+        Raises
+        ------
+        SettingError
+            If neither or both places are given, or the place is empty.
+        """
+        if (self.file is None) == (self.variable is None):
+            raise SettingError(path, "neither or both", "one of file, variable")
+        if self.variable is not None:
+            text = os.environ.get(self.variable, "")
+            place = f"environment variable {self.variable}"
+        else:
+            place = f"file {self.file}"
+            text = _read_text(self.file, path)
+        if len(text.strip()) < 16:
+            raise SettingError(path, f"{place} is short", "16 characters or more")
+        return text.strip().encode()
+
+
+@frozen
+class Platform:
+    """Where the platform publishes.
+
+    Attributes
+    ----------
+    configuration_url : str
+        Base URL of the configuration service.
+    instances_url : str
+        Base URL of the list of instances.
+    """
+
+    configuration_url: str
+    instances_url: str
+
+
+@frozen
+class Limits:
+    """What one node takes from strangers.
+
+    Attributes
+    ----------
+    header_bytes, body_bytes : int
+        Largest head and body of a request.
+    body_ms : int
+        Longest time in ms for a request's head and body to arrive.
+    first_byte_ms, gap_ms : int
+        Longest wait in ms for an endpoint's first byte, and between two.
+    stream_buffer_bytes : int
+        Most bytes held for a caller that reads slowly.
+    drain_ms : int
+        Longest graceful shutdown in ms.
+    """
+
+    header_bytes: int = within(1_024, 1 << 20, default=32_768)
+    body_bytes: int = within(1_024, 1 << 28, default=4_194_304)
+    body_ms: int = within(100, 600_000, default=30_000)
+    first_byte_ms: int = within(10, 3_600_000, default=60_000)
+    gap_ms: int = within(10, 3_600_000, default=30_000)
+    stream_buffer_bytes: int = within(4_096, 1 << 24, default=131_072)
+    drain_ms: int = within(0, 86_400_000, default=60_000)
+
+
+@frozen
+class Settings:
+    """Settings of one node.
+
+    Attributes
+    ----------
+    node : str
+        Name of the instance, as in the platform's list.
+    zone : str
+        Availability zone.
+    region : str
+        Region of the zone.
+    callers, nodes, operators : Address
+        Where callers, other nodes and operators connect.
+    secret : Secret
+        Shared secret of the nodes.
+    platform : Platform
+        Where the platform publishes.
+    limits : Limits
+        What the node takes from strangers.
+    tls : TlsFiles or None
+        Certificate for callers; plain HTTP without it.
+    log_level : str
+        Level of the log, such as ``"INFO"``.
+    """
+
+    node: str
+    zone: str
+    region: str
+    callers: Address
+    nodes: Address
+    operators: Address
+    secret: Secret
+    platform: Platform
+    limits: Limits = Limits()
+    tls: TlsFiles | None = None
+    log_level: str = "INFO"
+
+
+def _read_text(file, path):
+    try:
+        return pathlib.Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingError(path, str(error), "a readable file of UTF-8 text") from None
+
+
+def read_json(file):
+    """Return the JSON value of a file of JSON with comments.
+
+    Parameters
+    ----------
+    file : str
+        Path of the file.
+
+    Raises
+    ------
+    InvalidSettings
+        If the file can't be read or is no JSON.
+    """
+    try:
+        return pyjson5.decode(_read_text(file, str(file)))
+    except SettingError as error:
+        raise InvalidSettings(f"{file} is not valid", [error]) from None
+    except pyjson5.Json5Exception as error:
+        fault = SettingError(str(file), str(error), "JSON with comments")
+        raise InvalidSettings(f"{file} is not valid", [fault]) from None
+
+
+def read_settings(file):
+    """Return the settings of a node.
+
+    Parameters
+    ----------
+    file : str
+        Path of the file.
+
+    Raises
+    ------
+    InvalidSettings
+        With all faults of the file.
+    """
+    return build(Settings, read_json(file), str(file))
--- /dev/null
+++ b/peridotcove/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the fleet."""
