--- /dev/null
+++ b/tests/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of HTTP towards engines and plain services."""
--- /dev/null
+++ b/tests/endpoints/test_services.py
@@ -0,0 +1,210 @@
+"""Contract between the service client and endpoints that fail in every way."""
+
+import asyncio
+import socket
+import unittest
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+
+from peridotcove.endpoints.services import Call, ServiceClient, _Gate
+from peridotcove.exceptions import EndpointFailed, RequestRefused
+from peridotcove.verdict import Verdict
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+
+
+class Endpoint:
+    """Server that runs each request and answers with the next of some bytes.
+
+    None instead of bytes closes the connection without an answer.
+    """
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.runs = []
+        self.connections = 0
+        self.writers = []
+        self.tasks = []
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.url = f"http://127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *details):
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+        await asyncio.gather(*self.tasks)
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        self.tasks.append(asyncio.current_task())
+        while head := await self._read(reader):
+            self.runs.append(head)
+            answer = self.answers.pop(0) if self.answers else WHOLE
+            if answer is None:
+                break
+            writer.write(answer)
+            if answer is not WHOLE:
+                break
+        writer.close()
+
+    async def _read(self, reader):
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return ""
+        for line in head.split("\r\n"):
+            if line.lower().startswith("content-length:"):
+                await reader.readexactly(int(line.split(":")[1]))
+        return head
+
+
+POST = Call("POST", "/reservations", (("X-A", "1"), ("X-A", "2")), b"stand 7", "T1")
+
+
+class TestServiceClient(unittest.IsolatedAsyncioTestCase):
+    """The service client against endpoints that fail."""
+
+    def setUp(self):
+        self.client = ServiceClient()
+        self.addCleanup(self.client.close)
+
+    async def call(self, endpoint, call=POST, repeatable=False, timeout=5000, **more):
+        return await self.client.call(endpoint.url, call, timeout, repeatable, **more)
+
+    async def test_plain_curl_sends_twice(self):
+        # The fault that this module is there for, shown on the client it builds on.
+        client = CurlAsyncHTTPClient(force_instance=True)
+        self.addCleanup(client.close)
+        async with Endpoint(WHOLE, None, WHOLE) as endpoint:
+            for _ in range(2):
+                await client.fetch(endpoint.url, method="POST", body="stand 7")
+            self.assertEqual(len(endpoint.runs), 3)
+
+    async def test_gate_alone_stops_the_second_send(self):
+        client = CurlAsyncHTTPClient(force_instance=True)
+        self.addCleanup(client.close)
+        async with Endpoint(WHOLE, None, WHOLE) as endpoint:
+            await client.fetch(endpoint.url, method="POST", body="stand 7")
+            gate = _Gate(False, None)
+
+            def prepare(curl):
+                gate.prepare(curl)
+                curl.setopt(pycurl.FRESH_CONNECT, 0)
+
+            with self.assertRaises(CurlError):
+                await client.fetch(
+                    endpoint.url,
+                    method="POST",
+                    body="stand 7",
+                    prepare_curl_callback=prepare,
+                )
+            self.assertEqual((len(endpoint.runs), endpoint.connections), (2, 1))
+
+    async def test_lost_answer_runs_once(self):
+        for method in ("POST", "PUT", "PATCH", "DELETE"):
+            with self.subTest(method):
+                body = b"" if method == "DELETE" else b"x"
+                call = Call(method, "/r", body=body, key="T")
+                async with Endpoint(WHOLE, None, WHOLE) as endpoint:
+                    await self.call(endpoint, call, repeatable=True)
+                    with self.assertRaises(EndpointFailed) as caught:
+                        await self.call(endpoint, call)
+                    self.assertEqual(len(endpoint.runs), 2)
+                    self.assertEqual(endpoint.connections, 2)
+                    self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+    async def test_connections_are_used_once(self):
+        async with Endpoint() as endpoint:
+            for _ in range(3):
+                await self.call(endpoint)
+            self.assertEqual(endpoint.connections, 3)
+            for _ in range(3):
+                await self.call(endpoint, repeatable=True)
+            self.assertEqual(endpoint.connections, 4)
+
+    async def test_request_on_the_wire(self):
+        async with Endpoint() as endpoint:
+            answer = await self.call(endpoint)
+        self.assertEqual((answer.verdict, answer.body), (Verdict.RAN, b"ok"))
+        lines = endpoint.runs[0].split("\r\n")
+        self.assertEqual(lines[0], "POST /reservations HTTP/1.1")
+        for line in ("X-A: 1", "X-A: 2", "Idempotency-Key: T1", "Content-Length: 7"):
+            self.assertIn(line, lines)
+
+    async def test_answers_that_are_not_whole(self):
+        head = b"HTTP/1.1 200 OK\r\n"
+        cut = {
+            "shorter than its length": head + b"Content-Length: 5\r\n\r\nok",
+            "without a last chunk": CHUNKED,
+            "within a chunk": CHUNKED[:-3],
+            "without length or chunks": head + b"\r\nok",
+            "within the head": head,
+            "not HTTP": b"hello\r\n\r\n",
+            "too large": head + b"Content-Length: 9999999\r\n\r\n" + b"x" * 9999999,
+        }
+        for name, answer in cut.items():
+            with self.subTest(name):
+                async with Endpoint(answer) as endpoint:
+                    with self.assertRaises(EndpointFailed) as caught:
+                        await self.call(endpoint)
+                    self.assertEqual(len(endpoint.runs), 1)
+                self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+    async def test_whole_answers(self):
+        no_body = b"HTTP/1.1 204 No Content\r\n\r\n"
+        moved = b"HTTP/1.1 307 Go\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n"
+        error = b"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno"
+        table = {
+            CHUNKED + b"0\r\n\r\n": (200, b"ok"),
+            no_body: (204, b""),
+            moved: (307, b""),
+            error: (503, b"no"),
+        }
+        for sent, expected in table.items():
+            with self.subTest(sent):
+                async with Endpoint(sent) as endpoint:
+                    answer = await self.call(endpoint)
+                self.assertEqual((answer.status, answer.body), expected)
+                self.assertEqual(len(endpoint.runs), 1)
+
+    async def test_nothing_sent_is_not_run(self):
+        closed = socket.socket()
+        closed.bind(("127.0.0.1", 0))
+        self.addCleanup(closed.close)
+        port = closed.getsockname()[1]
+        with self.assertRaises(EndpointFailed) as caught:
+            await self.client.call(f"http://127.0.0.1:{port}", POST, 5000, False)
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+
+    async def test_bad_calls_are_not_sent(self):
+        calls = [Call("GET", "/", body=b"x"), Call("GET", "/", (("A", "b\r\nC: d"),))]
+        async with Endpoint() as endpoint:
+            for call in calls:
+                with self.subTest(call), self.assertRaises(EndpointFailed) as caught:
+                    await self.call(endpoint, call)
+                self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+            self.assertEqual(endpoint.runs, [])
+
+    async def test_silence_may_have_run(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            url = f"http://127.0.0.1:{server.getsockname()[1]}"
+            with self.assertRaises(EndpointFailed) as caught:
+                await self.client.call(url, POST, 50, False)
+        error = caught.exception
+        self.assertEqual((error.code, error.verdict), ("timeout", Verdict.MAY_HAVE_RUN))
+
+    async def test_check_stops_the_call(self):
+        def check():
+            raise RequestRefused("leaving", "the endpoint is leaving")
+
+        async with Endpoint() as endpoint:
+            with self.assertRaises(RequestRefused):
+                await self.call(endpoint, check=check)
+            self.assertEqual(endpoint.runs, [])
