Refuse calls that can't be put into HTTP as not run

Cause: a header with a line end raised an untyped error. Change: such errors become EndpointFailed with the verdict not run.

--- a/peridotcove/endpoints/services.py
+++ b/peridotcove/endpoints/services.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, HTTPInputError
 
 from peridotcove.clock import MS_PER_S
 from peridotcove.exceptions import EndpointFailed, RequestError
@@ -96,12 +96,12 @@
             What `check` raised.
         """
         gate = _Gate(repeatable, check)
-        request = self._make_request(url, call, timeout_ms, gate)
         try:
+            request = self._make_request(url, call, timeout_ms, gate)
             response = await self._client.fetch(request, raise_error=False)
         except CurlError as error:
             raise _explain(error, gate) from None
-        except (ValueError, LookupError) as error:
+        except (ValueError, LookupError, HTTPInputError) as error:
             text = f"the call can't be put into HTTP: {error}"
             raise EndpointFailed("bad-call", text, Verdict.NOT_RUN, 400) from None
         _check_whole(response, call.method)
