Add membership, spreading of the configuration and the platform client

Cause: nodes had no way to learn of each other or of a configuration. Change: Membership (heartbeats, silent links, vouching, zone views), Revisions (parts, deltas, pulls from peers), Reader and the platform client, wired together by Control; links, service and a fleet in memory for tests.

--- /dev/null
+++ b/peridotcove/control.py
@@ -0,0 +1,90 @@
+"""What one node exchanges with the others beside requests, in one place."""
+
+from peridotcove.membership import Membership
+from peridotcove.reader import Reader
+from peridotcove.revisions import Revisions
+
+
+class Control:
+    """Membership, configuration and reading of the service of one node.
+
+    Parameters
+    ----------
+    node : Instance
+        The node itself.
+    region : str
+        Its region.
+    clock : Clock
+        Time in ms.
+    rng : random.Random
+        Spreads requests over time and peers.
+
+    Attributes
+    ----------
+    membership : Membership
+        Which nodes are live.
+    revisions : Revisions
+        The configuration.
+    reader : Reader
+        Calls to the configuration service.
+    """
+
+    def __init__(self, node, region, clock, rng):
+        self.node = node
+        self.membership = Membership(node, region, clock, rng)
+        self.revisions = Revisions(clock, rng, self._push_to, self._neighbours)
+        self.reader = Reader(
+            node.name,
+            clock,
+            rng,
+            self.revisions,
+            self.membership.reader_rank,
+            self._reads_fail,
+            self.membership.settled,
+        )
+
+    def tick(self):
+        """Return the messages that are due; called each 250 ms."""
+        self.membership.reads_fail = self.reader.reads_fail
+        self._confirm()
+        self.membership.set_zones(self.revisions.current().zone_by_name)
+        return self.membership.tick() + self.revisions.tick()
+
+    def receive(self, peer, message, revision):
+        """Take a frame of a peer in and return the answers.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the sender.
+        message : object
+            Its message.
+        revision : int
+            The revision that the frame carries.
+        """
+        self.revisions.notice(peer, revision)
+        outgoing = self.membership.receive(peer, message)
+        outgoing += self.revisions.receive(peer, message)
+        return outgoing
+
+    def _push_to(self):
+        if not self.reader.chosen():
+            return []
+        nodes = self.membership.live_in_zone()
+        return [one.name for one in nodes if one.name != self.node.name]
+
+    def _neighbours(self):
+        if not self.membership.has_list:
+            return None
+        return sorted(self.membership.layout.neighbours & self.membership.listed())
+
+    def _reads_fail(self, name):
+        peer = self.membership.peer_by_name.get(name)
+        return peer is not None and peer.reads_fail
+
+    def _confirm(self):
+        first = self.membership.reader_rank()[0]
+        if first == self.node.name or not self.membership.reaches(first):
+            return
+        if not self._reads_fail(first):
+            self.revisions.hear_confirmed()
--- a/peridotcove/exceptions.py
+++ b/peridotcove/exceptions.py
@@ -56,6 +56,10 @@
     """A message could not be handed to a peer; nothing was sent."""
 
 
+class PlatformDown(PeridotcoveError):
+    """The platform did not answer, or not as agreed."""
+
+
 class RequestError(PeridotcoveError):
     """A request ends without an answer from its endpoint.
 
--- /dev/null
+++ b/peridotcove/platform/client.py
@@ -0,0 +1,166 @@
+"""Calls to the configuration service and the list of instances."""
+
+import json
+
+from attrs import frozen
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError
+
+from peridotcove.exceptions import InvalidSettings, PlatformDown
+from peridotcove.models import Instance
+from peridotcove.parts import DIGEST_BYTES, Pointer
+from peridotcove.revisions import Manifest
+from peridotcove.schema import build
+
+MS_PER_S = 1000
+CONNECT_S = 2.0
+ANSWER_S = 5.0
+MAX_CALLS = 4
+NO_CONTENT = 204
+NOT_FOUND = 404
+
+
+@frozen
+class InstanceList:
+    """One version of the list of instances.
+
+    Attributes
+    ----------
+    version : int
+        Version of the list.
+    instances : tuple of Instance
+        All instances.
+    """
+
+    version: int
+    instances: tuple[Instance, ...] = ()
+
+
+class PlatformClient:
+    """Reads what the platform publishes.
+
+    Parameters
+    ----------
+    platform : Platform
+        Base URLs, from the settings.
+    node : str
+        Name of the reading node.
+
+    Attributes
+    ----------
+    calls : int
+        Calls made so far.
+    """
+
+    def __init__(self, platform, node):
+        self.calls = 0
+        self._configuration_url = platform.configuration_url.rstrip("/")
+        self._instances_url = platform.instances_url.rstrip("/")
+        self._headers = {"X-Node": node}
+        self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CALLS)
+
+    def close(self):
+        """Close all connections."""
+        self._http.close()
+
+    async def read_manifest(self, after, wait_ms):
+        """Return the manifest of a revision later than one, or None.
+
+        Parameters
+        ----------
+        after : int
+            The revision held.
+        wait_ms : int
+            Longest wait in ms for a later one.
+
+        Raises
+        ------
+        PlatformDown
+            If the service gave no usable answer.
+        """
+        query = f"?after={after}&wait_ms={wait_ms}"
+        url = f"{self._configuration_url}/configuration/manifest{query}"
+        body = await self._get(url, wait_ms)
+        return None if body is None else parse_manifest(body)
+
+    async def read_part(self, name):
+        """Return the content of a part, or None if there is none of that name.
+
+        Parameters
+        ----------
+        name : str
+            Name of the part.
+
+        Raises
+        ------
+        PlatformDown
+            If the service gave no usable answer.
+        """
+        return await self._get(f"{self._configuration_url}/configuration/parts/{name}")
+
+    async def read_instances(self, after, wait_ms):
+        """Return the list of instances of a version later than one, or None.
+
+        Parameters
+        ----------
+        after : int
+            The version held.
+        wait_ms : int
+            Longest wait in ms for a later one.
+
+        Raises
+        ------
+        PlatformDown
+            If the service gave no usable answer.
+        """
+        query = f"?after={after}&wait_ms={wait_ms}"
+        body = await self._get(f"{self._instances_url}/instances{query}", wait_ms)
+        if body is None:
+            return None
+        try:
+            return build(InstanceList, json.loads(body), "instances")
+        except (ValueError, InvalidSettings) as error:
+            raise PlatformDown(f"a list of instances can't be read: {error}") from None
+
+    async def _get(self, url, wait_ms=0):
+        self.calls += 1
+        try:
+            answer = await self._http.fetch(
+                url,
+                headers=self._headers,
+                connect_timeout=CONNECT_S,
+                request_timeout=wait_ms / MS_PER_S + ANSWER_S,
+            )
+        except HTTPError as error:
+            if error.code == NOT_FOUND:
+                return None
+            raise PlatformDown(f"{url}: {error}") from None
+        except OSError as error:
+            raise PlatformDown(f"{url}: {error}") from None
+        return None if answer.code == NO_CONTENT else answer.body
+
+
+def parse_manifest(body):
+    """Return the manifest that the service's answer describes.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON.
+
+    Raises
+    ------
+    PlatformDown
+        If it is no manifest.
+    """
+    try:
+        raw = json.loads(body)
+        pointers = {
+            name: Pointer(
+                int(part["revision"]), bytes.fromhex(part["digest"])[:DIGEST_BYTES]
+            )
+            for name, part in raw["parts"].items()
+        }
+        return Manifest(int(raw["revision"]), pointers)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise PlatformDown(f"a manifest can't be read: {error!r}") from None
--- /dev/null
+++ b/peridotcove/platform/watch.py
@@ -0,0 +1,79 @@
+"""Watches the platform for as long as the node runs."""
+
+import asyncio
+import logging
+
+from peridotcove.exceptions import PlatformDown
+from peridotcove.reader import ReadPart
+
+MS_PER_S = 1000
+IDLE_S = 0.25
+LIST_WAIT_MS = 20_000
+FIRST_BACKOFF_MS = 250
+MAX_BACKOFF_MS = 15_000
+
+log = logging.getLogger("peridotcove.platform")
+
+
+async def watch_configuration(client, reader, send):
+    """Make the reader's calls until cancelled.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Makes the calls.
+    reader : Reader
+        Decides on them.
+    send : callable
+        Takes each message that follows from an answer.
+    """
+    while True:
+        call = reader.next_call()
+        if call is None:
+            await asyncio.sleep(IDLE_S)
+            continue
+        try:
+            if isinstance(call, ReadPart):
+                data = await client.read_part(call.name)
+                outgoing = reader.take_part(call.name, data)
+            else:
+                manifest = await client.read_manifest(call.after, call.wait_ms)
+                outgoing = reader.take_manifest(manifest)
+        except PlatformDown as error:
+            log.warning("platform: configuration not read: %s", error)
+            reader.fail()
+            continue
+        for item in outgoing:
+            send(item)
+
+
+async def watch_instances(client, clock, rng, take):
+    """Read the list of instances again and again until cancelled.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Makes the calls.
+    clock : Clock
+        Time in ms.
+    rng : random.Random
+        Spreads repeated calls over time.
+    take : callable
+        Called with the instances, and the time in ms at which they were asked for.
+    """
+    version, failures = 0, 0
+    while True:
+        asked_ms = clock.now()
+        try:
+            found = await client.read_instances(version, LIST_WAIT_MS)
+        except PlatformDown as error:
+            failures += 1
+            log.warning("platform: list of instances not read: %s", error)
+            limit = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(failures, 10))
+            await asyncio.sleep(rng.randint(limit // 2, limit) / MS_PER_S)
+            continue
+        failures = 0
+        if found is not None:
+            version = found.version
+            take(found.instances, asked_ms)
+        await asyncio.sleep(rng.uniform(0, IDLE_S))
--- /dev/null
+++ b/peridotcove/reader.py
@@ -0,0 +1,192 @@
+"""Decides when a node reads the configuration service, and what."""
+
+from attrs import frozen
+
+from peridotcove.parts import digest
+
+WATCH_MS = 20_000
+MIN_GAP_MS = 100
+MAX_GAP_MS = 300
+FIRST_BACKOFF_MS = 500
+MAX_BACKOFF_MS = 30_000
+MAX_MISMATCHES = 3
+FALLBACK_MS = 4_000
+FALLBACK_SPREAD_MS = 2_000
+
+
+@frozen
+class ReadManifest:
+    """Read the manifest.
+
+    Attributes
+    ----------
+    after : int
+        Answer only with a later revision than this.
+    wait_ms : int
+        Longest wait in ms for one; 0 to answer at once.
+    """
+
+    after: int
+    wait_ms: int
+
+
+@frozen
+class ReadPart:
+    """Read one part.
+
+    Attributes
+    ----------
+    name : str
+        Name of the part.
+    """
+
+    name: str
+
+
+class Reader:
+    """The calls of one node to the configuration service, one at a time.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node.
+    clock : Clock
+        Time in ms.
+    rng : random.Random
+        Spreads calls over time.
+    revisions : Revisions
+        Takes what was read.
+    reader_rank : callable
+        Returns the live nodes of the zone in their order as readers.
+    failing : callable
+        Whether another node, given by name, says that its reads fail.
+    settled : callable
+        Whether the live nodes of the zone are known.
+
+    Attributes
+    ----------
+    reads_fail : bool
+        Whether the last call failed.
+    """
+
+    def __init__(self, node, clock, rng, revisions, reader_rank, failing, settled):
+        self.node = node
+        self.clock = clock
+        self.revisions = revisions
+        self.reads_fail = False
+        self._rng = rng
+        self._reader_rank = reader_rank
+        self._failing = failing
+        self._settled = settled
+        self._failures = 0
+        self._mismatches = 0
+        self._asked_once = False
+        self._due_ms = clock.now() + rng.randint(0, MAX_GAP_MS)
+        wait_ms = FALLBACK_MS + rng.randint(0, FALLBACK_SPREAD_MS)
+        self._fallback_ms = clock.now() + wait_ms
+        self._manifest = None
+        self._data_by_name = {}
+
+    def chosen(self):
+        """Return whether this node is to read for its zone.
+
+        The first in rank is, and the second while the first says that it fails; and
+        any node that has not got from its peers what the service had at its start.
+        """
+        if self.revisions.expects_more() and self.clock.now() >= self._fallback_ms:
+            return True
+        if not self._settled():
+            return False
+        ranked = self._reader_rank()
+        if ranked[0] == self.node:
+            return True
+        return ranked[1:2] == [self.node] and self._failing(ranked[0])
+
+    def next_call(self):
+        """Return the call to make now, or None."""
+        if self.clock.now() < self._due_ms:
+            return None
+        if self._manifest is not None:
+            for name in self.revisions.missing(self._manifest):
+                if name not in self._data_by_name:
+                    return ReadPart(name)
+        if not self._asked_once:
+            return ReadManifest(0, 0)
+        if not self.chosen():
+            self.reads_fail = False
+            self._manifest = None
+            return None
+        return ReadManifest(self.revisions.watch_after, WATCH_MS)
+
+    def take_manifest(self, manifest):
+        """Take the answer to `ReadManifest`; return the messages that follow.
+
+        Parameters
+        ----------
+        manifest : Manifest or None
+            What was read; None if there is no later revision.
+        """
+        first = not self._asked_once
+        self._succeed()
+        if manifest is None or manifest.revision <= self.revisions.watch_after:
+            return []
+        if first:
+            self.revisions.expect(manifest.revision)
+        if not self.chosen():
+            return []
+        self._manifest = manifest
+        self._data_by_name = {}
+        return self._finish()
+
+    def take_part(self, name, data):
+        """Take the answer to `ReadPart`; return the messages that follow.
+
+        Parameters
+        ----------
+        name : str
+            Name of the part.
+        data : bytes or None
+            Its content; None if the service has no such part.
+        """
+        self._succeed(gap=False)
+        if self._manifest is None:
+            return []
+        pointer = self._manifest.pointer_by_name[name]
+        if self._mismatches < MAX_MISMATCHES and not _matches(pointer, data):
+            # The part has changed since the manifest was read.
+            self._mismatches += 1
+            self._manifest = None
+            self._due_ms = self.clock.now() + self._rng.randint(MIN_GAP_MS, MAX_GAP_MS)
+            return []
+        self._data_by_name[name] = data or b""
+        return self._finish()
+
+    def fail(self):
+        """Note that a call failed."""
+        self._asked_once = True
+        self._failures += 1
+        self.reads_fail = True
+        self.revisions.confirm(ok=False)
+        limit = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(self._failures, 10))
+        self._due_ms = self.clock.now() + self._rng.randint(limit // 2, limit)
+
+    def _succeed(self, gap=True):
+        self._asked_once = True
+        self._failures = 0
+        self.reads_fail = False
+        self.revisions.confirm()
+        if gap:
+            self._due_ms = self.clock.now() + self._rng.randint(MIN_GAP_MS, MAX_GAP_MS)
+
+    def _finish(self):
+        wanted = self.revisions.missing(self._manifest)
+        if any(name not in self._data_by_name for name in wanted):
+            return []
+        manifest, self._manifest = self._manifest, None
+        data_by_name, self._data_by_name = self._data_by_name, {}
+        self._mismatches = 0
+        return self.revisions.accept(manifest, data_by_name)
+
+
+def _matches(pointer, data):
+    return data is not None and digest(data) == pointer.published
--- /dev/null
+++ b/peridotcove/revisions.py
@@ -0,0 +1,417 @@
+"""The revisions of the configuration that a node holds, takes and passes on.
+
+A revision comes whole from the service or a peer, or as a change to the one in force.
+Only a higher one that is valid replaces the one in force.
+"""
+
+import collections
+import logging
+
+from attrs import field, frozen
+
+from peridotcove.assembly import Assembly
+from peridotcove.exceptions import InvalidSettings, ProtocolError, SettingError
+from peridotcove.nodes.configuration_messages import (
+    AskConfiguration,
+    AskPart,
+    Delta,
+    Offer,
+    PartData,
+    RevisionRefused,
+)
+from peridotcove.nodes.network import Outgoing
+from peridotcove.parts import (
+    Change,
+    Part,
+    Pointer,
+    canonical,
+    diff,
+    digest,
+    load,
+    make_part,
+    patch,
+)
+from peridotcove.pulls import Pulls
+
+HISTORY = 32
+MAX_FAULTS = 20
+MAX_FAULT_CHARS = 300
+TELL_REFUSED_MS = 30_000
+
+log = logging.getLogger("peridotcove.configuration")
+
+
+@frozen
+class Manifest:
+    """What the service says of a revision.
+
+    Attributes
+    ----------
+    revision : int
+        The revision.
+    pointer_by_name : dict of Pointer
+        Parts by name.
+    """
+
+    revision: int
+    pointer_by_name: dict
+
+
+@frozen
+class Refused:
+    """A revision that is not valid.
+
+    Attributes
+    ----------
+    revision : int
+        The revision.
+    faults : tuple of str
+        Its faults, one line each.
+    """
+
+    revision: int
+    faults: tuple
+
+
+@frozen
+class _State:
+    revision: int = 0
+    part_by_name: dict = field(factory=dict)
+    assembly: Assembly = Assembly()
+
+
+class Revisions:
+    """The revision in force, and what is known of later ones.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time in ms.
+    rng : random.Random
+        Spreads requests to peers over time.
+    push_to : callable
+        Returns the names of the nodes to which this one pushes changes.
+    ask_at_start : callable
+        Returns the names of the nodes to ask before this one is ready.
+
+    Attributes
+    ----------
+    refused : Refused or None
+        The last refused revision, while it is later than the one in force.
+    """
+
+    def __init__(self, clock, rng, push_to=tuple, ask_at_start=tuple):
+        self.clock = clock
+        self.refused = None
+        self._push_to = push_to
+        self._state = _State()
+        self._history = collections.deque(maxlen=HISTORY)
+        self._pulls = Pulls(clock, rng, ask_at_start)
+        self._expected = 0
+        self._confirmed_ms = None
+        self._told_ms = clock.now()
+        self._started_ms = clock.now()
+
+    @property
+    def revision(self):
+        """The revision in force; 0 if none."""
+        return self._state.revision
+
+    @property
+    def watch_after(self):
+        """The revision after which the service is to be watched."""
+        return max(self.revision, self.refused.revision if self.refused else 0)
+
+    def current(self):
+        """Return the configuration in force."""
+        return self._state.assembly.configuration
+
+    def ready(self):
+        """Return whether one is in force, and service and peers were asked."""
+        if not self.revision or self.expects_more():
+            return False
+        return self._pulls.started(self.watch_after)
+
+    def expect(self, revision):
+        """Note the revision that the service had at this node's start.
+
+        Parameters
+        ----------
+        revision : int
+            The revision; without it, or a later one, the node is not ready.
+        """
+        self._expected = max(self._expected, revision)
+
+    def expects_more(self):
+        """Return whether the service had a later revision than this node has judged."""
+        return self._expected > self.watch_after
+
+    def age_ms(self):
+        """Return the time in ms since the service last answered a reader."""
+        since = self._confirmed_ms
+        return self.clock.now() - (self._started_ms if since is None else since)
+
+    def confirm(self, ok=True):
+        """Note that the service answered, or that it failed to.
+
+        Parameters
+        ----------
+        ok : bool
+            Whether it answered.
+        """
+        self._pulls.service_asked = True
+        if ok:
+            self._confirmed_ms = self.clock.now()
+
+    def hear_confirmed(self):
+        """Note that the zone's reader, another node, says that its reads succeed."""
+        self._confirmed_ms = self.clock.now()
+
+    def holds(self, name, pointer):
+        """Return whether the published content of a part is held.
+
+        Parameters
+        ----------
+        name : str
+            Name of the part.
+        pointer : Pointer
+            Pointer from the service's manifest.
+        """
+        part = self._state.part_by_name.get(name)
+        return part is not None and (
+            (part.pointer.revision, part.pointer.published)
+            == (pointer.revision, pointer.published)
+        )
+
+    def missing(self, manifest):
+        """Return the names of the parts to read for a manifest.
+
+        Parameters
+        ----------
+        manifest : Manifest
+            From the service.
+        """
+        if manifest.revision <= self.watch_after:
+            return []
+        pointers = manifest.pointer_by_name.items()
+        return sorted(name for name, one in pointers if not self.holds(name, one))
+
+    def accept(self, manifest, data_by_name):
+        """Take a revision from the service and return the messages that pass it on.
+
+        Parameters
+        ----------
+        manifest : Manifest
+            What the service says.
+        data_by_name : dict of bytes
+            Published content of the parts that were missing.
+        """
+        if manifest.revision <= self.watch_after:
+            return []
+        parts, faults = {}, []
+        for name, pointer in manifest.pointer_by_name.items():
+            try:
+                if name in data_by_name:
+                    data = data_by_name[name]
+                    part = make_part(name, pointer.revision, pointer.published, data)
+                elif self.holds(name, pointer):
+                    part = self._state.part_by_name[name]
+                else:
+                    raise ProtocolError("is missing")
+                parts[name] = part
+            except ProtocolError as error:
+                faults.append(f"part {name}: {error}")
+        if faults:
+            return self._refuse(manifest.revision, faults)
+        return self._replace(manifest.revision, parts)
+
+    def notice(self, peer, revision):
+        """Note the revision that a frame from a peer carries.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the sender.
+        revision : int
+            Its revision.
+        """
+        if revision > self.watch_after:
+            self._pulls.notice(peer, revision)
+
+    def tick(self):
+        """Return the messages that are due; called each 250 ms."""
+        outgoing = self._pulls.tick(self.revision, self.watch_after)
+        now = self.clock.now()
+        if self.refused and now - self._told_ms >= TELL_REFUSED_MS:
+            outgoing += self._tell_refused()
+        return outgoing
+
+    def receive(self, peer, message):
+        """Take a message in and return the answers.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the sender.
+        message : object
+            A message; those of other parts are ignored.
+        """
+        handler = self._HANDLERS.get(type(message))
+        return [] if handler is None else handler(self, peer, message)
+
+    def _receive_ask(self, peer, message):
+        if 0 < message.base < self.revision:
+            deltas = self._deltas_after(message.base)
+            if deltas:
+                return [Outgoing(peer, delta) for delta in deltas]
+        parts = [
+            [name, part.pointer.revision, part.pointer.published, part.pointer.digest]
+            for name, part in sorted(self._state.part_by_name.items())
+        ]
+        return [Outgoing(peer, Offer(self.revision, parts))]
+
+    def _receive_delta(self, peer, message):
+        if message.revision <= self.watch_after:
+            return []
+        if message.base != self.revision:
+            self._pulls.notice(peer, message.revision)
+            return self._pulls.ask_now(peer, self.revision)
+        try:
+            parts = self._patch_parts(message)
+        except (ProtocolError, ValueError, TypeError, AttributeError) as error:
+            log.warning("configuration: change from %s left out: %s", peer, error)
+            self._pulls.notice(peer, message.revision)
+            return self._pulls.ask_now(peer, 0)
+        return self._replace(message.revision, parts)
+
+    def _patch_parts(self, message):
+        parts = dict(self._state.part_by_name)
+        for name in message.gone:
+            parts.pop(name, None)
+        for name, revision, published, wanted, changed, dropped in message.parts:
+            old = parts.get(name)
+            value = load(old.data) if old is not None else {}
+            data = canonical(patch(value, Change(changed, dropped)))
+            if digest(data) != wanted:
+                raise ProtocolError(f"part {name} would have another digest")
+            parts[name] = Part(name, Pointer(revision, published, wanted), data)
+        return parts
+
+    def _receive_offer(self, peer, message):
+        self._pulls.answered(peer)
+        if message.revision <= self.watch_after:
+            return []
+        pointers = {name: Pointer(*rest) for name, *rest in message.parts}
+        held = {
+            name: part
+            for name, part in self._state.part_by_name.items()
+            if name in pointers and part.pointer.digest == pointers[name].digest
+        }
+        asks = self._pulls.begin(peer, message.revision, pointers, held)
+        return asks or self._finish_pull()
+
+    def _receive_ask_part(self, peer, message):
+        part = self._state.part_by_name.get(message.name)
+        same = part is not None and part.pointer.digest == message.digest
+        data = part.data if same else b""
+        return [Outgoing(peer, PartData(message.name, message.digest, data))]
+
+    def _receive_part(self, peer, message):
+        self._pulls.take(peer, message)
+        return self._finish_pull()
+
+    def _finish_pull(self):
+        pulled = self._pulls.finish()
+        if pulled is None or pulled.revision <= self.watch_after:
+            return []
+        return self._replace(pulled.revision, pulled.part_by_name)
+
+    def _receive_refused(self, peer, message):
+        if message.revision > self.watch_after:
+            faults = tuple(str(line) for line in message.faults[:MAX_FAULTS])
+            self.refused = Refused(message.revision, faults)
+            self._told_ms = self.clock.now()
+        return []
+
+    _HANDLERS = {
+        AskConfiguration: _receive_ask,
+        Delta: _receive_delta,
+        Offer: _receive_offer,
+        AskPart: _receive_ask_part,
+        PartData: _receive_part,
+        RevisionRefused: _receive_refused,
+    }
+
+    def _replace(self, revision, parts):
+        old = self._state
+        try:
+            changes = _find_changes(old.part_by_name, parts)
+            assembly = old.assembly.apply(revision, changes)
+        except InvalidSettings as error:
+            return self._refuse(revision, _list_faults(error))
+        except ProtocolError as error:
+            return self._refuse(revision, [str(error)])
+        self._state = _State(revision, parts, assembly)
+        if self.refused is not None and self.refused.revision <= revision:
+            self.refused = None
+        log.info("configuration: revision %d is in force", revision)
+        delta = _make_delta(old, revision, parts, changes)
+        if old.revision:
+            self._history.append(delta)
+        peers = self._push_to() if old.revision else ()
+        return [Outgoing(peer, delta) for peer in peers]
+
+    def _refuse(self, revision, faults):
+        faults = tuple(line[:MAX_FAULT_CHARS] for line in faults[:MAX_FAULTS])
+        self.refused = Refused(revision, faults)
+        for line in faults:
+            log.error("configuration: revision %d refused: %s", revision, line)
+        return self._tell_refused()
+
+    def _tell_refused(self):
+        self._told_ms = self.clock.now()
+        notice = RevisionRefused(self.refused.revision, list(self.refused.faults))
+        return [Outgoing(peer, notice) for peer in self._push_to()]
+
+    def _deltas_after(self, base):
+        deltas = list(self._history)
+        for index, delta in enumerate(deltas):
+            if delta.base == base:
+                return deltas[index:]
+        return []
+
+
+def _find_changes(old, new):
+    changes = {}
+    for name in {**old, **new}:
+        before, after = old.get(name), new.get(name)
+        if before and after and before.pointer.digest == after.pointer.digest:
+            continue
+        changes[name] = diff(
+            load(before.data) if before else {}, load(after.data) if after else {}
+        )
+    return changes
+
+
+def _make_delta(old, revision, parts, changes):
+    rows = []
+    for name, part in parts.items():
+        before = old.part_by_name.get(name)
+        if before is not None and before.pointer == part.pointer:
+            continue
+        change = changes.get(name, Change({}, {}))
+        pointer = part.pointer
+        head = [name, pointer.revision, pointer.published, pointer.digest]
+        rows.append([*head, change.changed, change.dropped])
+    gone = sorted(set(old.part_by_name) - set(parts))
+    return Delta(old.revision, revision, rows, gone)
+
+
+def _list_faults(error):
+    lines = []
+    for fault in error.exceptions:
+        if isinstance(fault, InvalidSettings):
+            lines += _list_faults(fault)
+        elif isinstance(fault, SettingError):
+            lines.append(str(fault))
+    return lines
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,47 @@
+"""Tests of whole nodes in memory: they find each other and share a configuration."""
+
+import unittest
+
+from peridotcove.membership_events import LinkSilent, NodeLost
+from peridotcove.standins.fleet import MemoryFleet, describe_zones
+from tests.fakes import make_links
+
+TODAY = {"r1": {"a": 3, "b": 3, "c": 3}}
+
+
+def start_fleet(zones_by_region=TODAY, seed=1, **faults):
+    """Return a fleet that has run for ten seconds."""
+    fleet = MemoryFleet(make_links(seed, **faults), zones_by_region)
+    zones = {"zones": describe_zones(fleet.region_by_zone)}
+    fleet.service.publish({"zones": zones})
+    fleet.start()
+    fleet.links.run(10_000)
+    return fleet
+
+
+class ControlTest(unittest.TestCase):
+    """Nine nodes in three zones."""
+
+    def test_a_fleet_starts_and_takes_a_change(self):
+        fleet = start_fleet()
+        for node in fleet.up():
+            self.assertEqual(len(node.live()), 9)
+            self.assertTrue(node.control.revisions.ready())
+            self.assertTrue(node.control.membership.fresh())
+        fleet.service.publish({"customers": {"customers": {"one": {}}}})
+        fleet.links.run(2_000)
+        for node in fleet.up():
+            self.assertIn("one", node.control.revisions.current().customer_by_name)
+
+    def test_a_dead_node_is_lost_within_3_s_and_a_silent_link_is_not(self):
+        fleet = start_fleet()
+        fleet.noted.clear()
+        fleet.links.silence("a-0", "b-0")
+        fleet.links.run(10_000)
+        kinds = {type(event) for _, _, event in fleet.noted}
+        self.assertEqual(kinds, {LinkSilent})
+        fleet.noted.clear()
+        fleet.stop("a-1")
+        fleet.links.run(3_000)
+        lost = [name for _, name, event in fleet.noted if isinstance(event, NodeLost)]
+        self.assertEqual(sorted(lost), sorted(node.name for node in fleet.up()))
