--- /dev/null
+++ b/peridotcove/cli.py
@@ -0,0 +1,75 @@
+"""The command line: one cleo application for all commands."""
+
+import asyncio
+import importlib
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from peridotcove import __version__
+from peridotcove.exceptions import InvalidSettings, SettingError
+from peridotcove.settings import read_settings
+
+EXIT_OK = 0
+EXIT_FAULTS = 1
+EXIT_USAGE = 2
+
+COMMANDS = {
+    "check": "peridotcove.operators.commands:CheckCommand",
+    "timeline": "peridotcove.operators.commands:TimelineCommand",
+    "standin engine": "peridotcove.standins.commands:StandinEngineCommand",
+    "standin service": "peridotcove.standins.commands:StandinServiceCommand",
+    "standin platform": "peridotcove.standins.commands:StandinPlatformCommand",
+}
+
+
+class NodeCommand(Command):
+    """``peridotcove node SETTINGS``."""
+
+    name = "node"
+    description = "Run one node until it is told to stop (SIGTERM drains it)."
+    arguments = [argument("settings", "File of settings, JSON with comments.")]
+    help = "Exit codes: 0 stopped, 1 the settings have faults, 2 wrong usage."
+
+    def handle(self):
+        """Run the node."""
+        from peridotcove.node import run_node
+
+        try:
+            settings = read_settings(self.argument("settings"))
+            settings.secret.read("secret")
+        except InvalidSettings as faults:
+            self._print_faults(faults.exceptions)
+            return EXIT_FAULTS
+        except SettingError as fault:
+            self._print_faults([fault])
+            return EXIT_FAULTS
+        asyncio.run(run_node(settings))
+        return EXIT_OK
+
+    def _print_faults(self, faults):
+        for fault in faults:
+            self.line_error(f"<error>{fault}</error>")
+
+
+class _Loader:
+    """Imports a command's module only when the command is used."""
+
+    def __init__(self, place):
+        self._place = place
+
+    def __call__(self):
+        module, _, name = self._place.partition(":")
+        return getattr(importlib.import_module(module), name)()
+
+
+def make_application():
+    """Return the application with all its commands."""
+    from cleo.loaders.factory_command_loader import FactoryCommandLoader
+
+    application = Application("peridotcove", __version__)
+    factories = {name: _Loader(place) for name, place in COMMANDS.items()}
+    factories["node"] = NodeCommand
+    application.set_command_loader(FactoryCommandLoader(factories))
+    return application
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -136,6 +136,20 @@
     leases: list
 
 
+@message(7)
+@frozen
+class QueueLease:
+    """The owner has the request in its queue.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Id of the request.
+    """
+
+    request_id: bytes
+
+
 def encode(item, revision):
     """Return the frame of a message.
 
--- /dev/null
+++ b/peridotcove/router.py
@@ -0,0 +1,154 @@
+"""Takes a request from its arrival to its one verdict."""
+
+import asyncio
+
+from peridotcove.exceptions import RequestError, RequestRefused
+from peridotcove.models import LeaseRequest, Status
+from peridotcove.retries import RetryBudget, backoff, may_repeat
+from peridotcove.verdict import Verdict
+
+MAX_TRIES = 3
+
+
+class Router:
+    """Runs chats at engines.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node.
+    zone : str
+        Zone of this node.
+    fleet : Fleet
+        The node's view.
+    leases : LeaseClient
+        Leases on engines.
+    engines : EngineClient
+        HTTP towards engines.
+    limits : EntryLimits
+        Customers' rates.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of jitter.
+    metrics : Metrics
+        The node's metrics.
+    timeline : Timeline
+        The node's events.
+    """
+
+    def __init__(
+        self, node, zone, fleet, leases, engines, limits, clock, rng, metrics, timeline
+    ):
+        self._node = node
+        self._zone = zone
+        self._fleet = fleet
+        self._leases = leases
+        self._engines = engines
+        self._limits = limits
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._timeline = timeline
+        self._budget = RetryBudget(fleet.configuration.bounds.retry_share)
+
+    async def run_chat(self, chat, request_id, hint="", sink=None):
+        """Run a chat and return the engine's reply and the engine.
+
+        Parameters
+        ----------
+        chat : Chat
+            The request.
+        request_id : bytes
+            Unique id, 8 bytes.
+        hint : str
+            Engine of the chat's last turn, or empty.
+        sink : Sink or None
+            Takes a streamed answer.
+
+        Returns
+        -------
+        reply : Reply
+            The engine's whole answer.
+        engine : str
+            Name of the engine.
+
+        Raises
+        ------
+        RequestError
+            With the verdict of the last try; "not run" only if no try may have run.
+        """
+        self._limits.admit(chat.customer)
+        bounds = self._fleet.configuration.bounds
+        self._budget.share = bounds.retry_share
+        self._budget.deposit()
+        end_ms = self._clock.now() + bounds.queue_ms
+        tries, doubt = 0, None
+        while True:
+            tries += 1
+            try:
+                return await self._try_chat(chat, request_id, hint, sink, end_ms)
+            except RequestError as error:
+                if error.verdict is not Verdict.NOT_RUN:
+                    doubt = error
+                started = sink is not None and sink.started
+                again = tries < MAX_TRIES and self._clock.now() < end_ms
+                again = again and not isinstance(error, RequestRefused)
+                again = again and may_repeat(error, chat.repeatable, started)
+                if not again or not self._budget.withdraw():
+                    raise doubt or error from None
+                self._note_retry(request_id, error, tries)
+            hint = ""
+            await asyncio.sleep(backoff(tries, self._rng) / 1000)
+
+    def _note_retry(self, request_id, error, tries):
+        self._metrics.retries.inc()
+        detail = f"{error.code}, try {tries + 1}"
+        self._timeline.record("request-retried", request_id=request_id, detail=detail)
+
+    async def _try_chat(self, chat, request_id, hint, sink, end_ms):
+        shard = self._pick_shard(chat)
+        left = max(1, end_ms - self._clock.now())
+        request = LeaseRequest(
+            request_id,
+            self._node,
+            chat.customer.name,
+            chat.model,
+            chat.prefixes,
+            hint,
+            self._zone,
+            left,
+            chat.customer.priority,
+        )
+        self._timeline.record("lease-asked", request_id=request_id, peer=shard)
+        grant = await self._leases.ask(shard, request)
+        self._timeline.record(
+            "grant-received", request_id=request_id, peer=grant.engine
+        )
+        outcome, cached = "cancelled", -1
+        try:
+            engine = self._fleet.configuration.engine_by_name.get(grant.engine)
+            if engine is None or engine.status is not Status.IN_SERVICE:
+                raise RequestRefused("leaving", "the engine is leaving", 503, 100)
+            self._timeline.record(
+                "request-sent", request_id=request_id, peer=engine.name
+            )
+            name = request_id.hex()
+            reply = await self._engines.run(engine, chat.body, name, sink)
+            outcome = "done"
+            return reply, engine.name
+        except RequestError:
+            outcome = "failed"
+            raise
+        finally:
+            self._leases.release(request_id, outcome, cached)
+            self._timeline.record(
+                "lease-released", request_id=request_id, detail=outcome
+            )
+
+    def _pick_shard(self, chat):
+        shards = self._fleet.shards_by_model.get(chat.base)
+        if not shards:
+            text = f"no engine of this region serves {chat.base!r}"
+            raise RequestRefused("no-engine", text, 503, 5000)
+        return shards[0].name
