Add ranking, shards and their owners, and the owner's dispatch decisions

Cause: entries need one place that sees the whole load of an engine. Change: weighted rendezvous, shards of a configuration, rank of owners, dispatcher with exact load bound, fair queue, concurrency, deadlines, takeover and lagging reports.

--- /dev/null
+++ b/peridotcove/dispatch.py
@@ -0,0 +1,306 @@
+"""The owner's decisions: which request runs on which engine of a shard, and when."""
+
+from collections import Counter
+
+from attrs import frozen
+
+from peridotcove.fair_queue import FairQueue, Waiting
+from peridotcove.loads import Loads
+from peridotcove.models import Customer, Grant, Refusal
+from peridotcove.ranking import Ranking
+
+FRESH_MS = 3_000
+FRESH_SHARE = 0.5
+HOLD_GRACE_MS = 5_000
+NO_ENGINE_RETRY_MS = 1_000
+
+
+@frozen
+class Lease:
+    """A lease that is out.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Id of the request.
+    entry, customer, engine : str
+        Entry node that holds it, customer that pays and engine that runs it.
+    since_ms : int
+        Monotonic time in ms at which it was granted or first told.
+    cached_blocks : int
+        Prefix blocks expected in the engine's cache.
+    """
+
+    request_id: bytes
+    entry: str
+    customer: str
+    engine: str
+    since_ms: int
+    cached_blocks: int = 0
+
+
+class Dispatcher:
+    """Grants leases on the engines of one shard.
+
+    Each method returns the grants and refusals that are due; each request asked for
+    gets one of the two, once.
+
+    Parameters
+    ----------
+    shard : Shard
+        The shard.
+    configuration : Configuration
+        The accepted configuration.
+    clock : Clock
+        The clock.
+    rng : random.Random
+        Source of randomness.
+    entries : iterable of str
+        Nodes that may hold leases of an earlier owner; until each has told them, or
+        `FRESH_MS` have passed, only a share of each engine's capacity is granted.
+    """
+
+    def __init__(self, shard, configuration, clock, rng, entries=()):
+        self.shard = shard
+        self._clock = clock
+        self._rng = rng
+        self._untold = set(entries)
+        self._fresh_until_ms = clock.now() + FRESH_MS
+        self._lease_by_id = {}
+        self._count_by_customer = {}
+        self._queue = FairQueue()
+        self._loads = Loads(configuration.bounds.load_bound)
+        self.set_configuration(configuration)
+
+    def set_configuration(self, configuration):
+        """Take a new revision of the configuration.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            The accepted configuration.
+        """
+        self._configuration = configuration
+        self._loads.load_bound = configuration.bounds.load_bound
+        engines = configuration.engine_by_name
+        names = [name for name in self.shard.engines if name in engines]
+        self._ranking = Ranking({name: engines[name].weight for name in names})
+        return self.set_engines([engines[name] for name in names])
+
+    def set_engines(self, engines):
+        """Set the engines; one whose status is not in service gets no new work.
+
+        Parameters
+        ----------
+        engines : iterable of Engine
+            The shard's engines, with the status that is believed now.
+        """
+        leases = Counter(lease.engine for lease in self._lease_by_id.values())
+        self._loads.set_engines(engines, leases)
+        return self._drain()
+
+    def set_others(self, total, weight):
+        """Set the load of the model's other shards in the region.
+
+        Parameters
+        ----------
+        total : float
+            Requests in progress there.
+        weight : float
+            Summed weight of their engines that take work.
+        """
+        self._loads.other_total = total
+        self._loads.other_weight = weight
+
+    @property
+    def load(self):
+        """Requests in progress at the shard's open engines; for heartbeats."""
+        return self._loads.total()
+
+    @property
+    def weight(self):
+        """Summed weight of the shard's open engines; for heartbeats."""
+        return self._loads.weight()
+
+    @property
+    def waiting(self):
+        """Requests in the queue."""
+        return len(self._queue)
+
+    @property
+    def fresh(self):
+        """Whether leases of an earlier owner may still be unknown."""
+        return bool(self._untold) and self._clock.now() < self._fresh_until_ms
+
+    def load_by_engine(self):
+        """Return the requests in progress by engine."""
+        return {name: load.total for name, load in self._loads.by_engine.items()}
+
+    def ask(self, request):
+        """Ask for a lease.
+
+        Parameters
+        ----------
+        request : LeaseRequest
+            The request; asked again with the same id, the answer is the same.
+        """
+        lease = self._lease_by_id.get(request.request_id)
+        if lease is not None:
+            return [Grant(lease.request_id, lease.engine, lease.cached_blocks)]
+        if request.request_id in self._queue:
+            return []
+        if not self._loads.open_loads():
+            return [Refusal(request.request_id, "no_engine", NO_ENGINE_RETRY_MS)]
+        now = self._clock.now()
+        wait = min(request.deadline_ms, self._configuration.bounds.queue_ms)
+        customer = self._customer(request.customer)
+        self._queue.push(Waiting(request, now, now + wait), customer.weight)
+        return self._drain()
+
+    def release(self, request_id, outcome, cached_blocks=-1):
+        """Take back a lease, or a request that still waits.
+
+        Parameters
+        ----------
+        request_id : bytes
+            Id of the request; an unknown one is ignored.
+        outcome : str
+            ``"done"``, ``"failed"`` or ``"cancelled"``.
+        cached_blocks : int
+            Prefix blocks that the engine said it reused; -1 if it said nothing.
+        """
+        if request_id in self._queue:
+            self._queue.remove(request_id)
+            return [Refusal(request_id, "cancelled", 0)]
+        lease = self._lease_by_id.get(request_id)
+        if lease is None:
+            return []
+        self._drop(lease)
+        return self._drain()
+
+    def hold(self, entry, leases):
+        """Take the full list of leases that an entry node holds.
+
+        Parameters
+        ----------
+        entry : str
+            Name of the entry node.
+        leases : iterable of tuple
+            Request id, engine and customer of each.
+        """
+        now = self._clock.now()
+        held = set()
+        for request_id, engine, customer in leases:
+            held.add(request_id)
+            if request_id not in self._lease_by_id:
+                self._add(Lease(request_id, entry, customer, engine, now))
+        for lease in list(self._lease_by_id.values()):
+            old = now - lease.since_ms >= HOLD_GRACE_MS
+            if lease.entry == entry and old and lease.request_id not in held:
+                self._drop(lease)
+        self._untold.discard(entry)
+        return self._drain()
+
+    def drop_entry(self, entry):
+        """Take back all that an entry node holds, since it is gone.
+
+        Parameters
+        ----------
+        entry : str
+            Name of the entry node.
+        """
+        refusals = []
+        for item in self._queue.requests():
+            if item.request.entry == entry:
+                self._queue.remove(item.request.request_id)
+                refusals.append(Refusal(item.request.request_id, "cancelled", 0))
+        for lease in list(self._lease_by_id.values()):
+            if lease.entry == entry:
+                self._drop(lease)
+        self._untold.discard(entry)
+        return refusals + self._drain()
+
+    def report(self, report):
+        """Take an engine's own report of its load.
+
+        Parameters
+        ----------
+        report : LoadReport
+            The report; one of an engine outside the shard is ignored.
+        """
+        load = self._loads.by_engine.get(report.engine)
+        if load is not None:
+            load.report(report, self._clock.wall())
+        return self._drain()
+
+    def tick(self):
+        """Return the decisions whose time has come; call it each 20 to 100 ms."""
+        wall = self._clock.wall()
+        for load in self._loads.by_engine.values():
+            load.forget_report(wall)
+        late = self._queue.expire(self._clock.now())
+        refusals = [
+            Refusal(item.request.request_id, "deadline", NO_ENGINE_RETRY_MS)
+            for item in late
+        ]
+        return refusals + self._drain()
+
+    def close(self):
+        """Refuse all that waits, since another node owns the shard now."""
+        refusals = []
+        for item in self._queue.requests():
+            self._queue.remove(item.request.request_id)
+            refusals.append(Refusal(item.request.request_id, "moved", 0))
+        return refusals
+
+    def _customer(self, name):
+        customer = self._configuration.customer_by_name.get(name)
+        return Customer(name) if customer is None else customer
+
+    def _eligible(self, name):
+        return self._count_by_customer.get(name, 0) < self._customer(name).concurrency
+
+    def _drain(self):
+        granted = []
+        while len(self._queue):
+            share = FRESH_SHARE if self.fresh else 1.0
+            candidates = self._loads.candidates(share)
+            item = self._queue.pop(self._eligible) if candidates else None
+            if item is None:
+                break
+            granted.append(self._grant(item.request, candidates))
+        return granted
+
+    def _grant(self, request, candidates):
+        name = self._choose(request, candidates)
+        now = self._clock.now()
+        lease = Lease(request.request_id, request.entry, request.customer, name, now)
+        self._add(lease)
+        return Grant(request.request_id, name, lease.cached_blocks)
+
+    def _choose(self, request, candidates):
+        names = {load.engine.name for load in candidates}
+        if request.hint in names:
+            return request.hint
+        key = request.prefixes[0] if request.prefixes else self._rng.getrandbits(64)
+        return next(name for name in self._ranking.order(key) if name in names)
+
+    def _add(self, lease):
+        self._lease_by_id[lease.request_id] = lease
+        count = self._count_by_customer.get(lease.customer, 0)
+        self._count_by_customer[lease.customer] = count + 1
+        self._count(lease.engine, 1)
+
+    def _drop(self, lease):
+        del self._lease_by_id[lease.request_id]
+        count = self._count_by_customer[lease.customer] - 1
+        if count:
+            self._count_by_customer[lease.customer] = count
+        else:
+            del self._count_by_customer[lease.customer]
+        self._count(lease.engine, -1)
+
+    def _count(self, engine, step):
+        load = self._loads.by_engine.get(engine)
+        if load is not None:
+            load.change(step, self._clock.wall())
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,215 @@
+"""Tests of `peridotcove.dispatch`."""
+
+import math
+import random
+import unittest
+from collections import Counter
+
+from attrs import evolve
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from peridotcove.clock import FakeClock
+from peridotcove.dispatch import Dispatcher
+from peridotcove.models import (
+    Bounds,
+    Configuration,
+    Customer,
+    Engine,
+    Grant,
+    LeaseRequest,
+    LoadReport,
+    Refusal,
+    Status,
+    Zone,
+)
+from peridotcove.ownership import shards_of
+
+WEIGHTS = (1.0, 1.0, 2.0, 0.5)
+
+
+def make_engines(weights=WEIGHTS, capacity=8):
+    names = [f"engine-{number}" for number in range(len(weights))]
+    return {
+        name: Engine(name, f"http://127.0.0.1:{i}", "z1", "m", capacity, weights[i])
+        for i, name in enumerate(names)
+    }
+
+
+def make_configuration(engines, **bounds):
+    customers = {
+        "large": Customer("large", concurrency=20, weight=2.0),
+        "small": Customer("small", concurrency=3),
+    }
+    return Configuration(
+        1,
+        Bounds(**bounds),
+        {"z1": Zone("z1", "north")},
+        engine_by_name=engines,
+        customer_by_name=customers,
+    )
+
+
+def make_dispatcher(engines=None, clock=None, entries=(), **bounds):
+    configuration = make_configuration(engines or make_engines(), **bounds)
+    shard = shards_of(configuration, "north")[0]
+    clock = clock or FakeClock()
+    return Dispatcher(shard, configuration, clock, random.Random(1), entries)
+
+
+def make_request(number, customer="large", prefixes=(1, 2, 3), **values):
+    request_id = number.to_bytes(8, "big")
+    return LeaseRequest(request_id, "n1", customer, "m", prefixes, **values)
+
+
+class DispatchMachine(RuleBasedStateMachine):
+    """The bound, one verdict each and no forgotten request, in any order of events."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = FakeClock()
+        self.engines = make_engines()
+        self.dispatcher = make_dispatcher(self.engines, self.clock)
+        self.asked = {}
+        self.verdicts = Counter()
+        self.out = {}
+
+    def take(self, decisions):
+        for decision in decisions:
+            self.verdicts[decision.request_id] += 1
+            if isinstance(decision, Grant):
+                self.out[decision.request_id] = decision.engine
+        grants = [item for item in decisions if isinstance(item, Grant)]
+        if len(grants) == 1:
+            self.check_bound(grants[0].engine)
+
+    def check_bound(self, name):
+        engine = self.engines[name]
+        open_ones = [
+            item for item in self.engines.values() if item.status is Status.IN_SERVICE
+        ]
+        assert engine in open_ones
+        load = Counter(self.out.values())
+        total = sum(load[item.name] for item in open_ones)
+        weight = sum(item.weight for item in open_ones)
+        assert load[name] <= math.ceil(1.25 * total * engine.weight / weight)
+        assert load[name] <= engine.capacity
+
+    @rule(
+        customer=st.sampled_from(["large", "small", "unknown"]),
+        prefix=st.integers(0, 5),
+        priority=st.integers(0, 2),
+        hint=st.sampled_from(["", "engine-0", "engine-9"]),
+    )
+    def ask(self, customer, prefix, priority, hint):
+        request = make_request(
+            len(self.asked) + 1, customer, (prefix,), hint=hint, priority=priority
+        )
+        self.asked[request.request_id] = request
+        self.take(self.dispatcher.ask(request))
+
+    @rule(data=st.data())
+    def ask_again(self, data):
+        if not self.out:
+            return
+        request_id = data.draw(st.sampled_from(sorted(self.out)))
+        grants = self.dispatcher.ask(self.asked[request_id])
+        assert [item.engine for item in grants] == [self.out[request_id]]
+
+    @rule(data=st.data())
+    def release(self, data):
+        if not self.asked:
+            return
+        request_id = data.draw(st.sampled_from(sorted(self.asked)))
+        self.out.pop(request_id, None)
+        self.take(self.dispatcher.release(request_id, "done"))
+
+    @rule(ms=st.integers(0, 4000))
+    def wait(self, ms):
+        self.clock.advance(ms)
+        self.take(self.dispatcher.tick())
+
+    @rule(
+        name=st.sampled_from(["engine-0", "engine-2"]), status=st.sampled_from(Status)
+    )
+    def change_status(self, name, status):
+        self.engines[name] = evolve(self.engines[name], status=status)
+        self.take(self.dispatcher.set_engines(self.engines.values()))
+
+    @invariant()
+    def one_verdict_each(self):
+        waiting = [item for item in self.asked if not self.verdicts[item]]
+        assert all(count == 1 for count in self.verdicts.values())
+        assert len(waiting) == self.dispatcher.waiting
+
+    def teardown(self):
+        self.clock.advance(10_001)
+        self.take(self.dispatcher.tick())
+        assert set(self.verdicts) == set(self.asked)
+
+
+TestDispatchMachine = DispatchMachine.TestCase
+
+
+class TestDispatcher(unittest.TestCase):
+    """Single decisions of a dispatcher."""
+
+    def test_release_lets_the_next_go(self):
+        dispatcher = make_dispatcher(make_engines((1.0,), capacity=1))
+        self.assertIsInstance(dispatcher.ask(make_request(1))[0], Grant)
+        self.assertEqual(dispatcher.ask(make_request(2)), [])
+        released = dispatcher.release(make_request(1).request_id, "done")
+        self.assertEqual([item.request_id for item in released], [b"\0" * 7 + b"\2"])
+
+    def test_customer_at_its_concurrency_waits_alone(self):
+        dispatcher = make_dispatcher()
+        kinds = [dispatcher.ask(make_request(n, "small")) for n in range(4)]
+        self.assertEqual([len(kind) for kind in kinds], [1, 1, 1, 0])
+        self.assertEqual(len(dispatcher.ask(make_request(9, "large"))), 1)
+
+    def test_without_engine_it_refuses_at_once(self):
+        dispatcher = make_dispatcher()
+        engines = [
+            evolve(item, status=Status.LEAVING) for item in make_engines().values()
+        ]
+        dispatcher.set_engines(engines)
+        self.assertEqual(dispatcher.ask(make_request(1))[0].code, "no_engine")
+
+    def test_fresh_owner_grants_a_share_until_all_have_told(self):
+        for told in (True, False):
+            with self.subTest(told=told):
+                clock = FakeClock()
+                engines = make_engines((1.0,), capacity=8)
+                dispatcher = make_dispatcher(engines, clock, entries=("n1", "n2"))
+                grants = [dispatcher.ask(make_request(n)) for n in range(8)]
+                self.assertEqual(sum(map(len, grants)), 4)
+                dispatcher.hold("n1", [(b"other", "engine-0", "large")])
+                if told:
+                    later = dispatcher.hold("n2", [])
+                else:
+                    clock.advance(3_000)
+                    later = dispatcher.tick()
+                self.assertEqual(len(later), 3)
+                self.assertEqual(dispatcher.load, 8)
+
+    def test_dead_entry_gives_back_all(self):
+        dispatcher = make_dispatcher(make_engines((1.0,), capacity=1))
+        dispatcher.ask(make_request(1))
+        dispatcher.ask(make_request(2))
+        decisions = dispatcher.drop_entry("n1")
+        self.assertEqual(decisions, [Refusal(b"\0" * 7 + b"\2", "cancelled", 0)])
+        self.assertEqual((dispatcher.load, dispatcher.waiting), (0, 0))
+
+    def test_report_counts_only_what_was_not_sent_from_here(self):
+        clock = FakeClock()
+        dispatcher = make_dispatcher(make_engines((1.0, 1.0), capacity=50), clock)
+        for number in range(8):
+            dispatcher.ask(make_request(number))
+        clock.advance(2_000)
+        at_ms = clock.wall() - 2_000
+        dispatcher.report(LoadReport("engine-0", 9, 1, at_ms))
+        load = dispatcher.load_by_engine()["engine-0"]
+        self.assertEqual(load, 10)
+        clock.advance(10_000)
+        dispatcher.tick()
+        self.assertLess(dispatcher.load_by_engine()["engine-0"], 10)
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,78 @@
+"""Tests of `peridotcove.ownership`."""
+
+import unittest
+
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotcove.models import (
+    Bounds,
+    Configuration,
+    Engine,
+    Instance,
+    State,
+    Status,
+    Zone,
+)
+from peridotcove.ownership import owner_rank, shards_of
+
+ZONES = {"z1": Zone("z1", "north"), "z2": Zone("z2", "south")}
+
+
+def make_configuration(count, size=16, statuses=()):
+    engines = {}
+    for number in range(count):
+        name = f"engine-{number}"
+        status = statuses[number] if number < len(statuses) else Status.IN_SERVICE
+        url = f"http://127.0.0.1:{number + 1}"
+        engines[name] = Engine(name, url, "z1", "m", status=status)
+    bounds = Bounds(shard_engines=size)
+    return Configuration(1, bounds, zone_by_name=ZONES, engine_by_name=engines)
+
+
+def shard_by_engine(configuration):
+    shards = shards_of(configuration, "north")
+    return {engine: shard.name for shard in shards for engine in shard.engines}
+
+
+class TestShards(unittest.TestCase):
+    """Shards of a configuration."""
+
+    @given(count=st.integers(0, 60), size=st.integers(1, 20))
+    def test_each_engine_is_in_one_small_shard(self, count, size):
+        configuration = make_configuration(count, size)
+        shards = shards_of(configuration, "north")
+        members = [engine for shard in shards for engine in shard.engines]
+        self.assertCountEqual(members, configuration.engine_by_name)
+        self.assertTrue(all(len(shard.engines) <= size for shard in shards))
+        self.assertEqual(shards_of(configuration, "south"), [])
+        if 0 < count <= size:
+            self.assertEqual(len(shards), 1)
+
+    @given(statuses=st.lists(st.sampled_from(Status), min_size=44, max_size=44))
+    def test_status_moves_no_engine(self, statuses):
+        usual = shard_by_engine(make_configuration(44))
+        shards = shard_by_engine(make_configuration(44, statuses=statuses))
+        self.assertEqual(shards, {name: usual[name] for name in shards})
+        kept = [status for status in statuses if status is not Status.RETIRED]
+        self.assertEqual(len(shards), len(kept))
+
+    def test_description_of_one_more_moves_few(self):
+        before = shard_by_engine(make_configuration(40))
+        after = shard_by_engine(make_configuration(41))
+        moved = sum(before[name] != after[name] for name in before)
+        self.assertLessEqual(moved, 2)
+
+
+class TestOwner(unittest.TestCase):
+    """Rank of the nodes that may own a shard."""
+
+    def test_only_live_nodes_rank_and_a_loss_moves_only_its_shards(self):
+        nodes = [Instance(f"n{i}", "node", "127.0.0.1", 1, "z1") for i in range(9)]
+        shards = [f"north/m/{number}" for number in range(200)]
+        before = {shard: owner_rank(shard, nodes) for shard in shards}
+        nodes[3] = evolve(nodes[3], state=State.LEAVING)
+        for shard in shards:
+            expected = [name for name in before[shard] if name != "n3"]
+            self.assertEqual(owner_rank(shard, reversed(nodes)), expected)
