Add a bounded ring of typed events per node

Cause: operators need a time line over all processes, and the composition root needs the recorder first. Change: timeline.py with a registry of event kinds, Event, Timeline(clock, node, capacity), record and the JSON export. A kind names the kinds that it follows, so the cause of a received message needs no byte on the wire.

--- /dev/null
+++ b/peridotcove/timeline.py
@@ -0,0 +1,235 @@
+"""A bounded ring of events of one node, for the time line over all nodes.
+
+No byte travels between nodes for it. The cause of an event that follows a message is
+found by its kind: each kind of the registry names the kind that it follows, and the two
+events share the request or the revision and name each other's node as peer.
+"""
+
+import collections
+import itertools
+
+from attrs import frozen
+
+from peridotcove.registry import Registry
+
+DEFAULT_CAPACITY = 10_000
+MAX_DETAIL_CHARS = 200
+MAX_EXPORT = 10_000
+
+event_kinds = Registry("event kind")
+
+
+@frozen
+class EventKind:
+    """A kind of event.
+
+    Attributes
+    ----------
+    name : str
+        Name in the export, such as ``"lease-granted"``.
+    text : str
+        What happened, in a few words.
+    after : tuple of str
+        Kinds of the peer's event that a message carried here.
+    """
+
+    name: str
+    text: str
+    after: tuple[str, ...] = ()
+
+
+def add_kind(name, text, *after):
+    """Enter a kind of event in the registry and return it.
+
+    Parameters
+    ----------
+    name : str
+        Name in the export.
+    text : str
+        What happened, in a few words.
+    *after : str
+        Kinds of the peer's event that a message carried here.
+    """
+    return event_kinds.register(name)(EventKind(name, text, after))
+
+
+add_kind("node-started", "the node started")
+add_kind("node-ready", "the node takes requests")
+add_kind("node-paused", "the process was paused")
+add_kind("drain-started", "the node is leaving")
+add_kind("drain-ended", "the last request left the node")
+add_kind("peer-up", "a peer is reachable")
+add_kind("peer-down", "a peer is not reachable")
+add_kind("link-opened", "a link to a peer opened")
+add_kind("link-closed", "a link to a peer closed")
+add_kind("request-arrived", "a caller's request arrived")
+add_kind("request-refused", "the request was refused and did not run")
+add_kind("request-sent", "the request went to an endpoint")
+add_kind("request-retried", "the request is tried again")
+add_kind("first-byte", "the endpoint's first byte arrived")
+add_kind("request-ended", "the request ended")
+add_kind("lease-asked", "the entry asked for a lease")
+add_kind("lease-queued", "the owner queued the request", "lease-asked")
+add_kind("lease-granted", "the owner granted a lease", "lease-asked")
+add_kind("lease-refused", "the owner refused a lease", "lease-asked")
+add_kind("grant-received", "the entry got the lease", "lease-granted")
+add_kind("refusal-received", "the entry got the refusal", "lease-refused")
+add_kind("lease-released", "the entry released the lease")
+add_kind("release-received", "the owner took the lease back", "lease-released")
+add_kind("leases-handed-over", "an entry told a new owner its leases")
+add_kind("leases-taken-over", "a new owner learnt of leases", "leases-handed-over")
+add_kind("ticket-minted", "a ticket was minted")
+add_kind("ticket-used", "the ticket was used for the one run")
+add_kind("request-moved", "the only copy moved to the minter of its ticket")
+add_kind("move-received", "the minter got the only copy", "request-moved")
+add_kind("move-answered", "the minter answered")
+add_kind("move-answer-received", "the entry got the minter's answer", "move-answered")
+add_kind("revision-read", "a reader got the revision from the service")
+add_kind("revision-refused", "the revision is faulty and not in force")
+add_kind("revision-sent", "the revision went to a peer")
+add_kind("revision-received", "the revision came from a peer", "revision-sent")
+add_kind("revision-in-force", "the revision is in force on the node")
+add_kind("order-sent", "an order went to an engine")
+add_kind("order-answered", "the engine answered an order")
+
+
+@frozen
+class Event:
+    """Something that happened on a node.
+
+    Attributes
+    ----------
+    sequence : int
+        Counts the events of one incarnation from 1.
+    wall_ms : int
+        Wall time of the node in ms since the Unix epoch.
+    kind : str
+        Name of a registered kind.
+    request_id : bytes
+        Request that it belongs to, or empty.
+    revision : int
+        Configuration revision that it belongs to, or 0.
+    peer : str
+        Node, engine or endpoint on the other side, or empty.
+    detail : str
+        A few more words; never a secret or a part of a chat.
+    cause_node : str
+        Node of the event that a message carried here, where the message said so.
+    cause_sequence : int
+        Sequence number of that event, or 0.
+    """
+
+    sequence: int
+    wall_ms: int
+    kind: str
+    request_id: bytes = b""
+    revision: int = 0
+    peer: str = ""
+    detail: str = ""
+    cause_node: str = ""
+    cause_sequence: int = 0
+
+
+class Timeline:
+    """The last events of one node.
+
+    Parameters
+    ----------
+    clock : Clock
+        The node's clock.
+    node : str
+        Name of the node.
+    capacity : int
+        Most events kept; the oldest go first.
+    incarnation : int or None
+        Wall time in ms at which the process started; now when left out.
+    """
+
+    def __init__(self, clock, node, capacity=DEFAULT_CAPACITY, incarnation=None):
+        self.node = node
+        self.incarnation = clock.wall() if incarnation is None else incarnation
+        self.capacity = capacity
+        self._clock = clock
+        self._last = 0
+        self._events = collections.deque(maxlen=capacity)
+
+    def __len__(self):
+        return len(self._events)
+
+    def record(self, kind, **fields):
+        """Add an event and return its sequence number.
+
+        Parameters
+        ----------
+        kind : str
+            Name of a registered kind.
+        **fields : object
+            Fields of `Event` besides the sequence number, time and kind.
+
+        Raises
+        ------
+        KeyError
+            If no kind has that name.
+        """
+        event_kinds.get(kind)
+        detail = fields.pop("detail", "")[:MAX_DETAIL_CHARS]
+        sequence = self._last + 1
+        wall_ms = self._clock.wall()
+        event = Event(sequence, wall_ms, kind, detail=detail, **fields)
+        self._events.append(event)
+        self._last = sequence
+        return sequence
+
+    def events(self, after=0, limit=MAX_EXPORT):
+        """Return the kept events that follow a sequence number, oldest first.
+
+        Parameters
+        ----------
+        after : int
+            Sequence number that the caller has already.
+        limit : int
+            Most events returned.
+        """
+        first = self._last - len(self._events) + 1
+        start = max(0, after + 1 - first)
+        return list(itertools.islice(self._events, start, start + limit))
+
+    def export(self, after=0, limit=MAX_EXPORT):
+        """Return the JSON value for the operators' port.
+
+        Parameters
+        ----------
+        after : int
+            Sequence number that the caller has already.
+        limit : int
+            Most events returned.
+        """
+        return {
+            "node": self.node,
+            "incarnation": self.incarnation,
+            "wall_ms": self._clock.wall(),
+            "last": self._last,
+            "lost": max(0, self._last - len(self._events) - after),
+            "events": [export_event(event) for event in self.events(after, limit)],
+        }
+
+
+def export_event(event):
+    """Return the JSON list of an event, in the order of its fields.
+
+    Parameters
+    ----------
+    event : Event
+        An event.
+    """
+    return [
+        event.sequence,
+        event.wall_ms,
+        event.kind,
+        event.request_id.hex(),
+        event.revision,
+        event.peer,
+        event.detail,
+        event.cause_node,
+        event.cause_sequence,
+    ]
