--- /dev/null
+++ b/peridotcove/checks.py
@@ -0,0 +1,213 @@
+"""Checks of a well-typed configuration; each yields every fault that it finds."""
+
+import ipaddress
+import re
+from urllib.parse import urlsplit
+
+from peridotcove.exceptions import SettingError
+from peridotcove.registry import Registry
+from peridotcove.schema import suggest
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+NAME_RULE = "1 to 64 letters, digits, dots, dashes, underscores; no dash or dot first"
+DIGEST = re.compile(r"[0-9a-f]{64}")
+METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
+ROLES = ("decode", "mixed", "prefill")
+
+checks = Registry("check of the configuration")
+
+
+def find_faults(configuration, path):
+    """Yield a `SettingError` for each fault of a configuration.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields are well typed.
+    path : str
+        Where it stands, for error messages.
+    """
+    for check in checks.by_name.values():
+        yield from check(configuration, path)
+
+
+def _members(configuration, path):
+    """Yield the place and the object of everything that has a name."""
+    groups = (
+        ("zones", configuration.zone_by_name),
+        ("models", configuration.model_by_name),
+        ("engines", configuration.engine_by_name),
+        ("services", configuration.service_by_name),
+        ("customers", configuration.customer_by_name),
+    )
+    for group, by_name in groups:
+        for name, item in by_name.items():
+            yield f"{path}.{group}.{name}", item
+    yield from _endpoints(configuration, path)
+
+
+def _endpoints(configuration, path):
+    for service in configuration.service_by_name.values():
+        for index, endpoint in enumerate(service.endpoints):
+            yield f"{path}.services.{service.name}.endpoints[{index}]", endpoint
+
+
+def _servers(configuration, path):
+    for engine in configuration.engine_by_name.values():
+        yield f"{path}.engines.{engine.name}", engine
+    yield from _endpoints(configuration, path)
+
+
+@checks.register("names")
+def check_names(configuration, path):
+    """Yield faults of names that don't fit a header, a URL or a metric label.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields are well typed.
+    path : str
+        Where it stands, for error messages.
+    """
+    for place, item in _members(configuration, path):
+        if not NAME.fullmatch(item.name):
+            yield SettingError(f"{place}.name", item.name, NAME_RULE)
+    for model in configuration.model_by_name.values():
+        for adapter in model.adapters:
+            if not NAME.fullmatch(adapter) or model.adapters.count(adapter) > 1:
+                place = f"{path}.models.{model.name}.adapters"
+                yield SettingError(place, adapter, f"once each: {NAME_RULE}")
+    for zone in configuration.zone_by_name.values():
+        if not NAME.fullmatch(zone.region):
+            place = f"{path}.zones.{zone.name}.region"
+            yield SettingError(place, zone.region, NAME_RULE)
+
+
+@checks.register("references")
+def check_references(configuration, path):
+    """Yield faults of references that lead nowhere.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields are well typed.
+    path : str
+        Where it stands, for error messages.
+    """
+    zones = configuration.zone_by_name
+    models = configuration.model_by_name
+    for place, server in _servers(configuration, path):
+        if server.zone not in zones:
+            allowed = "a described zone: " + suggest(server.zone, zones)
+            yield SettingError(f"{place}.zone", server.zone, allowed)
+        model = getattr(server, "model", None)
+        if model is not None and model not in models:
+            allowed = "a described model: " + suggest(model, models)
+            yield SettingError(f"{place}.model", model, allowed)
+
+
+@checks.register("addresses")
+def check_addresses(configuration, path):
+    """Yield faults of URLs that are malformed or stand twice.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields are well typed.
+    path : str
+        Where it stands, for error messages.
+    """
+    place_by_url = {}
+    place_by_name = {}
+    for place, server in _servers(configuration, path):
+        if not _is_base_url(server.url):
+            yield SettingError(f"{place}.url", server.url, "http://IP:PORT")
+        other = place_by_url.setdefault(server.url, place)
+        if other != place:
+            allowed = f"another URL than that of {other}"
+            yield SettingError(f"{place}.url", server.url, allowed)
+        other = place_by_name.setdefault(server.name, place)
+        if other != place:
+            allowed = f"another name than that of {other}"
+            yield SettingError(f"{place}.name", server.name, allowed)
+
+
+def _is_base_url(url):
+    try:
+        parts = urlsplit(url)
+        ipaddress.ip_address(parts.hostname or "")
+        port = parts.port
+    except ValueError:
+        return False
+    bare = not (parts.path.strip("/") or parts.query or parts.fragment)
+    return parts.scheme in ("http", "https") and bool(port) and bare
+
+
+@checks.register("roles")
+def check_roles(configuration, path):
+    """Yield faults of roles that no engine knows.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields are well typed.
+    path : str
+        Where it stands, for error messages.
+    """
+    for engine in configuration.engine_by_name.values():
+        if engine.role not in ROLES:
+            place = f"{path}.engines.{engine.name}.role"
+            yield SettingError(place, engine.role, suggest(engine.role, ROLES))
+
+
+@checks.register("routes")
+def check_routes(configuration, path):
+    """Yield faults of rules about repeatable calls.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields are well typed.
+    path : str
+        Where it stands, for error messages.
+    """
+    for service in configuration.service_by_name.values():
+        seen = {}
+        for index, route in enumerate(service.routes):
+            place = f"{path}.services.{service.name}.routes[{index}]"
+            if not route.prefix.startswith("/"):
+                yield SettingError(f"{place}.prefix", route.prefix, "a path from /")
+            for method in route.methods or METHODS:
+                if method not in METHODS:
+                    allowed = suggest(method, METHODS)
+                    yield SettingError(f"{place}.methods", method, allowed)
+                other = seen.setdefault((route.prefix, method), index)
+                if other != index and service.routes[other] != route:
+                    allowed = f"one rule a method; routes[{other}] has it"
+                    found = f"{method} {route.prefix}"
+                    yield SettingError(place, found, allowed)
+
+
+@checks.register("keys")
+def check_keys(configuration, path):
+    """Yield faults of API keys that are malformed or shared.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields are well typed.
+    path : str
+        Where it stands, for error messages.
+    """
+    owner_by_digest = {}
+    for customer in configuration.customer_by_name.values():
+        for index, digest in enumerate(customer.key_digests):
+            place = f"{path}.customers.{customer.name}.key_digests[{index}]"
+            if not DIGEST.fullmatch(digest):
+                # The value may be the key itself, by mistake: it is not shown.
+                found = f"a string of {len(digest)} characters"
+                allowed = "64 lower-case hex digits: the key's SHA-256 digest"
+                yield SettingError(place, found, allowed)
+            other = owner_by_digest.setdefault(digest, place)
+            if other != place:
+                yield SettingError(place, "a key twice", f"not the key of {other}")
--- a/peridotcove/exceptions.py
+++ b/peridotcove/exceptions.py
@@ -3,6 +3,8 @@
 An error that ends a request carries a verdict: whether the request may have run.
 """
 
+import reprlib
+
 from peridotcove.verdict import Verdict
 
 
@@ -24,7 +26,8 @@
     """
 
     def __init__(self, path, found, allowed):
-        super().__init__(f"{path}: found {found!r}, allowed: {allowed}")
+        shown = reprlib.repr(found)
+        super().__init__(f"{path}: found {shown}, allowed: {allowed}")
         self.path = path
         self.found = found
         self.allowed = allowed
--- a/peridotcove/schema.py
+++ b/peridotcove/schema.py
@@ -4,6 +4,7 @@
 field has in a file when it differs from the attribute.
 """
 
+import difflib
 import enum
 import types
 import typing
@@ -68,6 +69,52 @@
     return value
 
 
+def build_partly(cls, raw, path):
+    """Return an instance without its faulty members, and all faults.
+
+    Parameters
+    ----------
+    cls : type
+        An attrs class whose fields all have defaults.
+    raw : object
+        The JSON value.
+    path : str
+        Where the value stands, for error messages.
+
+    Returns
+    -------
+    value : object
+        An instance of the class; faulty fields are at their defaults, and faulty
+        members of its dictionaries are left out.
+    faults : list of SettingError
+        One for each fault.
+    """
+    faults = []
+    if not isinstance(raw, dict):
+        return cls(), [SettingError(path, raw, "an object")]
+    _build(
+        cls, {word: raw[word] for word in raw if not _is_field(cls, word)}, path, faults
+    )
+    values = {}
+    for spec in attrs.fields(cls):
+        word = _name(spec)
+        if word not in raw:
+            continue
+        inner = f"{path}.{word}"
+        count = len(faults)
+        value = _build(spec.type, raw[word], inner, faults)
+        _check_range(spec, value, inner, faults)
+        if isinstance(value, dict):
+            values[spec.name] = {k: v for k, v in value.items() if v is not None}
+        elif len(faults) == count:
+            values[spec.name] = value
+    return cls(**values), faults
+
+
+def _is_field(cls, word):
+    return any(_name(spec) == word for spec in attrs.fields(cls))
+
+
 def dump(value):
     """Return the JSON value of an attrs instance, without fields left at defaults.
 
@@ -130,19 +177,53 @@
     return _build_scalar(kind, raw, path, faults)
 
 
+def suggest(word, known):
+    """Return what may stand in place of a word, the nearest first.
+
+    Parameters
+    ----------
+    word : object
+        What was found.
+    known : iterable of str
+        What is allowed.
+    """
+    known = sorted(known)
+    near = difflib.get_close_matches(str(word), known, 1) if len(known) <= 200 else []
+    hint = f"did you mean {near[0]!r}? " if near else ""
+    return f"{hint}one of {shorten(known)}"
+
+
+def shorten(names, most=12):
+    """Return names as one line, with the rest counted when there are many.
+
+    Parameters
+    ----------
+    names : sequence of str
+        The names.
+    most : int
+        Most names shown.
+    """
+    shown = ", ".join(names[:most]) or "(none is described)"
+    rest = len(names) - most
+    return f"{shown} and {rest} more" if rest > 0 else shown
+
+
 def _build_instance(cls, raw, path, faults, name):
     if not isinstance(raw, dict):
-        faults.append(SettingError(path, raw, "an object"))
+        found = "a hidden value" if getattr(cls, "HIDDEN", False) else raw
+        faults.append(SettingError(path, found, "an object"))
         return None
     spec_by_key = {_name(spec): spec for spec in attrs.fields(cls)}
+    count = len(faults)
     if name is not None:
-        raw = {"name": name, **raw}
+        if raw.get("name", name) != name:
+            faults.append(SettingError(f"{path}.name", raw["name"], repr(name)))
+        raw = {**raw, "name": name}
     values = {}
     for word in raw:
         if word not in spec_by_key:
-            allowed = "one of " + ", ".join(sorted(spec_by_key))
+            allowed = suggest(word, spec_by_key)
             faults.append(SettingError(f"{path}.{word}", word, allowed))
-    count = len(faults)
     for word, spec in spec_by_key.items():
         if word in raw:
             inner = f"{path}.{word}"
@@ -183,7 +264,7 @@
 def _build_enum(kind, raw, path, faults):
     known = {item.value: item for item in kind}
     if not isinstance(raw, str) or raw not in known:
-        faults.append(SettingError(path, raw, "one of " + ", ".join(sorted(known))))
+        faults.append(SettingError(path, raw, suggest(raw, known)))
         return None
     return known[raw]
 
--- a/peridotcove/settings.py
+++ b/peridotcove/settings.py
@@ -6,6 +6,7 @@
 import pyjson5
 from attrs import frozen
 
+from peridotcove.duplicates import find_duplicates
 from peridotcove.exceptions import InvalidSettings, SettingError
 from peridotcove.schema import build, within
 
@@ -54,6 +55,8 @@
         Environment variable that holds it.
     """
 
+    HIDDEN = True
+
     file: str | None = None
     variable: str | None = None
 
@@ -186,12 +189,17 @@
         If the file can't be read or is no JSON.
     """
     try:
-        return pyjson5.decode(_read_text(file, str(file)))
+        text = _read_text(file, str(file))
+        raw = pyjson5.decode(text)
+        faults = list(find_duplicates(text, str(file)))
     except SettingError as error:
         raise InvalidSettings(f"{file} is not valid", [error]) from None
     except pyjson5.Json5Exception as error:
         fault = SettingError(str(file), str(error), "JSON with comments")
         raise InvalidSettings(f"{file} is not valid", [fault]) from None
+    if faults:
+        raise InvalidSettings(f"{file} is not valid", faults)
+    return raw
 
 
 def read_settings(file):
