Add the operators' library with both firms' deployments as examples

Cause: operators describe what they own in their own language and hand over the printed configuration. Unchanged descriptions keep their revision.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Deployments described with the operators' library."""
--- /dev/null
+++ b/tests/examples/test_deployments.py
@@ -0,0 +1,54 @@
+"""Runs both example deployments."""
+
+import unittest
+
+from examples import cake_stands, gloves
+from peridotcove.configuration import parse_configuration
+from peridotcove.fragments import MAX_PART_BYTES, compact, join
+from peridotcove.schema import dump
+
+# Example, zones, engines in service, plain servers, customers, calls at most once.
+DEPLOYMENTS = (
+    (cake_stands, 4, 6, 4, 10, ("booking", "POST", "/reservations/9")),
+    (gloves, 3, 9, 3, 10, ("orders", "PUT", "/dispatches")),
+)
+
+
+class DeploymentsTest(unittest.TestCase):
+    """Each example prints the deployment of its firm."""
+
+    def test_sizes(self):
+        for example, zones, engines, servers, customers, call in DEPLOYMENTS:
+            with self.subTest(example=example.__name__):
+                made = example.describe().configuration()
+                service = made.service_by_name[call[0]]
+                serving = [
+                    engine
+                    for engine in made.engine_by_name.values()
+                    if engine.status.value == "in-service"
+                ]
+                self.assertEqual(len(made.zone_by_name), zones)
+                self.assertEqual(len(serving), engines)
+                self.assertEqual(len(service.endpoints), servers)
+                self.assertEqual(len(made.customer_by_name), customers)
+                self.assertFalse(service.repeatable(*call[1:]))
+                self.assertEqual(made.revision, 1)
+
+    def test_parts_make_the_whole(self):
+        for example, *_ in DEPLOYMENTS:
+            with self.subTest(example=example.__name__):
+                fleet = example.describe()
+                parts = fleet.parts()
+                made = parse_configuration(join(parts, 1))
+                self.assertEqual(made, fleet.configuration())
+                sizes = [len(compact(part)) for part in parts.values()]
+                self.assertLess(max(sizes), MAX_PART_BYTES)
+
+    def test_unchanged_keeps_its_revision(self):
+        for example, *_ in DEPLOYMENTS:
+            with self.subTest(example=example.__name__):
+                first = dump(example.describe().configuration())
+                again = example.describe(first)
+                self.assertEqual(again.configuration().revision, 1)
+                again.bounds(queue_ms=1)
+                self.assertEqual(again.configuration().revision, 2)
