Add the commands check and timeline

Cause: operators need every fault of a file at once, and one order of events over all processes. Shown values in faults are cut at 120 characters.

--- a/peridotcove/exceptions.py
+++ b/peridotcove/exceptions.py
@@ -3,10 +3,10 @@
 An error that ends a request carries a verdict: whether the request may have run.
 """
 
-import reprlib
-
 from peridotcove.verdict import Verdict
 
+MAX_SHOWN_CHARS = 120
+
 
 class PeridotcoveError(Exception):
     """Base of all errors of the package."""
@@ -26,7 +26,9 @@
     """
 
     def __init__(self, path, found, allowed):
-        shown = reprlib.repr(found)
+        shown = repr(found)
+        if len(shown) > MAX_SHOWN_CHARS:
+            shown = shown[:MAX_SHOWN_CHARS] + "..."
         super().__init__(f"{path}: found {shown}, allowed: {allowed}")
         self.path = path
         self.found = found
--- /dev/null
+++ b/peridotcove/operators/commands.py
@@ -0,0 +1,174 @@
+"""Commands for operators: check files, and show the time line of nodes."""
+
+import asyncio
+import json
+import pathlib
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.outputs.output import Type
+
+from peridotcove.clock import Clock
+from peridotcove.configuration import parse_configuration
+from peridotcove.documents import read_whole
+from peridotcove.exceptions import InvalidSettings, SettingError
+from peridotcove.operators.collect import collect
+from peridotcove.schema import build
+from peridotcove.settings import Settings
+from peridotcove.timeline_output import chrome_trace, format_lines
+from peridotcove.timeline_view import follow, merge
+
+EXIT_OK = 0
+EXIT_FAULTS = 1
+EXIT_USAGE = 2
+SETTINGS_KEYS = {"node", "callers", "nodes", "operators", "platform", "secret"}
+
+
+class CheckCommand(Command):
+    """``peridotcove check FILE...``."""
+
+    name = "check"
+    description = "Check files of settings and configurations; name every fault."
+    arguments = [
+        argument(
+            "files", "Files, or folders of parts of a configuration.", multiple=True
+        )
+    ]
+    options = [
+        option(
+            "previous", None, "Configuration in force; show what changes.", flag=False
+        )
+    ]
+    help = (
+        "Exit codes: 0 all files are valid, 1 a file has faults, 2 a file can't be "
+        "found or the usage is wrong."
+    )
+
+    def handle(self):
+        """Check each file and print what was found."""
+        files = [pathlib.Path(name) for name in self.argument("files")]
+        previous = self.option("previous")
+        known = [*files, pathlib.Path(previous)] if previous else files
+        absent = [str(file) for file in known if not file.exists()]
+        for name in absent:
+            self.line_error(f"{name}: no such file or folder")
+        if absent:
+            return EXIT_USAGE
+        faults = 0
+        for file in files:
+            faults += self._check(file, previous)
+        return EXIT_FAULTS if faults else EXIT_OK
+
+    def _check(self, file, previous):
+        try:
+            words = check_document(file)
+            changes = list_changes(previous, file) if previous else ()
+        except InvalidSettings as error:
+            for fault in error.exceptions:
+                self.line_error(str(fault))
+            self.line_error(f"{file}: {len(error.exceptions)} fault(s)")
+            return len(error.exceptions)
+        self.line(f"{file}: {words}")
+        for change in changes:
+            self.line(f"  {change}")
+        return 0
+
+
+def check_document(file):
+    """Return what a valid file holds, in a few words.
+
+    Parameters
+    ----------
+    file : pathlib.Path
+        A file of settings, a file of a configuration, or a folder of parts.
+
+    Raises
+    ------
+    InvalidSettings
+        With every fault.
+    """
+    raw = read_whole(file)
+    if isinstance(raw, dict) and SETTINGS_KEYS & raw.keys():
+        settings = build(Settings, raw, str(file))
+        try:
+            settings.secret.read(f"{file}.secret")
+        except SettingError as fault:
+            raise InvalidSettings(f"{file} is not valid", [fault]) from None
+        return f"valid settings of node {settings.node}"
+    made = parse_configuration(raw, str(file))
+    counts = (
+        f"{len(made.customer_by_name)} customers, {len(made.engine_by_name)} engines, "
+        f"{len(made.service_by_name)} services"
+    )
+    return f"a valid configuration, revision {made.revision}, {counts}"
+
+
+def list_changes(previous, file):
+    """Return the differences between two configurations in words.
+
+    Parameters
+    ----------
+    previous : str
+        Configuration in force, a file or a folder of parts.
+    file : pathlib.Path
+        The new one.
+    """
+    from peridotcove.changes import find_changes
+
+    old = parse_configuration(read_whole(previous), str(previous))
+    new = parse_configuration(read_whole(file), str(file))
+    return find_changes(old, new)
+
+
+class TimelineCommand(Command):
+    """``peridotcove timeline NODE...``."""
+
+    name = "timeline"
+    description = "Show the events of all nodes in one order."
+    arguments = [argument("nodes", "HOST:PORT of operators' ports.", multiple=True)]
+    options = [
+        option("request", None, "Follow one request, by its id in hex.", flag=False),
+        option("revision", None, "Follow one revision, by its number.", flag=False),
+        option("chrome", None, "Print Chrome trace JSON instead of lines.", flag=True),
+        option("timeout", None, "Wait in seconds for a node.", flag=False, default="5"),
+    ]
+    help = (
+        "Missing nodes are named and left out. Exit codes: 0 all nodes answered, "
+        "1 some are missing, 2 none answered or the usage is wrong."
+    )
+
+    def handle(self):
+        """Collect, merge and print."""
+        try:
+            request_id, revision, timeout_s = self._read_options()
+        except ValueError as error:
+            self.line_error(str(error))
+            return EXIT_USAGE
+        nodes = self.argument("nodes")
+        rings, missing = asyncio.run(collect(nodes, Clock(), timeout_s))
+        for item in missing:
+            self.line_error(f"missing {item.address}: {item.reason}")
+        if not rings:
+            return EXIT_USAGE
+        entries = merge(rings)
+        if request_id is not None or revision is not None:
+            entries = follow(entries, request_id, revision)
+        self._print(entries, rings)
+        return EXIT_FAULTS if missing else EXIT_OK
+
+    def _read_options(self):
+        request = self.option("request")
+        revision = self.option("revision")
+        request_id = None if request is None else bytes.fromhex(request)
+        number = None if revision is None else int(revision)
+        return request_id, number, float(self.option("timeout"))
+
+    def _print(self, entries, rings):
+        if self.option("chrome"):
+            self.io.write(json.dumps(chrome_trace(entries)), type=Type.RAW)
+            return
+        for line in format_lines(entries):
+            self.io.write_line(line, type=Type.RAW)
+        for ring in rings:
+            if ring.lost:
+                self.line_error(f"{ring.node}: {ring.lost} older events are lost")
--- /dev/null
+++ b/tests/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' port and commands."""
