Choose engines by the expected contents of their caches

Cause: a chat's earlier work is reused only where its prefix is cached. Change: cache index in flat arrays with predicted eviction, gaps that make entries doubtful and full lists; thinned prefixes; a chat key; choice by blocks to compute, load, zone and rank. Conclusion: the decision is whole; its weights are still to be tuned.

--- /dev/null
+++ b/peridotcove/cache_index.py
@@ -0,0 +1,358 @@
+"""What the prefix caches of a shard's engines are expected to hold.
+
+The index learns from grants, from what engines say they reused, and from their cache
+events. Each engine has a clock that counts the blocks which entered its cache; an entry
+older than the engine's reach is taken as evicted. A gap in the events makes older
+entries doubtful, and a full list brings them back.
+"""
+
+from bisect import bisect_right
+from collections import deque
+
+from attrs import define, field, frozen
+
+from peridotcove.compact_table import CompactTable
+from peridotcove.prefixes import LADDER, select_depths
+
+CHARS_PER_TOKEN = 4
+DOUBT_SHARE = 0.5
+MISS_FACTOR = 0.97
+HIT_FACTOR = 1.01
+LOWEST_REACH = 0.2
+HIGHEST_REACH = 1.5
+LEAST_BLOCKS = 4
+MARK_MS = 500
+MAX_MARKS = 64
+MAX_WIDE = 1024
+SAMPLE_MASK = 3
+MIN_SLOTS = 4_096
+MAX_SLOTS = 1 << 19
+BLOCKS_PER_SLOT = 4
+
+CLOCK_MASK = 0xFFFF_FFFF
+MAX_AGE = 1 << 31
+DEPTH_SHIFT = 32
+DEPTH_MASK = 0xFFFF
+ENGINE_SHIFT = 48
+ENGINE_MASK = 0xFFF
+LEAF_BIT = 1 << 60
+SET_BIT = 1 << 61
+
+RUNGS = frozenset(LADDER)
+
+
+@frozen
+class CacheEvent:
+    """News of an engine's prefix cache.
+
+    Attributes
+    ----------
+    engine : str
+        Name of the engine.
+    sequence : int
+        Number of the event; the next one has the next number.
+    at_ms : int
+        Wall time in ms at which it happened.
+    stored : tuple
+        Pairs of prefix hash and depth in blocks that entered the cache.
+    removed : tuple of int
+        Prefix hashes that left it.
+    full : bool
+        Whether `stored` is all that the cache holds.
+    """
+
+    engine: str
+    sequence: int
+    at_ms: int
+    stored: tuple = ()
+    removed: tuple = ()
+    full: bool = False
+
+
+@define
+class _Cache:
+    number: int
+    size: int
+    reach: float
+    clock: int = 0
+    floor: int = 0
+    doubt: int = 0
+    sequence: int | None = None
+    marks: deque = field(factory=lambda: deque(maxlen=MAX_MARKS))
+
+
+@define
+class Lookup:
+    """What the index knows of one chat.
+
+    Attributes
+    ----------
+    blocks : int
+        Whole blocks of the chat.
+    pairs : tuple
+        Depths in blocks and prefix hashes, ascending.
+    blocks_by_engine : dict
+        Blocks expected in the cache of each engine that has any.
+    """
+
+    blocks: int
+    pairs: tuple
+    blocks_by_engine: dict
+    _match_by_engine: dict
+    _rungs: list
+
+
+class CacheIndex:
+    """Expected contents of the caches of a shard's engines.
+
+    Parameters
+    ----------
+    block_chars : int
+        Characters per block.
+    """
+
+    def __init__(self, block_chars):
+        self._block_chars = block_chars
+        self._cache_by_engine = {}
+        self._engine_by_number = []
+        self._wide = {}
+        self._table = CompactTable(MIN_SLOTS, self._age)
+
+    def set_engines(self, engines):
+        """Set which engines there are; what is known of one that returns is kept.
+
+        Parameters
+        ----------
+        engines : iterable of Engine
+            The engines.
+        """
+        for engine in engines:
+            size = engine.cache_tokens * CHARS_PER_TOKEN // self._block_chars
+            cache = self._cache_by_engine.get(engine.name)
+            if cache is None:
+                self._forget_if_full()
+                number = len(self._engine_by_number)
+                cache = _Cache(number, size, float(size))
+                self._cache_by_engine[engine.name] = cache
+                self._engine_by_number.append((engine.name, cache))
+            elif cache.size != size:
+                cache.size = size
+                cache.reach = float(size)
+        total = sum(cache.size for cache in self._cache_by_engine.values())
+        slots = max(MIN_SLOTS, min(MAX_SLOTS, total // BLOCKS_PER_SLOT))
+        self._table.limit(slots)
+
+    def _forget_if_full(self):
+        if len(self._engine_by_number) > ENGINE_MASK:
+            self._cache_by_engine.clear()
+            self._engine_by_number.clear()
+            self._wide.clear()
+            self._table = CompactTable(MIN_SLOTS, self._age)
+
+    def __len__(self):
+        return len(self._table)
+
+    @property
+    def slots(self):
+        """Slots of memory allotted; see `peridotcove.compact_table.SLOT_BYTES`."""
+        return self._table.slots
+
+    def _age(self, value):
+        _, cache = self._engine_by_number[(value >> ENGINE_SHIFT) & ENGINE_MASK]
+        age = (cache.clock - value) & CLOCK_MASK
+        return age / (cache.reach + 1)
+
+    def look(self, prefixes, blocks=0):
+        """Return what is expected of a chat.
+
+        Parameters
+        ----------
+        prefixes : tuple of int
+            Hashes of the chat's prefixes, shortest first.
+        blocks : int
+            Whole blocks of the chat; 0 if `prefixes` holds all.
+        """
+        if blocks:
+            pairs = tuple(zip(select_depths(blocks), prefixes, strict=False))
+        else:
+            blocks = len(prefixes)
+            depths = select_depths(blocks)
+            pairs = tuple([(depth, prefixes[depth - 1]) for depth in depths])
+        lookup = Lookup(blocks, pairs, {}, {}, [])
+        get = self._table.get
+        for depth, key in reversed(pairs):
+            value = get(key)
+            if value:
+                number = (value >> ENGINE_SHIFT) & ENGINE_MASK
+                self._match(lookup, depth, key, number, value)
+            stamp_by_number = self._wide.get(key)
+            if stamp_by_number is not None:
+                for number, stamp in stamp_by_number.items():
+                    self._match(lookup, depth, key, number, stamp)
+            shared = value and not value & LEAF_BIT
+            if (shared or stamp_by_number) and depth in RUNGS:
+                lookup._rungs.append((depth, key, value))
+        return lookup
+
+    def _match(self, lookup, depth, key, number, stamp):
+        name, cache = self._engine_by_number[number]
+        if name in lookup.blocks_by_engine:
+            return
+        age = (cache.clock - stamp) & CLOCK_MASK
+        if age > cache.reach or age >= (cache.clock - cache.floor) & CLOCK_MASK:
+            return
+        blocks = depth
+        if age >= (cache.clock - cache.doubt) & CLOCK_MASK:
+            blocks = depth * DOUBT_SHARE
+        lookup.blocks_by_engine[name] = blocks
+        lookup._match_by_engine[name] = (key, age, bool(stamp & LEAF_BIT))
+
+    def record(self, lookup, engine, wall_ms):
+        """Take in that a chat goes to an engine.
+
+        Parameters
+        ----------
+        lookup : Lookup
+            What `look` returned for the chat.
+        engine : str
+            Name of the engine.
+        wall_ms : int
+            Wall time in ms.
+        """
+        cache = self._cache_by_engine.get(engine)
+        if cache is None or not lookup.pairs:
+            return
+        self._advance(cache, lookup, engine, wall_ms)
+        match = lookup._match_by_engine.get(engine)
+        leaf_depth, leaf = lookup.pairs[-1]
+        if match is not None and match[2] and match[0] != leaf:
+            self._table.remove(match[0])
+        stamp = _pack(cache, leaf_depth) | LEAF_BIT
+        known = self._table.get(leaf)
+        if known and not known & LEAF_BIT or leaf in self._wide:
+            self._touch(leaf, known, cache, leaf_depth)
+        else:
+            self._table.put(leaf, stamp)
+        for depth, key, value in lookup._rungs:
+            if key != leaf:
+                self._touch(key, value, cache, depth)
+        if (match is None or not match[2]) and not leaf & SAMPLE_MASK:
+            self._extend(lookup, cache)
+
+    def _advance(self, cache, lookup, engine, wall_ms):
+        cached = int(lookup.blocks_by_engine.get(engine, 0))
+        entered = lookup.blocks - cached
+        if cached:
+            age = lookup._match_by_engine[engine][1]
+            entered += int(cached * age / (cache.reach + 1))
+        if not cache.marks or wall_ms - cache.marks[-1][0] >= MARK_MS:
+            cache.marks.append((wall_ms, cache.clock))
+        cache.clock = (cache.clock + max(1, entered)) & CLOCK_MASK
+        _follow(cache)
+
+    def _touch(self, key, value, cache, depth):
+        stamp_by_number = self._wide.get(key)
+        if stamp_by_number is not None:
+            stamp_by_number[cache.number] = cache.clock
+            return
+        number = (value >> ENGINE_SHIFT) & ENGINE_MASK
+        if number == cache.number:
+            self._table.put(key, _pack(cache, depth) | (value & LEAF_BIT))
+            return
+        self._table.remove(key)
+        if len(self._wide) >= MAX_WIDE:
+            del self._wide[next(iter(self._wide))]
+        stamps = {number: value & CLOCK_MASK, cache.number: cache.clock}
+        self._wide[key] = stamps
+
+    def _extend(self, lookup, cache):
+        deepest = lookup._rungs[0][0] if lookup._rungs else 0
+        for depth, key in lookup.pairs[:-1]:
+            if depth > deepest and depth in RUNGS:
+                self._table.put(key, _pack(cache, depth))
+                return
+
+    def confirm(self, engine, expected, reused):
+        """Compare what an engine reused with what was expected.
+
+        Parameters
+        ----------
+        engine : str
+            Name of the engine.
+        expected, reused : int
+            Blocks.
+        """
+        cache = self._cache_by_engine.get(engine)
+        if cache is None or expected < LEAST_BLOCKS:
+            return
+        if reused < expected / 2:
+            cache.reach = max(cache.reach * MISS_FACTOR, cache.size * LOWEST_REACH)
+        else:
+            cache.reach = min(cache.reach * HIT_FACTOR, cache.size * HIGHEST_REACH)
+
+    def apply(self, event):
+        """Take an engine's cache event, which may be late or follow a gap.
+
+        Parameters
+        ----------
+        event : CacheEvent
+            The event; an old or doubled one is ignored.
+        """
+        cache = self._cache_by_engine.get(event.engine)
+        if cache is None:
+            return
+        if cache.sequence is not None and event.sequence <= cache.sequence:
+            return
+        gap = cache.sequence is not None and event.sequence != cache.sequence + 1
+        cache.sequence = event.sequence
+        then = self._clock_at(cache, event.at_ms)
+        if event.full:
+            cache.floor = cache.doubt = then
+        elif gap:
+            cache.doubt = then
+        for key in event.removed:
+            self._remove(key, cache, then)
+        for key, depth in event.stored:
+            self._store(key, depth, cache)
+
+    def _clock_at(self, cache, at_ms):
+        place = bisect_right(cache.marks, at_ms, key=lambda mark: mark[0])
+        if place == len(cache.marks):
+            return cache.clock
+        return cache.marks[place][1]
+
+    def _remove(self, key, cache, then):
+        value = self._table.get(key)
+        number = (value >> ENGINE_SHIFT) & ENGINE_MASK
+        if value and number == cache.number and _not_after(value, then, cache):
+            self._table.remove(key)
+        stamps = self._wide.get(key, {})
+        stamp = stamps.get(cache.number)
+        if stamp is not None and _not_after(stamp, then, cache):
+            del stamps[cache.number]
+
+    def _store(self, key, depth, cache):
+        value = self._table.get(key)
+        if value or key in self._wide:
+            self._touch(key, value, cache, depth)
+        else:
+            self._table.put(key, _pack(cache, depth) | LEAF_BIT)
+
+
+def _follow(cache):
+    # Keeps the floor and the doubt within half a turn of the clock.
+    oldest = (cache.clock - MAX_AGE) & CLOCK_MASK
+    if (cache.clock - cache.floor) & CLOCK_MASK > MAX_AGE:
+        cache.floor = oldest
+    if (cache.clock - cache.doubt) & CLOCK_MASK > MAX_AGE:
+        cache.doubt = oldest
+
+
+def _pack(cache, depth):
+    depth = min(depth, DEPTH_MASK)
+    engine = cache.number << ENGINE_SHIFT
+    return SET_BIT | engine | depth << DEPTH_SHIFT | cache.clock
+
+
+def _not_after(stamp, then, cache):
+    return (cache.clock - stamp) & CLOCK_MASK >= (cache.clock - then) & CLOCK_MASK
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -4,10 +4,11 @@
 
 from attrs import frozen
 
+from peridotcove.cache_index import CacheIndex
+from peridotcove.choice import Chooser
 from peridotcove.fair_queue import FairQueue, Waiting
 from peridotcove.loads import Loads
 from peridotcove.models import Customer, Grant, Refusal
-from peridotcove.ranking import Ranking
 
 FRESH_MS = 3_000
 FRESH_SHARE = 0.5
@@ -56,13 +57,17 @@
     entries : iterable of str
         Nodes that may hold leases of an earlier owner; until each has told them, or
         `FRESH_MS` have passed, only a share of each engine's capacity is granted.
+    weights : Weights or None
+        What counts in the choice of an engine.
     """
 
-    def __init__(self, shard, configuration, clock, entries=()):
+    def __init__(self, shard, configuration, clock, entries=(), weights=None):
         self.shard = shard
         self._clock = clock
         self._untold = set(entries)
         self._fresh_until_ms = clock.now() + FRESH_MS
+        self._weights = weights
+        self._index = CacheIndex(configuration.bounds.block_chars)
         self._lease_by_id = {}
         self._count_by_customer = {}
         self._queue = FairQueue()
@@ -81,7 +86,7 @@
         self._loads.load_bound = configuration.bounds.load_bound
         engines = configuration.engine_by_name
         names = [name for name in self.shard.engines if name in engines]
-        self._ranking = Ranking({name: engines[name].weight for name in names})
+        self._chooser = Chooser([engines[name] for name in names], self._weights)
         return self.set_engines([engines[name] for name in names])
 
     def set_engines(self, engines):
@@ -93,7 +98,9 @@
             The shard's engines, with the status that is believed now.
         """
         leases = Counter(lease.engine for lease in self._lease_by_id.values())
+        engines = list(engines)
         self._loads.set_engines(engines, leases)
+        self._index.set_engines(engines)
         return self._drain()
 
     def set_others(self, total, weight):
@@ -172,6 +179,8 @@
         lease = self._lease_by_id.get(request_id)
         if lease is None:
             return []
+        if cached_blocks >= 0:
+            self._index.confirm(lease.engine, lease.cached_blocks, cached_blocks)
         self._drop(lease)
         return self._drain()
 
@@ -230,6 +239,16 @@
             load.report(report, self._clock.wall())
         return self._drain()
 
+    def apply(self, event):
+        """Take an engine's cache event.
+
+        Parameters
+        ----------
+        event : CacheEvent
+            The event.
+        """
+        self._index.apply(event)
+
     def tick(self):
         """Return the decisions whose time has come; call it each 20 to 100 ms."""
         wall = self._clock.wall()
@@ -269,20 +288,15 @@
         return granted
 
     def _grant(self, request, candidates):
-        name = self._choose(request, candidates)
+        lookup = self._index.look(request.prefixes, request.blocks)
+        mean = self._loads.mean()
+        name = self._chooser.choose(request, lookup, candidates, mean).engine.name
+        cached = int(lookup.blocks_by_engine.get(name, 0))
+        self._index.record(lookup, name, self._clock.wall())
         now = self._clock.now()
-        lease = Lease(request.request_id, request.entry, request.customer, name, now)
-        self._add(lease)
-        return Grant(request.request_id, name, lease.cached_blocks)
-
-    def _choose(self, request, candidates):
-        names = {load.engine.name for load in candidates}
-        if request.hint in names:
-            return request.hint
-        key = int.from_bytes(request.request_id, "big")
-        if request.prefixes:
-            key = request.prefixes[0]
-        return next(name for name in self._ranking.order(key) if name in names)
+        request_id = request.request_id
+        self._add(Lease(request_id, request.entry, request.customer, name, now, cached))
+        return Grant(request_id, name, cached)
 
     def _add(self, lease):
         self._lease_by_id[lease.request_id] = lease
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -341,8 +341,8 @@
     model : str
         Model, with its adapter if any.
     prefixes : tuple of int
-        Hashes of the chat's prefix blocks, 64 bits each, shortest prefix first;
-        the last is the chat's whole history so far.
+        Hashes of the chat's prefixes, 64 bits each, shortest prefix first; all when
+        `blocks` is 0, else those that `peridotcove.prefixes.thin` kept.
     hint : str
         Engine of the chat's last turn, or empty.
     zone : str
@@ -351,6 +351,10 @@
         Longest wait in ms from arrival at the owner.
     priority : int
         Class in the queue; 0 goes first.
+    chat_key : int
+        Key of the chat that stays the same on each turn; 0 if not known.
+    blocks : int
+        Whole blocks of the chat; 0 if `prefixes` holds all.
     """
 
     request_id: bytes
@@ -362,6 +366,8 @@
     zone: str = ""
     deadline_ms: int = 10_000
     priority: int = 1
+    chat_key: int = 0
+    blocks: int = 0
 
 
 @frozen
--- a/peridotcove/prefixes.py
+++ b/peridotcove/prefixes.py
@@ -1,9 +1,14 @@
 """Cuts a chat into blocks and hashes them into a chain of prefixes."""
 
+import functools
+
 import xxhash
 
 FIELD_END = "\x1f"
 MESSAGE_END = "\x1e"
+LADDER = (1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256, 384, 512)
+STEP_BLOCKS = 4
+RECENT_BLOCKS = 48
 
 
 def flatten(messages):
@@ -54,3 +59,53 @@
         state = xxhash.xxh3_64_digest(state + block)
         hashes.append(int.from_bytes(state, "big"))
     return tuple(hashes)
+
+
+def hash_chat(model, messages):
+    """Return a 64-bit key of a chat that stays the same on each of its turns.
+
+    It covers the messages up to the first of the user, system prompt included.
+
+    Parameters
+    ----------
+    model : str
+        Model and adapter.
+    messages : list of dict
+        Messages with ``role`` and ``content``.
+    """
+    opening = []
+    for item in messages:
+        opening.append(item)
+        if item.get("role") == "user":
+            break
+    text = model + FIELD_END + flatten(opening)
+    return xxhash.xxh3_64_intdigest(text.encode("utf-8", "surrogatepass"))
+
+
+@functools.lru_cache(maxsize=4096)
+def select_depths(blocks):
+    """Return the depths in blocks at which prefixes are compared, ascending.
+
+    They are those of `LADDER`, where chats that share a long prefix meet, and every
+    `STEP_BLOCKS` of the last `RECENT_BLOCKS`, where a chat meets its last turn.
+
+    Parameters
+    ----------
+    blocks : int
+        Whole blocks of the chat.
+    """
+    depths = {depth for depth in LADDER if depth <= blocks}
+    end = blocks - blocks % STEP_BLOCKS
+    depths.update(range(end, max(0, blocks - RECENT_BLOCKS), -STEP_BLOCKS))
+    return tuple(sorted(depths))
+
+
+def thin(prefixes):
+    """Return the hashes at the depths of `select_depths`, for the wire.
+
+    Parameters
+    ----------
+    prefixes : tuple of int
+        Hash of each prefix of whole blocks, shortest first.
+    """
+    return tuple(prefixes[depth - 1] for depth in select_depths(len(prefixes)))
--- a/peridotcove/ranking.py
+++ b/peridotcove/ranking.py
@@ -78,6 +78,24 @@
             for seed, weight in zip(self._seeds, self._weights, strict=True)
         ]
 
+    def best(self, key, allowed):
+        """Return the first allowed name of the rank, or None.
+
+        Parameters
+        ----------
+        key : int
+            64-bit key.
+        allowed : container of str
+            Names that may be returned.
+        """
+        best = None
+        highest = 0.0
+        for name, value in zip(self.names, self.scores(key), strict=True):
+            if value > highest and name in allowed:
+                best = name
+                highest = value
+        return best
+
     def order(self, key):
         """Return the names, highest score first.
 
