Rename the in-memory configuration service

Cause: the name service.py is that of the stand-in for plain services. Change: a rename. Measured: nothing. Conclusion: both can be in one folder.

--- a/peridotcove/standins/fleet.py
+++ b/peridotcove/standins/fleet.py
@@ -7,7 +7,7 @@
 from peridotcove.membership_events import LinkSilent
 from peridotcove.models import Instance
 from peridotcove.reader import ReadPart
-from peridotcove.standins.service import MemoryService
+from peridotcove.standins.memory_service import MemoryService
 
 TICK_MS = 250
 RECONNECT_MS = 20
