Add stand-ins for engines, plain services and the platform

Cause: tests, the demo and the benches need the systems around the fleet. Conclusion: the nodes can be built and tested against them.

--- /dev/null
+++ b/peridotcove/standins/commands.py
@@ -0,0 +1,89 @@
+"""Commands that start the stand-ins."""
+
+import asyncio
+
+import attrs
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from peridotcove.settings import read_json
+from peridotcove.standins.engine import EngineOptions, EngineStandin
+from peridotcove.standins.platform import PlatformStandin
+from peridotcove.standins.service import ServiceStandin
+from peridotcove.standins.serving import serve_until_stopped
+
+PORT = option("port", None, "Port; 0 lets the system choose", flag=False, default="0")
+
+
+def _engine_options():
+    options = []
+    for spec in attrs.fields(EngineOptions):
+        name = spec.name.replace("_", "-")
+        words = f"See EngineOptions.{spec.name}"
+        if spec.type is bool:
+            options.append(option(f"no-{name}", None, f"Turns off {name}"))
+        else:
+            default = str(spec.default)
+            options.append(option(name, None, words, flag=False, default=default))
+    return options
+
+
+class StandinEngineCommand(Command):
+    """Runs a model engine's stand-in."""
+
+    name = "standin engine"
+    description = "Run a stand-in for a model engine"
+    options = [PORT, *_engine_options()]
+
+    def handle(self):
+        """Run until the process is told to end."""
+        values = {}
+        for spec in attrs.fields(EngineOptions):
+            name = spec.name.replace("_", "-")
+            if spec.type is bool:
+                values[spec.name] = not self.option(f"no-{name}")
+            else:
+                values[spec.name] = spec.type(self.option(name))
+        standin = EngineStandin(EngineOptions(**values))
+        asyncio.run(serve_until_stopped(standin, int(self.option("port"))))
+        return 0
+
+
+class StandinServiceCommand(Command):
+    """Runs a plain service's stand-in."""
+
+    name = "standin service"
+    description = "Run a stand-in for a plain service"
+    options = [PORT, option("checks-keys", None, "Refuse a used Idempotency-Key")]
+
+    def handle(self):
+        """Run until the process is told to end."""
+        standin = ServiceStandin(self.option("checks-keys"))
+        asyncio.run(serve_until_stopped(standin, int(self.option("port"))))
+        return 0
+
+
+class StandinPlatformCommand(Command):
+    """Runs the platform's stand-in."""
+
+    name = "standin platform"
+    description = "Run a stand-in for the platform"
+    options = [
+        PORT,
+        option("configuration", None, "JSON file with the configuration", flag=False),
+        option("instances", None, "JSON file with a list of instances", flag=False),
+    ]
+
+    def handle(self):
+        """Run until the process is told to end."""
+        configuration = self.option("configuration")
+        instances = self.option("instances")
+        standin = PlatformStandin(
+            read_json(configuration) if configuration else None,
+            read_json(instances) if instances else [],
+        )
+        asyncio.run(serve_until_stopped(standin, int(self.option("port"))))
+        return 0
+
+
+COMMANDS = (StandinEngineCommand, StandinServiceCommand, StandinPlatformCommand)
