--- a/peridotcove/standins/engine.py
+++ b/peridotcove/standins/engine.py
@@ -25,7 +25,7 @@
 
     Attributes
     ----------
-    model, version : str
+    model, model_version : str
         What it serves at first; any model when empty.
     capacity : int
         Requests that run at once.
@@ -50,7 +50,7 @@
     """
 
     model: str = ""
-    version: str = "1"
+    model_version: str = "1"
     capacity: int = 32
     prefill_rate: float = 20_000.0
     token_ms: float = 10.0
@@ -121,7 +121,7 @@
             self.options.cache_blocks, self.options.lag, self.options.drop
         )
         self.batch = Batch(self.options, self.cache)
-        self.orders = Orders(self.options.model, self.options.version)
+        self.orders = Orders(self.options.model, self.options.model_version)
         self.epoch = time.time_ns() // 1_000_000
         self.requests = 0
 
