--- a/peridotcove/standins/commands.py
+++ b/peridotcove/standins/commands.py
@@ -4,11 +4,14 @@
 
 import attrs
 from cleo.commands.command import Command
-from cleo.helpers import option
+from cleo.helpers import argument, option
 
 from peridotcove.settings import read_json
+from peridotcove.standins.balancer import Balancer, Node
+from peridotcove.standins.caller import Caller
 from peridotcove.standins.engine import EngineOptions, EngineStandin
 from peridotcove.standins.platform import PlatformStandin
+from peridotcove.standins.report import Observer, render
 from peridotcove.standins.service import ServiceStandin
 from peridotcove.standins.serving import serve_until_stopped
 
@@ -86,4 +89,46 @@
         return 0
 
 
-COMMANDS = (StandinEngineCommand, StandinServiceCommand, StandinPlatformCommand)
+class DemoCallerCommand(Command):
+    """Calls the nodes of the demo and prints a table."""
+
+    name = "demo-caller"
+    description = "Hold chats and make bookings, then print what came of them"
+    arguments = [argument("plan", "JSON file with the nodes and stand-ins.")]
+    options = [
+        option("seconds", None, "How long to call", flag=False, default="20"),
+        option("seed", None, "Seed of texts and pauses", flag=False, default="1"),
+    ]
+    help = "Exit codes: 0 all promises held, 1 one was broken, 2 nodes not ready."
+
+    def handle(self):
+        """Call, and return 1 if a promise was broken."""
+        return asyncio.run(self._call())
+
+    async def _call(self):
+        plan = read_json(self.argument("plan"))
+        balancer = Balancer([Node(**item) for item in plan["nodes"]])
+        try:
+            await balancer.start()
+        except TimeoutError as error:
+            self.line_error(str(error))
+            return 2
+        observer = Observer(plan, balancer)
+        caller = Caller(plan, balancer, int(self.option("seed")))
+        await observer.begin()
+        print("calling", flush=True)
+        watch = asyncio.ensure_future(observer.watch())
+        await caller.run(float(self.option("seconds")))
+        watch.cancel()
+        report = await observer.end(caller.tally)
+        print(render(plan["label"], report.rows))
+        balancer.close()
+        return 1 if report.faults else 0
+
+
+COMMANDS = (
+    StandinEngineCommand,
+    StandinServiceCommand,
+    StandinPlatformCommand,
+    DemoCallerCommand,
+)
