--- a/peridotcove/exceptions.py
+++ b/peridotcove/exceptions.py
@@ -5,6 +5,8 @@
 
 from peridotcove.verdict import Verdict
 
+MAX_SHOWN_CHARS = 120
+
 
 class PeridotcoveError(Exception):
     """Base of all errors of the package."""
@@ -24,7 +26,10 @@
     """
 
     def __init__(self, path, found, allowed):
-        super().__init__(f"{path}: found {found!r}, allowed: {allowed}")
+        shown = repr(found)
+        if len(shown) > MAX_SHOWN_CHARS:
+            shown = shown[:MAX_SHOWN_CHARS] + "..."
+        super().__init__(f"{path}: found {shown}, allowed: {allowed}")
         self.path = path
         self.found = found
         self.allowed = allowed
@@ -56,6 +61,10 @@
     """A message could not be handed to a peer; nothing was sent."""
 
 
+class PlatformDown(PeridotcoveError):
+    """The platform did not answer, or not as agreed."""
+
+
 class RequestError(PeridotcoveError):
     """A request ends without an answer from its endpoint.
 
