Refuse leaving endpoints new work, and drain a node in stages

Cause: lists lag and differ, a paused process acts on what it last believed, and a balancer goes on sending to a node that stops.

--- a/peridotcove/nodes/once_messages.py
+++ b/peridotcove/nodes/once_messages.py
@@ -132,3 +132,34 @@
     salt: bytes
     holder: str
     incarnation: int
+
+
+@message(35)
+@frozen
+class AskLeaving:
+    """A node that was paused asks which endpoints are leaving.
+
+    Attributes
+    ----------
+    asked_ms : int
+        Time in ms of the asking node's clock.
+    """
+
+    asked_ms: int
+
+
+@message(36)
+@frozen
+class EndpointsLeaving:
+    """A node tells which engines and endpoints are leaving.
+
+    Attributes
+    ----------
+    names : list
+        Their names.
+    asked_ms : int
+        From the question that this answers, or -1 if nobody asked.
+    """
+
+    names: list
+    asked_ms: int = -1
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,142 @@
+"""A graceful shutdown cuts nothing while callers keep arriving."""
+
+import unittest
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from peridotcove.clock import FakeClock
+from peridotcove.drain import Drain, Stage
+
+DRAIN_MS = 60_000
+LONGEST_MS = 25_000
+BALANCER_MS = 900
+
+
+class DrainMachine(RuleBasedStateMachine):
+    """A node behind a balancer that looks at its readiness now and then."""
+
+    drain_class = Drain
+
+    def __init__(self):
+        super().__init__()
+        self.clock = FakeClock()
+        self.drain = self.drain_class(self.clock, DRAIN_MS)
+        self.ends = []
+        self.taken_over = False
+        self.looked = 0
+        self.sees_ready = True
+        self.refused = 0
+
+    @rule(ms=st.integers(1, LONGEST_MS))
+    def arrive(self, ms):
+        if not self.sees_ready or self.drain.stage is Stage.DONE:
+            return
+        if self.drain.arrive():
+            self.ends.append(self.clock.now() + ms)
+        else:
+            self.refused += 1
+
+    @rule(steps=st.integers(1, 40))
+    def pass_time(self, steps):
+        for _ in range(steps):
+            self.clock.advance(100)
+            now = self.clock.now()
+            self.ends = [end for end in self.ends if end > now]
+            if now - self.looked >= BALANCER_MS:
+                self.looked, self.sees_ready = now, self.drain.ready
+            self.drain.tick(len(self.ends), self.taken_over)
+
+    @rule()
+    def stop(self):
+        self.drain.begin()
+
+    @precondition(lambda self: self.drain.stage is Stage.HANDING_OVER)
+    @rule()
+    def hand_over(self):
+        self.taken_over = True
+
+    @invariant()
+    def nothing_is_cut(self):
+        if self.drain.stage is Stage.DONE:
+            assert not self.ends and not self.drain.cut, "requests were cut"
+            assert self.taken_over or self.drain.left_ms() < DRAIN_MS
+
+    @invariant()
+    def nothing_is_refused_while_the_balancer_sends(self):
+        assert not self.refused, "refused while the balancer still sent"
+
+    def teardown(self):
+        self.drain.begin()
+        for _ in range(DRAIN_MS // 4_000 + 1):
+            self.pass_time(40)
+        assert self.drain.stage is Stage.DONE, "the shutdown does not end"
+
+
+class AbruptDrain(Drain):
+    """Naive: refuses new requests as soon as the shutdown begins."""
+
+    def begin(self):
+        super().begin()
+        self.stage = Stage.CLOSING
+
+
+class BlindDrain(Drain):
+    """Naive: ends a fixed time after it began."""
+
+    def tick(self, in_progress, handed_over):
+        if self.stage is not Stage.SERVING and self.left_ms() < DRAIN_MS - 5_000:
+            self.cut, self.stage = in_progress, Stage.DONE
+        return self.stage
+
+
+class TestDrain(unittest.TestCase):
+    """The machine holds for `Drain` and fails for naive ones."""
+
+    def test_machine(self):
+        run_state_machine_as_test(DrainMachine)
+
+    def test_naive_variants_fail(self):
+        one = settings(phases=[Phase.generate], report_multiple_bugs=False)
+        for naive in (AbruptDrain, BlindDrain):
+            with self.subTest(naive.__name__), self.assertRaises(AssertionError):
+                machine = type("Naive", (DrainMachine,), {"drain_class": naive})
+                run_state_machine_as_test(machine, settings=one)
+
+    def test_stages(self):
+        clock = FakeClock()
+        drain = Drain(clock, 10_000)
+        self.assertEqual((drain.ready, drain.accepting), (True, True))
+        drain.begin()
+        self.assertEqual((drain.ready, drain.accepting), (False, True))
+        table = [
+            (900, 1, False, Stage.LEAVING),
+            (100, 1, False, Stage.CLOSING),
+            (1_000, 1, False, Stage.CLOSING),
+            (0, 0, False, Stage.HANDING_OVER),
+            (1_000, 0, False, Stage.HANDING_OVER),
+            (0, 0, True, Stage.DONE),
+        ]
+        for ms, in_progress, handed_over, stage in table:
+            clock.advance(ms)
+            with self.subTest(stage):
+                self.assertIs(drain.tick(in_progress, handed_over), stage)
+        self.assertFalse(drain.arrive())
+
+    def test_deadline_cuts_and_counts(self):
+        clock = FakeClock()
+        drain = Drain(clock, 10_000)
+        drain.begin()
+        for _ in range(100):
+            drain.arrive()
+            clock.advance(100)
+            drain.tick(3, True)
+        drain.tick(3, True)
+        self.assertEqual((drain.stage, drain.cut), (Stage.DONE, 3))
