--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed-$(shell cat requirements/*.lock | cksum | cut -d' ' -f1)
 SEED ?= 1
 
-.PHONY: test lint format env
+.PHONY: test lint format env demo
 
 env: $(STAMP)
 
@@ -24,3 +24,6 @@
 format: $(STAMP)
 	$(PY) -m ruff format .
 	$(PY) -m ruff check --fix .
+
+demo: $(STAMP)
+	PYTHON=$(PY) bash demo/run.sh
--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -18,6 +18,7 @@
 COMMANDS = {
     "check": "peridotcove.operators.commands:CheckCommand",
     "timeline": "peridotcove.operators.commands:TimelineCommand",
+    "demo-caller": "peridotcove.standins.commands:DemoCallerCommand",
     "standin engine": "peridotcove.standins.commands:StandinEngineCommand",
     "standin service": "peridotcove.standins.commands:StandinServiceCommand",
     "standin platform": "peridotcove.standins.commands:StandinPlatformCommand",
@@ -34,7 +35,7 @@
 
     def handle(self):
         """Run the node."""
-        from peridotcove.node import run_node
+        from peridotcove.running import run_node
 
         try:
             settings = read_settings(self.argument("settings"))
--- a/peridotcove/endpoints/client.py
+++ b/peridotcove/endpoints/client.py
@@ -8,9 +8,10 @@
 import asyncio
 
 import pycurl
-from attrs import define, frozen
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from attrs import define, field, frozen
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest
+from tornado.httputil import HTTPHeaders
 
 from peridotcove.exceptions import EndpointFailed
 from peridotcove.verdict import Verdict
@@ -19,11 +20,6 @@
 CONNECT_MS = 1_000
 CONNECTION_AGE_S = 60
 CONNECTION_IDLE_S = 20
-NOTHING_SENT = (
-    pycurl.E_COULDNT_CONNECT,
-    pycurl.E_COULDNT_RESOLVE_HOST,
-    pycurl.E_URL_MALFORMAT,
-)
 
 
 class CurlClient(CurlAsyncHTTPClient):
@@ -73,12 +69,19 @@
         Takes each read of the body; returns true to pause the transfer.
     fresh : bool
         Whether the request must not use, or leave behind, a shared connection.
+    status : int
+        HTTP status of the answer; 0 before its head.
+    headers : tornado.httputil.HTTPHeaders
+        Header fields of the answer.
     """
 
     first_byte_ms: int
     gap_ms: int
     sink: object = None
     fresh: bool = False
+    status: int = 0
+    headers: HTTPHeaders = field(factory=HTTPHeaders)
+    connected: bool = False
     curl: object = None
     paused: bool = False
     timed_out: bool = False
@@ -87,10 +90,33 @@
     last_ms: int = 0
     _client: object = None
 
-    @property
-    def status(self):
-        """HTTP status of the answer so far; 0 before its head."""
-        return self.curl.getinfo(pycurl.RESPONSE_CODE) if self.curl else 0
+    def take_header(self, line):
+        """Take one line of the answer's head.
+
+        Parameters
+        ----------
+        line : bytes
+            The line with its end.
+        """
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            words = text.split(" ", 2)
+            code = words[1] if len(words) > 1 else ""
+            self.status = int(code) if code.isdigit() else 0
+            self.headers = HTTPHeaders()
+        elif text and ":" in text:
+            self.headers.parse_line(text)
+
+    def note_connected(self, *addresses):
+        """Note that a connection stands and the request is about to be sent.
+
+        Parameters
+        ----------
+        *addresses : object
+            Both ends of the connection.
+        """
+        self.connected = True
+        return pycurl.PREREQFUNC_OK
 
     def resume(self):
         """Go on with a paused transfer."""
@@ -165,15 +191,15 @@
         watch = asyncio.create_task(self._watch(transfer))
         try:
             response = await self._client.fetch(request, raise_error=False)
+        except CurlError as error:
+            raise _explain(url, error, transfer) from None
         except asyncio.CancelledError:
             transfer.cancel()
             raise
         finally:
             watch.cancel()
             transfer.curl = None
-        if response.error is not None and response.code == 599:
-            raise _explain(url, response, transfer)
-        return Reply(response.code, response.headers, response.body or b"")
+        return Reply(response.code, transfer.headers, response.body or b"")
 
     def _prepare(self, curl, transfer):
         transfer.curl = curl
@@ -184,6 +210,8 @@
         if transfer.fresh:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
             curl.setopt(pycurl.FORBID_REUSE, 1)
+        curl.setopt(pycurl.HEADERFUNCTION, transfer.take_header)
+        curl.setopt(pycurl.PREREQFUNCTION, transfer.note_connected)
         if transfer.sink is not None:
             curl.setopt(pycurl.WRITEFUNCTION, lambda data: self._take(transfer, data))
 
@@ -209,15 +237,12 @@
             await asyncio.sleep(left / 1000)
 
 
-def _explain(url, response, transfer):
-    error = response.error
-    number = getattr(error, "errno", None)
-    sent = response.time_info.get("pretransfer", 0) > 0
-    if number in NOTHING_SENT or not sent:
+def _explain(url, error, transfer):
+    if not transfer.connected:
         message = f"no connection to {url}"
         return EndpointFailed("unreachable", message, Verdict.NOT_RUN)
     if transfer.timed_out:
         message = f"{url} went silent"
         return EndpointFailed("timeout", message, Verdict.MAY_HAVE_RUN, 504)
-    message = f"{url} closed the connection early"
+    message = f"{url} ended its answer early: {error}"
     return EndpointFailed("cut", message, Verdict.MAY_HAVE_RUN)
--- a/peridotcove/fleet.py
+++ b/peridotcove/fleet.py
@@ -1,6 +1,8 @@
 """What one node believes about the fleet: configuration, live nodes, shards, owners."""
 
-from peridotcove.models import Configuration
+from attrs import evolve
+
+from peridotcove.models import Configuration, State, Status
 from peridotcove.ownership import owner_rank, shards_of
 
 
@@ -15,7 +17,7 @@
     Attributes
     ----------
     configuration : Configuration
-        Revision in force.
+        Revision in force, with what the platform lists as leaving marked so.
     nodes : tuple of Instance
         Nodes of the region believed live, this one included.
     shard_by_name : dict
@@ -24,7 +26,8 @@
 
     def __init__(self, region):
         self.region = region
-        self.configuration = Configuration()
+        self.configuration = self._described = Configuration()
+        self._leaving = set()
         self.nodes = ()
         self.shard_by_name = {}
         self.shards_by_model = {}
@@ -39,7 +42,8 @@
         configuration : Configuration
             The revision.
         """
-        self.configuration = configuration
+        self._described = configuration
+        self._apply()
         shards = shards_of(configuration, self.region)
         self.shard_by_name = {shard.name: shard for shard in shards}
         self.shards_by_model = {}
@@ -52,6 +56,46 @@
         }
         self._rank_by_shard = {}
 
+    def set_instances(self, instances):
+        """Learn from the platform's list which engines and endpoints are leaving.
+
+        Parameters
+        ----------
+        instances : iterable of Instance
+            The whole list.
+
+        Returns
+        -------
+        bool
+            Whether anything changed.
+        """
+        gone = (State.LEAVING,)
+        leaving = {item.name for item in instances if item.state in gone}
+        changed = leaving != self._leaving
+        self._leaving = leaving
+        if changed:
+            self._apply()
+        return changed
+
+    def _apply(self):
+        described = self._described
+        engines = {
+            name: self._mark(engine)
+            for name, engine in described.engine_by_name.items()
+        }
+        services = {
+            name: evolve(service, endpoints=tuple(map(self._mark, service.endpoints)))
+            for name, service in described.service_by_name.items()
+        }
+        self.configuration = evolve(
+            described, engine_by_name=engines, service_by_name=services
+        )
+
+    def _mark(self, item):
+        if item.name in self._leaving and item.status is Status.IN_SERVICE:
+            return evolve(item, status=Status.LEAVING)
+        return item
+
     def set_nodes(self, nodes):
         """Learn which nodes of the region are believed live.
 
--- a/peridotcove/leases.py
+++ b/peridotcove/leases.py
@@ -25,6 +25,7 @@
 PAUSE_MS = 100
 MAX_OWNERS = 2
 NOT_OWNER = "not-owner"
+MOVED = "moved"
 
 log = get_logger("leases")
 
@@ -89,7 +90,7 @@
                     held = Held(shard, owner, reply.engine, request.customer)
                     self.held_by_id[request.request_id] = held
                     return reply
-                if reply is not None and reply.code != NOT_OWNER:
+                if reply is not None and reply.code not in (NOT_OWNER, MOVED):
                     raise _refuse(reply)
             if self._clock.now() + PAUSE_MS >= end_ms:
                 raise RequestRefused(
@@ -290,13 +291,35 @@
     def _dispatcher(self, shard):
         dispatcher = self.dispatcher_by_shard.get(shard)
         if dispatcher is None:
-            configuration = self._fleet.configuration
+            entries = [one.name for one in self._fleet.nodes if one.name != self._node]
             dispatcher = Dispatcher(
-                self._fleet.shard_by_name[shard], configuration, self._clock
+                self._fleet.shard_by_name[shard],
+                self._fleet.configuration,
+                self._clock,
+                entries,
             )
             self.dispatcher_by_shard[shard] = dispatcher
         return dispatcher
 
+    def follow(self):
+        """Take over what the node's view now says: shards, engines and owners."""
+        for name, dispatcher in list(self.dispatcher_by_shard.items()):
+            shard = self._fleet.shard_by_name.get(name)
+            if shard is None or self._fleet.rank_owners(name)[:1] != [self._node]:
+                del self.dispatcher_by_shard[name]
+                self._tell(dispatcher.close())
+                continue
+            dispatcher.shard = shard
+            self._tell(dispatcher.set_configuration(self._fleet.configuration))
+        for name in self._fleet.shard_by_name:
+            if self._fleet.rank_owners(name)[:1] == [self._node]:
+                self._dispatcher(name)
+
+    def loads(self):
+        """Return the load of each shard that this node owns, for heartbeats."""
+        dispatchers = self.dispatcher_by_shard
+        return {name: int(item.load) for name, item in dispatchers.items()}
+
     def tick(self):
         """Send the decisions whose time has come."""
         for dispatcher in list(self.dispatcher_by_shard.values()):
--- /dev/null
+++ b/peridotcove/node.py
@@ -0,0 +1,211 @@
+"""The composition root: wires the parts of one node."""
+
+import random
+
+from peridotcove.activity import Activity
+from peridotcove.callers.server import CallerDesk
+from peridotcove.callers.server import make_server as make_caller_server
+from peridotcove.calls import ServiceRouter
+from peridotcove.control import Control
+from peridotcove.endpoints.client import EndpointClient
+from peridotcove.endpoints.engines import EngineClient
+from peridotcove.exceptions import LinkDown
+from peridotcove.fleet import Fleet
+from peridotcove.leases import LeaseClient, LeaseServer
+from peridotcove.limits import EntryLimits, HomeLimits
+from peridotcove.logs import get_logger
+from peridotcove.metrics import Metrics
+from peridotcove.models import Instance
+from peridotcove.nodes.handshake import Identity
+from peridotcove.nodes.limit_messages import ReportUsage, ShareRates
+from peridotcove.nodes.links import Links
+from peridotcove.nodes.messages import (
+    AskLease,
+    GiveLease,
+    HoldLeases,
+    QueueLease,
+    RefuseLease,
+    ReleaseLease,
+)
+from peridotcove.operators.desk import OperatorDesk
+from peridotcove.operators.server import make_server as make_operator_server
+from peridotcove.platform.client import PlatformClient
+from peridotcove.router import Router
+from peridotcove.timeline import Timeline
+from peridotcove.usage import Usage
+
+log = get_logger("node")
+
+
+class Node:
+    """One node with all its parts, not yet running.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, settings, clock):
+        self.settings = settings
+        self.clock = clock
+        self.rng = random.Random()
+        self.name = settings.node
+        self.incarnation = clock.wall()
+        self.activity = Activity()
+        self.metrics = Metrics()
+        self.timeline = Timeline(clock, self.name, incarnation=self.incarnation)
+        self.fleet = Fleet(settings.region)
+        self._wire_links()
+        self._wire_control()
+        self._wire_leases()
+        self._wire_requests()
+        self._wire_servers()
+
+    def _wire_links(self):
+        settings = self.settings
+        identity = Identity(self.name, settings.zone, self.incarnation)
+        secret = settings.secret.read("secret")
+        count = self.metrics.control_bytes
+        self.links = Links(
+            identity,
+            secret,
+            self.clock,
+            traffic=lambda way, size: count.labels(way).inc(size),
+        )
+        self.links.on_message = self._receive
+
+    def _wire_control(self):
+        settings = self.settings
+        host, port = settings.nodes.host, settings.nodes.port
+        me = Instance(self.name, "node", host, port, settings.zone)
+        self.control = Control(me, settings.region, self.clock, self.rng)
+        self.platform = PlatformClient(settings.platform, self.name)
+
+    def _wire_leases(self):
+        fleet, links, clock = self.fleet, self.links, self.clock
+        self.lease_server = LeaseServer(self.name, fleet, links, clock)
+        self.lease_client = LeaseClient(
+            self.name, fleet, links, self.lease_server, clock
+        )
+        self.lease_server.client = self.lease_client
+        self.entry_limits = EntryLimits(clock)
+        home_limits = HomeLimits(clock)
+        self.usage = Usage(self.name, fleet, links, self.entry_limits, home_limits)
+        self._receiver_by_type = {
+            AskLease: self.lease_server.receive,
+            ReleaseLease: self.lease_server.receive,
+            HoldLeases: self.lease_server.receive,
+            GiveLease: self.lease_client.receive,
+            RefuseLease: self.lease_client.receive,
+            QueueLease: self.lease_client.receive,
+            ReportUsage: self.usage.receive,
+            ShareRates: self.usage.receive,
+        }
+
+    def _wire_requests(self):
+        settings = self.settings
+        self.endpoint_client = EndpointClient(self.clock)
+        engines = EngineClient(self.endpoint_client, settings.limits)
+        self.router = Router(
+            self.name,
+            settings.zone,
+            self.fleet,
+            self.lease_client,
+            engines,
+            self.entry_limits,
+            self.clock,
+            self.rng,
+            self.metrics,
+            self.timeline,
+        )
+        self.calls = ServiceRouter(
+            settings.zone,
+            self.fleet,
+            self.endpoint_client,
+            self.entry_limits,
+            settings.limits,
+            self.rng,
+            self.metrics,
+        )
+
+    def _wire_servers(self):
+        settings = self.settings
+        desk = CallerDesk(
+            self.fleet,
+            self.router,
+            self.calls,
+            self.activity,
+            settings.limits,
+            self.clock,
+            self.metrics,
+            self.timeline,
+        )
+        self.caller_server = make_caller_server(desk, settings.limits, settings.tls)
+        self.operator_server = make_operator_server(
+            OperatorDesk(
+                self.activity,
+                self.control,
+                self.lease_server,
+                self.metrics,
+                self.timeline,
+            )
+        )
+
+    def _receive(self, peer, message, revision):
+        receiver = self._receiver_by_type.get(type(message))
+        if receiver is not None:
+            self.control.revisions.notice(peer, revision)
+            receiver(peer, message)
+        else:
+            self.send_all(self.control.receive(peer, message, revision))
+        self.follow_configuration()
+
+    def send_all(self, outgoing):
+        """Send messages; those to unreachable peers are lost.
+
+        Parameters
+        ----------
+        outgoing : list of Outgoing
+            The messages.
+        """
+        for item in outgoing:
+            try:
+                self.links.send(item.peer, item.message)
+            except LinkDown as error:
+                log.debug("not sent: %s", error)
+
+    def follow_configuration(self):
+        """Put a new revision into force in all parts."""
+        current = self.control.revisions.current()
+        if current.revision == self.links.revision:
+            return
+        self.links.revision = current.revision
+        self.fleet.set_configuration(current)
+        self.lease_server.follow()
+        self.timeline.record("revision-in-force", revision=current.revision)
+        log.info("revision %d is in force", current.revision)
+
+    def follow_nodes(self):
+        """Let all parts know which nodes are live."""
+        if self.fleet.set_nodes(self.control.membership.live()):
+            self.lease_server.follow()
+            self.lease_client.announce()
+
+    def take_instances(self, instances, asked_ms):
+        """Take the platform's list of instances.
+
+        Parameters
+        ----------
+        instances : tuple of Instance
+            The whole list.
+        asked_ms : int
+            Time in ms at which it was asked for.
+        """
+        self.control.membership.set_listed(instances, asked_ms)
+        self.links.set_peers([item for item in instances if item.kind == "node"])
+        if self.fleet.set_instances(instances):
+            self.lease_server.follow()
+        self.follow_nodes()
--- a/peridotcove/nodes/links.py
+++ b/peridotcove/nodes/links.py
@@ -60,16 +60,13 @@
     revision : int
         Revision of the configuration in force, on every frame.
     on_message : callable or None
-        Called with the peer's name and a message.
-    on_revision : callable or None
-        Called with the peer's name and the revision that it has in force.
+        Called with the peer's name, a message and the revision on its frame.
     """
 
     def __init__(self, identity, secret, clock, traffic=lambda way, count: None):
         super().__init__()
         self.identity = identity
         self.revision = 0
-        self.on_revision = None
         self._secret = secret
         self._clock = clock
         self._traffic = traffic
@@ -222,10 +219,8 @@
             raise ProtocolError(f"{peer!r} sent text")
         message, revision = decode(frame)
         self._traffic("in", len(frame) + CLIENT_FRAME_BYTES + TCP_IP_BYTES)
-        if self.on_revision is not None:
-            self.on_revision(peer, revision)
         if self.on_message is not None:
-            self.on_message(peer, message)
+            self.on_message(peer, message, revision)
 
 
 def _empty(queue):
--- a/peridotcove/nodes/network.py
+++ b/peridotcove/nodes/network.py
@@ -11,7 +11,7 @@
     Attributes
     ----------
     on_message : callable or None
-        Called with the peer's name and a message.
+        Called with the peer's name, a message and the revision on its frame.
     """
 
     def __init__(self):
--- /dev/null
+++ b/peridotcove/operators/desk.py
@@ -0,0 +1,64 @@
+"""What the pages of the operators' port show."""
+
+
+class OperatorDesk:
+    """What the pages of the operators' port work with.
+
+    Parameters
+    ----------
+    activity : Activity
+        Requests in progress.
+    control : Control
+        Membership and configuration.
+    leases : LeaseServer
+        Shards that this node owns.
+    metrics : Metrics
+        The node's metrics.
+    timeline : Timeline
+        The node's events.
+    """
+
+    def __init__(self, activity, control, leases, metrics, timeline):
+        self.metrics = metrics
+        self.timeline = timeline
+        self._activity = activity
+        self._control = control
+        self._leases = leases
+
+    def unready_reason(self):
+        """Return why the balancer must not send callers here, or an empty text."""
+        if self._activity.leaving:
+            return "leaving"
+        if not self._control.revisions.ready():
+            return "no configuration yet"
+        if not self._control.membership.has_list:
+            return "no list of instances yet"
+        return ""
+
+    def describe_configuration(self):
+        """Return the JSON value of the configuration page."""
+        revisions = self._control.revisions
+        refused = revisions.refused
+        return {
+            "revision": revisions.revision,
+            "age_ms": revisions.age_ms(),
+            "refused_revision": refused.revision if refused else 0,
+            "faults": list(refused.faults) if refused else [],
+        }
+
+    def refresh(self):
+        """Bring the levels among the metrics up to date."""
+        metrics, revisions = self.metrics, self._control.revisions
+        metrics.revision.set(revisions.revision)
+        refused = revisions.refused
+        metrics.refused_revision.set(refused.revision if refused else 0)
+        metrics.configuration_age.set((revisions.age_ms() or 0) / 1000)
+        metrics.live_nodes.set(len(self._control.membership.live()))
+        metrics.draining.set(int(self._activity.leaving))
+        for name, dispatcher in self._leases.dispatcher_by_shard.items():
+            load_by_engine = dispatcher.load_by_engine()
+            for engine, load in load_by_engine.items():
+                metrics.engine_load.labels(engine).set(load)
+            mean = sum(load_by_engine.values()) / max(1, len(load_by_engine))
+            highest = max(load_by_engine.values(), default=0)
+            metrics.skew.labels(name).set(highest / mean if mean else 1)
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -146,6 +146,39 @@
                 "lease-released", request_id=request_id, detail=outcome
             )
 
+    def engine_of(self, request_id):
+        """Return the engine on which a request holds a lease, or an empty name.
+
+        Parameters
+        ----------
+        request_id : bytes
+            Id of the request.
+        """
+        held = self._leases.held_by_id.get(request_id)
+        return held.engine if held is not None else ""
+
+    def read_hint(self, chat):
+        """Return the engine of the chat's last turn, or an empty name.
+
+        Parameters
+        ----------
+        chat : Chat
+            The request.
+        """
+        return ""
+
+    def make_hint(self, engine, chat):
+        """Return the token for the chat's next turn, or an empty one.
+
+        Parameters
+        ----------
+        engine : str
+            Engine of this turn.
+        chat : Chat
+            The request.
+        """
+        return ""
+
     def _pick_shard(self, chat):
         shards = self._fleet.shards_by_model.get(chat.base)
         if not shards:
