Tell the differences between two configurations in words

Cause: operators want to see which chats move, which engines get orders and whose limits shrink before they hand a revision over. The time line also takes the one event of the same request as cause when the peer's name doesn't say which node.

--- a/peridotcove/api.py
+++ b/peridotcove/api.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from peridotcove.changes import find_changes
 from peridotcove.configuration import parse_configuration
 from peridotcove.documents import format_whole, read_whole, write_parts
 from peridotcove.exceptions import InvalidSettings, SettingError
@@ -244,6 +245,16 @@
             return checked
         return attrs.evolve(checked, revision=before + 1)
 
+    def changes(self):
+        """Return the differences from the previous configuration, in words.
+
+        Returns
+        -------
+        changes : list of peridotcove.changes.Change
+            Which chats move, which engines get orders, which limits shrink, and so on.
+        """
+        return find_changes(parse_configuration(self.previous), self.configuration())
+
     def parts(self):
         """Return the checked configuration cut into parts, by name of the part."""
         return cut(dump(self.configuration()))
--- a/peridotcove/operators/commands.py
+++ b/peridotcove/operators/commands.py
@@ -8,6 +8,7 @@
 from cleo.helpers import argument, option
 from cleo.io.outputs.output import Type
 
+from peridotcove.changes import find_changes
 from peridotcove.clock import Clock
 from peridotcove.configuration import parse_configuration
 from peridotcove.documents import read_whole
@@ -113,8 +114,6 @@
     file : pathlib.Path
         The new one.
     """
-    from peridotcove.changes import find_changes
-
     old = parse_configuration(read_whole(previous), str(previous))
     new = parse_configuration(read_whole(file), str(file))
     return find_changes(old, new)
--- a/peridotcove/timeline_view.py
+++ b/peridotcove/timeline_view.py
@@ -99,6 +99,7 @@
         self._offset_by_node = {ring.node: ring.offset_ms for ring in rings}
         self._sequences = set()
         self._by_subject = collections.defaultdict(list)
+        self._by_request = collections.defaultdict(list)
         awaited = {name for kind in event_kinds.by_name.values() for name in kind.after}
         for ring in rings:
             for event in ring.events:
@@ -106,6 +107,9 @@
                 if event.kind in awaited:
                     key = _subject(event, event.kind, ring.node, event.peer)
                     self._by_subject[key].append(event)
+                    self._by_request[event.kind, event.request_id].append(
+                        (ring.node, event)
+                    )
 
     def find(self, node, event):
         """Return the key of the cause: its node and sequence number, or None."""
@@ -118,6 +122,11 @@
             found = self._by_subject.get(key)
             if found:
                 return event.peer, self._nearest(found, node, event).sequence
+            if event.request_id:
+                found = self._by_request.get((earlier, event.request_id), ())
+                others = [item for item in found if item[0] != node]
+                if len(others) == 1:
+                    return others[0][0], others[0][1].sequence
         return None
 
     def _nearest(self, found, node, event):
--- a/tests/test_timeline_view.py
+++ b/tests/test_timeline_view.py
@@ -89,6 +89,14 @@
         rings = [parse_export(ring.export(), 0) for ring in (sender, receiver)]
         self.assertEqual([entry.node for entry in merge(rings)], ["n1", "n2"])
 
+    def test_one_event_of_the_request_is_cause_enough(self):
+        clock = FakeClock()
+        entry, owner = Timeline(clock, "n2"), Timeline(clock, "n1")
+        entry.record("lease-asked", request_id=ID, peer="a shard")
+        owner.record("lease-granted", request_id=ID)
+        rings = [parse_export(ring.export(), 0) for ring in (entry, owner)]
+        self.assertEqual([item.node for item in merge(rings)], ["n2", "n1"])
+
     def test_follow(self):
         entries = merge(lease_rings())
         self.assertEqual(len(follow(entries, ID)), 5)
