--- /dev/null
+++ b/peridotcove/bench/operators.py
@@ -0,0 +1,187 @@
+"""Measures the operators' tools: ``peridotcove bench operators``."""
+
+import asyncio
+import json
+import pathlib
+import tempfile
+import time
+
+from attrs import asdict, frozen
+from cleo.commands.command import Command
+from cleo.helpers import option
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from peridotcove.api import describe
+from peridotcove.bench.samples import sample_configuration
+from peridotcove.clock import Clock
+from peridotcove.fragments import compact
+from peridotcove.operators.collect import collect
+from peridotcove.operators.commands import check_document
+from peridotcove.timeline import Timeline
+from peridotcove.timeline_output import chrome_trace, format_lines
+from peridotcove.timeline_view import merge
+
+TARGET_S = {"describe and print": 2.0, "check": 2.0, "timeline": 3.0}
+EVENTS_A_REQUEST = 6
+
+
+@frozen
+class Row:
+    """One measured time.
+
+    Attributes
+    ----------
+    case : str
+        What was timed.
+    size : str
+        How much of it.
+    seconds : float
+        Wall time in seconds.
+    target_seconds : float or None
+        Highest time wanted, if one is set.
+    """
+
+    case: str
+    size: str
+    seconds: float
+    target_seconds: float | None = None
+
+
+def run(customers, engines, nodes, events):
+    """Return the measured rows, and the sizes of the parts in bytes.
+
+    Parameters
+    ----------
+    customers, engines : int
+        Size of the configuration.
+    nodes, events : int
+        Nodes of the time line, and events in the ring of each.
+    """
+    size = f"{customers} customers, {engines} engines"
+    sample = sample_configuration(customers, engines)
+    rows = []
+    started = time.perf_counter()
+    fleet = _describe(sample)
+    text = str(fleet)
+    rows.append(_row("describe and print", size, started))
+    started = time.perf_counter()
+    parts = fleet.parts()
+    rows.append(_row("cut into parts", size, started))
+    with tempfile.TemporaryDirectory() as folder:
+        file = pathlib.Path(folder, "configuration.json")
+        file.write_text(text, encoding="utf-8")
+        started = time.perf_counter()
+        check_document(file)
+        rows.append(_row("check", size, started))
+    rows.append(_time_changes(sample, size))
+    rows.extend(asyncio.run(_time_timeline(nodes, events)))
+    return rows, sorted(len(compact(part).encode()) for part in parts.values())
+
+
+def _row(case, size, started):
+    seconds = time.perf_counter() - started
+    return Row(case, size, round(seconds, 3), TARGET_S.get(case))
+
+
+def _describe(sample):
+    fleet = describe()
+    for name, fields in sample["zones"].items():
+        fleet.zone(name, **fields)
+    for name, fields in sample["models"].items():
+        fleet.model(name, **fields)
+    for name, fields in sample["engines"].items():
+        fleet.engine(name, **fields)
+    for name, fields in sample["customers"].items():
+        fleet.customer(name, **fields)
+    return fleet
+
+
+def _time_changes(sample, size):
+    started = time.perf_counter()
+    fleet = describe(sample)
+    fleet.drain("engine-0")
+    fleet.customer("customer-0", concurrency=1)
+    fleet.changes()
+    return _row("change and show differences", size, started)
+
+
+class _Page(RequestHandler):
+    def initialize(self, ring):
+        self.ring = ring
+
+    def get(self):
+        after = int(self.get_query_argument("after"))
+        self.write(self.ring.export(after))
+
+
+def _fill(ring, peer, events):
+    for number in range(events // EVENTS_A_REQUEST):
+        request_id = number.to_bytes(8, "big")
+        ring.record("request-arrived", request_id=request_id)
+        ring.record("lease-asked", request_id=request_id, peer=peer)
+        ring.record("lease-granted", request_id=request_id, peer=peer)
+        ring.record("grant-received", request_id=request_id, peer=peer)
+        ring.record("first-byte", request_id=request_id, peer="engine-1")
+        ring.record("request-ended", request_id=request_id)
+    for _ in range(events % EVENTS_A_REQUEST):
+        ring.record("peer-up", peer=peer)
+
+
+async def _time_timeline(nodes, events):
+    clock = Clock()
+    size = f"{nodes} nodes x {events} events"
+    servers, addresses = [], []
+    for index in range(nodes):
+        ring = Timeline(clock, f"node-{index}", events)
+        _fill(ring, f"node-{index ^ 1}", events)
+        socket, port = bind_unused_port()
+        server = HTTPServer(Application([("/timeline", _Page, {"ring": ring})]))
+        server.add_socket(socket)
+        servers.append(server)
+        addresses.append(f"127.0.0.1:{port}")
+    started = time.perf_counter()
+    rings, missing = await collect(addresses, clock, timeout_s=30)
+    collected = _row("timeline: collect alone", size, started)
+    entries = merge(rings)
+    lines = sum(1 for _ in format_lines(entries))
+    whole = _row("timeline", size, started)
+    started = time.perf_counter()
+    json.dumps(chrome_trace(entries))
+    chrome = _row("timeline: Chrome trace", size, started)
+    for server in servers:
+        server.stop()
+    if missing or lines != nodes * events:
+        raise RuntimeError(f"{lines} lines, missing: {missing}")
+    return [collected, whole, chrome]
+
+
+class BenchOperatorsCommand(Command):
+    """``peridotcove bench operators``."""
+
+    name = "bench operators"
+    description = "Time the library, the check and the time line."
+    options = [
+        option("json", None, "Print JSON.", flag=True),
+        option("customers", None, "Customers.", flag=False, default="11000"),
+        option("engines", None, "Engines.", flag=False, default="1600"),
+        option("nodes", None, "Nodes of the time line.", flag=False, default="9"),
+        option("events", None, "Events a node.", flag=False, default="10000"),
+    ]
+    help = "Exit codes: 0 measured (met or not), 2 wrong usage."
+
+    def handle(self):
+        """Measure and print."""
+        names = ("customers", "engines", "nodes", "events")
+        rows, sizes = run(*(int(self.option(name)) for name in names))
+        part_bytes = {"count": len(sizes), "largest": sizes[-1], "sum": sum(sizes)}
+        if self.option("json"):
+            shown = {"rows": [asdict(row) for row in rows], "parts": part_bytes}
+            self.line(json.dumps(shown, indent=1))
+            return 0
+        for row in rows:
+            target = f" (target {row.target_seconds} s)" if row.target_seconds else ""
+            self.line(f"{row.case:30} {row.size:32} {row.seconds:7.3f} s{target}")
+        self.line(f"parts: {part_bytes}")
+        return 0
