Write a manifest beside the parts of a configuration

Cause: the readers ask the service for a manifest that names each part's last revision and digest; a folder of parts had only a revision. Change: write_parts writes manifest.json last, parts that did not change keep their revision; read_whole refuses a folder with a missing or foreign part by name.

--- a/peridotcove/api.py
+++ b/peridotcove/api.py
@@ -265,7 +265,7 @@
         Parameters
         ----------
         folder : str
-            Folder for ``revision.json`` and one file a part.
+            Folder for ``manifest.json`` and one file a part.
         """
         return write_parts(dump(self.configuration()), folder)
 
--- a/peridotcove/documents.py
+++ b/peridotcove/documents.py
@@ -1,13 +1,17 @@
 """Reads and writes configurations as files: the whole in one, or a folder of parts."""
 
+import hashlib
 import json
 import pathlib
 
+from attrs import frozen
+
 from peridotcove.exceptions import InvalidSettings, SettingError
 from peridotcove.fragments import KINDS, compact, cut, join
+from peridotcove.schema import build
 from peridotcove.settings import read_json
 
-REVISION_FILE = "revision.json"
+MANIFEST_FILE = "manifest.json"
 
 
 def format_whole(raw):
@@ -33,32 +37,55 @@
     return "{\n" + ",\n".join(rows) + "\n  }"
 
 
+def make_manifest(text_by_part, revision, previous=None):
+    """Return the manifest that the configuration service publishes beside the parts.
+
+    Parameters
+    ----------
+    text_by_part : dict of str to str
+        Content of each part by name.
+    revision : int
+        Revision of the whole.
+    previous : dict or None
+        Manifest in force; parts that have not changed keep their revision.
+    """
+    before = (previous or {}).get("parts", {})
+    parts = {}
+    for name, text in text_by_part.items():
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        old = before.get(name, {})
+        same = old.get("digest") == digest
+        parts[name] = {
+            "revision": old.get("revision", revision) if same else revision,
+            "digest": digest,
+        }
+    return {"revision": revision, "parts": parts}
+
+
 def write_parts(raw, folder):
-    """Write the parts of a configuration and return their file names.
+    """Write the parts of a configuration, then the manifest; return the file names.
 
     Parameters
     ----------
     raw : dict
         The JSON value of a configuration.
     folder : str
-        Folder for ``revision.json`` and one file a part; files of parts that are no
-        more are removed.
+        Folder for ``manifest.json`` and one file a part; where it holds an earlier
+        revision, files of parts that are no more are removed.
     """
     folder = pathlib.Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
-    text_by_file = {f"{name}.json": compact(part) for name, part in cut(raw).items()}
-    text_by_file[REVISION_FILE] = compact({"revision": raw.get("revision", 0)})
-    for old in folder.glob("*.json"):
-        if old.name not in text_by_file and _is_part(old.stem):
-            old.unlink()
-    for name, text in text_by_file.items():
-        (folder / name).write_text(text, encoding="utf-8")
-    return sorted(text_by_file)
-
-
-def _is_part(stem):
-    kind, _, bits = stem.partition("-")
-    return kind in KINDS and not bits.strip("01")
+    old = folder / MANIFEST_FILE
+    previous = read_json(old) if old.exists() else None
+    text_by_part = {name: compact(part) for name, part in cut(raw).items()}
+    manifest = make_manifest(text_by_part, raw.get("revision", 0), previous)
+    for name, text in text_by_part.items():
+        (folder / f"{name}.json").write_text(text, encoding="utf-8")
+    old.write_text(compact(manifest), encoding="utf-8")
+    for name in (previous or {}).get("parts", {}):
+        if name not in text_by_part:
+            (folder / f"{name}.json").unlink(missing_ok=True)
+    return sorted([MANIFEST_FILE, *(f"{name}.json" for name in text_by_part)])
 
 
 def read_whole(path):
@@ -67,24 +94,42 @@
     Parameters
     ----------
     path : str
-        A file that holds the whole, or a folder of parts.
+        A file that holds the whole, or a folder of parts with their manifest.
 
     Raises
     ------
     InvalidSettings
-        If a file can't be read, or the parts make no whole.
+        If a file can't be read, a part is missing or not the one of the manifest, or
+        the parts make no whole.
     """
     path = pathlib.Path(path)
     if not path.is_dir():
         return read_json(path)
-    part_by_name = {
-        file.stem: read_json(file)
-        for file in sorted(path.glob("*.json"))
-        if file.name != REVISION_FILE
-    }
-    head = read_json(path / REVISION_FILE)
-    revision = head.get("revision") if isinstance(head, dict) else None
-    if not isinstance(revision, int):
-        fault = SettingError(str(path / REVISION_FILE), head, '{"revision": NUMBER}')
-        raise InvalidSettings(f"{path} is not valid", [fault])
-    return join(part_by_name, revision)
+    manifest = build(_Manifest, read_json(path / MANIFEST_FILE), str(path))
+    part_by_name = {}
+    faults = []
+    for name, pointer in sorted(manifest.parts.items()):
+        file = path / f"{name}.json"
+        try:
+            part_by_name[name] = read_json(file)
+        except InvalidSettings as error:
+            faults.extend(error.exceptions)
+            continue
+        found = hashlib.sha256(file.read_bytes()).hexdigest()
+        if found != pointer.digest:
+            faults.append(SettingError(str(file), found, f"digest {pointer.digest}"))
+    if faults:
+        raise InvalidSettings(f"{path} is not valid", faults)
+    return join(part_by_name, manifest.revision)
+
+
+@frozen
+class _Pointer:
+    revision: int
+    digest: str
+
+
+@frozen
+class _Manifest:
+    revision: int
+    parts: dict[str, _Pointer]
