--- a/peridotcove/checks.py
+++ b/peridotcove/checks.py
@@ -1,5 +1,6 @@
 """Checks of a well-typed configuration; each yields every fault that it finds."""
 
+import functools
 import ipaddress
 import re
 from urllib.parse import urlsplit
@@ -11,6 +12,7 @@
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 NAME_RULE = "1 to 64 letters, digits, dots, dashes, underscores; no dash or dot first"
 DIGEST = re.compile(r"[0-9a-f]{64}")
+URLS_KEPT = 8_192
 METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 ROLES = ("decode", "mixed", "prefill")
 
@@ -31,19 +33,14 @@
         yield from check(configuration, path)
 
 
-def _members(configuration, path):
-    """Yield the place and the object of everything that has a name."""
-    groups = (
+def _groups(configuration):
+    return (
         ("zones", configuration.zone_by_name),
         ("models", configuration.model_by_name),
         ("engines", configuration.engine_by_name),
         ("services", configuration.service_by_name),
         ("customers", configuration.customer_by_name),
     )
-    for group, by_name in groups:
-        for name, item in by_name.items():
-            yield f"{path}.{group}.{name}", item
-    yield from _endpoints(configuration, path)
 
 
 def _endpoints(configuration, path):
@@ -69,9 +66,27 @@
     path : str
         Where it stands, for error messages.
     """
-    for place, item in _members(configuration, path):
-        if not NAME.fullmatch(item.name):
-            yield SettingError(f"{place}.name", item.name, NAME_RULE)
+    fits = NAME.fullmatch
+    for group, by_name in _groups(configuration):
+        for name in by_name:
+            if not fits(name):
+                yield SettingError(f"{path}.{group}.{name}.name", name, NAME_RULE)
+    for place, endpoint in _endpoints(configuration, path):
+        if not fits(endpoint.name):
+            yield SettingError(f"{place}.name", endpoint.name, NAME_RULE)
+
+
+@checks.register("adapters and regions")
+def check_inner_names(configuration, path):
+    """Yield faults of names of adapters and regions.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields are well typed.
+    path : str
+        Where it stands, for error messages.
+    """
     for model in configuration.model_by_name.values():
         for adapter in model.adapters:
             if not NAME.fullmatch(adapter) or model.adapters.count(adapter) > 1:
@@ -132,6 +147,7 @@
             yield SettingError(f"{place}.name", server.name, allowed)
 
 
+@functools.lru_cache(maxsize=URLS_KEPT)
 def _is_base_url(url):
     try:
         parts = urlsplit(url)
@@ -200,14 +216,22 @@
         Where it stands, for error messages.
     """
     owner_by_digest = {}
+    fits = DIGEST.fullmatch
     for customer in configuration.customer_by_name.values():
-        for index, digest in enumerate(customer.key_digests):
-            place = f"{path}.customers.{customer.name}.key_digests[{index}]"
-            if not DIGEST.fullmatch(digest):
+        for digest in customer.key_digests:
+            if not fits(digest):
                 # The value may be the key itself, by mistake: it is not shown.
                 found = f"a string of {len(digest)} characters"
                 allowed = "64 lower-case hex digits: the key's SHA-256 digest"
-                yield SettingError(place, found, allowed)
-            other = owner_by_digest.setdefault(digest, place)
-            if other != place:
-                yield SettingError(place, "a key twice", f"not the key of {other}")
+                yield SettingError(_key_place(path, customer, digest), found, allowed)
+            other = owner_by_digest.setdefault(digest, customer)
+            if other is not customer or customer.key_digests.count(digest) > 1:
+                allowed = f"not a key of {other.name}"
+                yield SettingError(
+                    _key_place(path, customer, digest), "a key twice", allowed
+                )
+
+
+def _key_place(path, customer, digest):
+    index = customer.key_digests.index(digest)
+    return f"{path}.customers.{customer.name}.key_digests[{index}]"
