Test leases, limits, retries and links

Cause: the wired path had no tests of its own; a lost release leaked a lease for ever. Conclusion: leases come back after any single lost message.

--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -14,6 +14,7 @@
 CONTROL_MS = 250
 LEASE_MS = 50
 LEAVE_MS = 3_000
+ANNOUNCE_MS = 10_000
 
 log = get_logger("node")
 
@@ -61,6 +62,7 @@
         _every(CONTROL_MS, lambda: tick_control(node)),
         _every(LEASE_MS, node.lease_server.tick),
         _every(REPORT_MS, node.usage.tick),
+        _every(ANNOUNCE_MS, node.lease_client.announce),
         watch_configuration(
             node.platform, reader, lambda item: _send_and_follow(node, item)
         ),
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,213 @@
+"""Tests of leases between entries and owners, over a network that loses messages."""
+
+import asyncio
+import unittest
+
+from peridotcove.configuration import parse_configuration
+from peridotcove.exceptions import LinkDown, RequestRefused
+from peridotcove.fleet import Fleet
+from peridotcove.leases import ANSWER_MS, LeaseClient, LeaseServer
+from peridotcove.models import Instance, LeaseRequest
+from peridotcove.nodes.messages import (
+    AskLease,
+    GiveLease,
+    HoldLeases,
+    RefuseLease,
+    ReleaseLease,
+)
+from peridotcove.nodes.network import Network
+from tests.virtual import LoopClock, run
+
+NAMES = ("n1", "n2", "n3")
+CAPACITY = 4
+RAW = {
+    "revision": 1,
+    "zones": {"a": {"region": "r"}},
+    "models": {"m": {}},
+    "engines": {
+        f"e{i}": {"url": f"http://127.0.0.1:{i}", "zone": "a", "model": "m"}
+        | {"capacity": CAPACITY}
+        for i in (1, 2)
+    },
+    "customers": {"c": {}},
+}
+OWNER_MESSAGES = (GiveLease, RefuseLease)
+
+
+class Lossy(Network):
+    """Delivers in the next turn of the loop what no rule drops."""
+
+    def __init__(self, node, hub):
+        super().__init__()
+        self.node = node
+        self.hub = hub
+
+    def send(self, peer, message):
+        """Deliver, lose or refuse a message."""
+        if peer in self.hub.down or self.node in self.hub.down:
+            raise LinkDown(peer)
+        if not self.hub.loses(self.node, peer, message):
+            receive = self.hub.receive_by_node[peer]
+            asyncio.get_running_loop().call_soon(receive, self.node, message)
+
+
+class Hub:
+    """Three nodes that know each other."""
+
+    def __init__(self):
+        self.down = set()
+        self.loses = lambda sender, peer, message: False
+        self.receive_by_node = {}
+        self.client_by_node = {}
+        self.server_by_node = {}
+        self.fleet_by_node = {}
+        for name in NAMES:
+            self.add(name)
+        for server in self.server_by_node.values():
+            server.follow()
+        self.shard = next(iter(self.fleet_by_node["n1"].shard_by_name))
+        self.owners = self.fleet_by_node["n1"].rank_owners(self.shard)
+        self.entry = next(name for name in NAMES if name not in self.owners[:2])
+
+    def add(self, name):
+        """Add a node."""
+        fleet, network = Fleet("r"), Lossy(name, self)
+        fleet.set_configuration(parse_configuration(RAW))
+        fleet.set_nodes(tuple(Instance(n, "node", "", 1, "a") for n in NAMES))
+        clock = LoopClock()
+        server = LeaseServer(name, fleet, network, clock)
+        client = LeaseClient(name, fleet, network, server, clock)
+        server.client = client
+
+        def receive(peer, message):
+            owner_side = (AskLease, ReleaseLease, HoldLeases)
+            part = server if isinstance(message, owner_side) else client
+            part.receive(peer, message)
+
+        self.receive_by_node[name] = receive
+        self.client_by_node[name] = client
+        self.server_by_node[name] = server
+        self.fleet_by_node[name] = fleet
+
+    def ask(self, number, deadline_ms=3000):
+        """Return a task that asks for a lease as the entry node."""
+        request_id = number.to_bytes(8, "big")
+        request = LeaseRequest(
+            request_id, self.entry, "c", "m", (), deadline_ms=deadline_ms
+        )
+        asking = self.client_by_node[self.entry].ask(self.shard, request)
+        return asyncio.ensure_future(asking)
+
+    def load(self, owner):
+        """Return the leases that an owner counts."""
+        dispatcher = self.server_by_node[owner].dispatcher_by_shard.get(self.shard)
+        return sum(dispatcher.load_by_engine().values()) if dispatcher else 0
+
+
+async def settle(ms=0):
+    """Let messages arrive."""
+    await asyncio.sleep(ms / 1000 + 0.001)
+
+
+class LeaseTest(unittest.TestCase):
+    """What an entry gets, and what owners count, under faults."""
+
+    def test_faults(self):
+        kinds_lost = {
+            "none": (),
+            "ask": (AskLease,),
+            "answer": OWNER_MESSAGES,
+        }
+        for fault, lost in kinds_lost.items():
+            with self.subTest(lost=fault):
+                run(self._one_fault(lost))
+
+    async def _one_fault(self, lost):
+        hub = Hub()
+        first = hub.owners[0]
+        hub.loses = lambda sender, peer, message: (
+            first in (sender, peer) and isinstance(message, lost)
+        )
+        began = LoopClock().now()
+        grant = await hub.ask(1)
+        waited = LoopClock().now() - began
+        self.assertIn(grant.engine, ("e1", "e2"))
+        owner = hub.owners[1] if lost else first
+        self.assertEqual(hub.load(owner), 1)
+        self.assertLessEqual(waited, ANSWER_MS if lost else 0)
+        await settle()
+        self.assertEqual(hub.load(first), 0 if lost else 1)
+        hub.client_by_node[hub.entry].release(grant.request_id, "done")
+        await settle()
+        self.assertEqual(hub.load(owner), 0)
+
+    def test_no_owner_reachable_is_not_run_in_time(self):
+        async def case():
+            hub = Hub()
+            hub.down = set(hub.owners[:2])
+            with self.assertRaises(RequestRefused) as caught:
+                await hub.ask(1, deadline_ms=2000)
+            self.assertEqual(caught.exception.code, "no-owner")
+            self.assertLessEqual(LoopClock().now(), 2000)
+
+        run(case())
+
+    def test_lost_release_is_found_by_the_next_announcement(self):
+        async def case():
+            hub = Hub()
+            grant = await hub.ask(1)
+            hub.loses = lambda sender, peer, message: isinstance(message, ReleaseLease)
+            client = hub.client_by_node[hub.entry]
+            client.release(grant.request_id, "done")
+            await settle(10_000)
+            self.assertEqual(hub.load(hub.owners[0]), 1)
+            client.announce()
+            await settle()
+            self.assertEqual(hub.load(hub.owners[0]), 0)
+
+        run(case())
+
+    def test_cancelled_wait_leaves_nothing_behind(self):
+        async def case():
+            hub = Hub()
+            await settle(3000)
+            held = [await hub.ask(n) for n in range(2 * CAPACITY)]
+            waiting = hub.ask(99)
+            await settle()
+            waiting.cancel()
+            await settle()
+            for grant in held:
+                hub.client_by_node[hub.entry].release(grant.request_id, "done")
+            await settle()
+            self.assertEqual(hub.load(hub.owners[0]), 0)
+
+        run(case())
+
+    def test_new_owner_learns_of_leases(self):
+        async def case():
+            hub = Hub()
+            grants = [await hub.ask(n) for n in range(3)]
+            dead, heir = hub.owners[:2]
+            hub.down = {dead}
+            live = tuple(Instance(n, "node", "", 1, "a") for n in NAMES if n != dead)
+            for name in NAMES:
+                hub.fleet_by_node[name].set_nodes(live)
+                hub.server_by_node[name].follow()
+            hub.client_by_node[hub.entry].announce()
+            await settle()
+            self.assertEqual(hub.load(heir), len(grants))
+            for grant in grants:
+                hub.client_by_node[hub.entry].release(grant.request_id, "done")
+            await settle()
+            self.assertEqual(hub.load(heir), 0)
+
+        run(case())
+
+    def test_dead_entry_frees_its_leases(self):
+        async def case():
+            hub = Hub()
+            await hub.ask(1)
+            hub.server_by_node[hub.owners[0]].drop_entry(hub.entry)
+            self.assertEqual(hub.load(hub.owners[0]), 0)
+
+        run(case())
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,95 @@
+"""Tests of customers' rates over all nodes."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotcove.clock import FakeClock
+from peridotcove.exceptions import RequestRefused
+from peridotcove.limits import REPORT_MS, EntryLimits, HomeLimits, divide
+from peridotcove.models import Customer
+
+ENTRIES = 9
+STEP_MS = 10
+
+
+def offer(entry, customer):
+    """Return whether an entry admits a request."""
+    try:
+        entry.admit(customer)
+    except RequestRefused as error:
+        assert error.status == 429 and error.retry_after_ms >= 0
+        return False
+    return True
+
+
+def surge(rate, offered_per_second, seconds, home_lost=False):
+    """Return the requests admitted in each second over all entries."""
+    clock = FakeClock()
+    customer = Customer("c", requests_per_second=rate)
+    entries = [EntryLimits(clock) for _ in range(ENTRIES)]
+    home, admitted, debt = HomeLimits(clock), [], 0.0
+    for _ in range(seconds):
+        count = 0
+        for _ in range(REPORT_MS // STEP_MS):
+            debt += offered_per_second * STEP_MS / 1000
+            while debt >= 1:
+                debt -= 1
+                number = int(offered_per_second * clock.now() / 1000 + debt)
+                count += offer(entries[number % ENTRIES], customer)
+            clock.advance(STEP_MS)
+        admitted.append(count)
+        for name, entry in enumerate(entries):
+            for offered in entry.report().values():
+                share = home.receive(str(name), customer, offered)
+                if share is not None and not home_lost:
+                    entry.set_share("c", share)
+    return admitted
+
+
+class LimitTest(unittest.TestCase):
+    """Rates hold over all entries, and nobody below them is refused."""
+
+    def test_tenfold_surge_is_held_after_two_reports(self):
+        admitted = surge(rate=90, offered_per_second=900, seconds=6)
+        for second in admitted[2:]:
+            self.assertLessEqual(second, 1.1 * 90)
+            self.assertGreaterEqual(second, 0.8 * 90)
+
+    def test_below_the_rate_nothing_is_refused(self):
+        admitted = surge(rate=90, offered_per_second=80, seconds=6)
+        self.assertEqual(sum(admitted), 80 * 6)
+
+    def test_lost_home_bounds_at_the_rate_for_each_entry(self):
+        admitted = surge(rate=20, offered_per_second=900, seconds=6, home_lost=True)
+        for second in admitted[2:]:
+            self.assertLessEqual(second, ENTRIES * 20 * 1.1)
+
+    def test_idle_customers_are_forgotten(self):
+        clock = FakeClock()
+        entry, home = EntryLimits(clock), HomeLimits(clock)
+        for number in range(100):
+            customer = Customer(f"c{number}")
+            entry.admit(customer)
+            home.receive("n", customer, 1)
+        entry.report()
+        clock.advance(60_000)
+        entry.report()
+        home.tick()
+        self.assertEqual((entry.bucket_by_customer, home.demand_by_customer), ({}, {}))
+
+    @given(
+        st.floats(0.1, 1000),
+        st.dictionaries(st.text(max_size=3), st.floats(0, 1000), min_size=1),
+    )
+    def test_division_is_max_min_fair(self, rate, demand_by_name):
+        share_by_name = divide(rate, demand_by_name)
+        self.assertLessEqual(sum(share_by_name.values()), rate * (1 + 1e-9))
+        unmet = [n for n in share_by_name if share_by_name[n] < demand_by_name[n]]
+        for name in unmet:
+            self.assertGreaterEqual(
+                share_by_name[name] * (1 + 1e-9), max(share_by_name.values())
+            )
+        if not unmet:
+            self.assertEqual(share_by_name, demand_by_name)
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,45 @@
+"""Tests of the retry budget and of what may be repeated."""
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotcove.exceptions import EndpointFailed, RequestRefused
+from peridotcove.retries import MAX_BACKOFF_MS, RetryBudget, backoff, may_repeat
+from peridotcove.verdict import Verdict
+
+
+class RetryTest(unittest.TestCase):
+    """Retries stay within their share and within the verdict."""
+
+    @given(st.lists(st.booleans(), max_size=300), st.sampled_from([0.0, 0.1, 0.5]))
+    def test_never_more_than_the_share(self, tries, share):
+        budget, retried = RetryBudget(share), 0
+        for first, failed in enumerate(tries, 1):
+            budget.deposit()
+            retried += failed and budget.withdraw()
+            self.assertLessEqual(retried, share * first + 1e-6)
+
+    def test_what_may_be_repeated(self):
+        cases = [
+            # verdict, repeatable, started, expected
+            (Verdict.NOT_RUN, False, False, True),
+            (Verdict.NOT_RUN, True, False, True),
+            (Verdict.MAY_HAVE_RUN, False, False, False),
+            (Verdict.MAY_HAVE_RUN, True, False, True),
+            (Verdict.RAN, False, False, False),
+            (Verdict.NOT_RUN, True, True, False),
+            (Verdict.MAY_HAVE_RUN, True, True, False),
+        ]
+        for verdict, repeatable, started, expected in cases:
+            with self.subTest(verdict=verdict, repeatable=repeatable, started=started):
+                error = EndpointFailed("x", "x", verdict)
+                self.assertEqual(may_repeat(error, repeatable, started), expected)
+        self.assertFalse(may_repeat(RequestRefused("rate", "x", 429), True, False))
+
+    @given(st.integers(1, 10_000), st.integers())
+    def test_backoff_is_bounded(self, tries, seed):
+        wait = backoff(tries, random.Random(seed))
+        self.assertTrue(0 <= wait <= MAX_BACKOFF_MS)
