--- a/peridotcove/nodes/once_messages.py
+++ b/peridotcove/nodes/once_messages.py
@@ -77,12 +77,13 @@
         Process that it is meant for, by its start; any other refuses it.
     node, origin_incarnation, salt : str, int, bytes
         Process that minted the tickets.
-    elapsed_ms : int
-        Time in ms since that process started.
+    elapsed_ms, until_ms : int
+        Time in ms since that process started: now, and at the end of its last ticket.
     floor : int
         Tickets below this number without an entry were forgotten.
     entries : list
-        For each ticket its number, digest, end, outcome, status, headers and body.
+        For each ticket its number, digest, end and outcome, and if its answer is kept
+        then its status, headers and body.
     """
 
     incarnation: int
@@ -90,6 +91,7 @@
     origin_incarnation: int
     salt: bytes
     elapsed_ms: int
+    until_ms: int
     floor: int
     entries: list
 
@@ -130,3 +132,34 @@
     salt: bytes
     holder: str
     incarnation: int
+
+
+@message(35)
+@frozen
+class AskLeaving:
+    """A node that was paused asks which endpoints are leaving.
+
+    Attributes
+    ----------
+    asked_ms : int
+        Time in ms of the asking node's clock.
+    """
+
+    asked_ms: int
+
+
+@message(36)
+@frozen
+class EndpointsLeaving:
+    """A node tells which engines and endpoints are leaving.
+
+    Attributes
+    ----------
+    names : list
+        Their names.
+    asked_ms : int
+        From the question that this answers, or -1 if nobody asked.
+    """
+
+    names: list
+    asked_ms: int = -1
