Pass on whole events only, resume cut streams and cancel at the engine

Cause: the end mark was looked for in the last bytes, where a text may hold it, and a cut stream was given up though the engine still had it. Change: EventStream and check_answer; the engine client resumes after the events already passed on, checks ids, tells the engine when the caller goes, and takes a check right before the request is sent. Conclusion: cut, foreign and malformed answers end as errors.

--- a/peridotcove/endpoints/client.py
+++ b/peridotcove/endpoints/client.py
@@ -13,7 +13,7 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
 
-from peridotcove.exceptions import EndpointFailed
+from peridotcove.exceptions import EndpointFailed, RequestError
 from peridotcove.verdict import Verdict
 
 MAX_TRANSFERS = 512
@@ -68,7 +68,11 @@
     sink : callable or None
         Takes each read of the body; returns true to pause the transfer.
     fresh : bool
-        Whether the request must not use, or leave behind, a shared connection.
+        Whether the request must not use, or leave behind, a shared connection, nor be
+        sent again by libcurl.
+    check : callable or None
+        Called right before the request is sent; the `RequestError` that it raises stops
+        the request.
     status : int
         HTTP status of the answer; 0 before its head.
     headers : tornado.httputil.HTTPHeaders
@@ -79,6 +83,8 @@
     gap_ms: int
     sink: object = None
     fresh: bool = False
+    check: object = None
+    refused: object = None
     status: int = 0
     headers: HTTPHeaders = field(factory=HTTPHeaders)
     connected: bool = False
@@ -115,6 +121,14 @@
         *addresses : object
             Both ends of the connection.
         """
+        if self.cancelled or (self.connected and self.fresh):
+            return pycurl.PREREQFUNC_ABORT
+        try:
+            if self.check is not None:
+                self.check()
+        except RequestError as error:
+            self.refused = error
+            return pycurl.PREREQFUNC_ABORT
         self.connected = True
         return pycurl.PREREQFUNC_OK
 
@@ -240,7 +254,8 @@
 def _explain(url, error, transfer):
     if not transfer.connected:
         message = f"no connection to {url}"
-        return EndpointFailed("unreachable", message, Verdict.NOT_RUN)
+        unreachable = EndpointFailed("unreachable", message, Verdict.NOT_RUN)
+        return transfer.refused or unreachable
     if transfer.timed_out:
         message = f"{url} went silent"
         return EndpointFailed("timeout", message, Verdict.MAY_HAVE_RUN, 504)
--- a/peridotcove/endpoints/engines.py
+++ b/peridotcove/endpoints/engines.py
@@ -1,14 +1,18 @@
 """Sends chats to engines and checks that their answers are whole."""
 
+import asyncio
+import contextlib
 import json
 
-from peridotcove.endpoints.client import Transfer
-from peridotcove.exceptions import EndpointFailed
+from peridotcove.clock import MS_PER_S
+from peridotcove.endpoints.client import Reply, Transfer
+from peridotcove.exceptions import EndpointFailed, RequestError
 from peridotcove.verdict import Verdict
+from peridotcove.whole import EventStream, check_answer
 
-DONE = b"data: [DONE]"
-EVENT_STARTS = (b"data:", b":", b"event:", b"id:")
-TAIL_BYTES = 64
+RESUME_MS = (0, 100, 500, 1_000)
+CANCEL_MS = 2_000
+CUTS = ("cut", "timeout")
 MAX_ERROR_BYTES = 65_536
 BUSY_STATUSES = (429, 503)
 
@@ -27,10 +31,16 @@
     def __init__(self, client, limits):
         self._client = client
         self._limits = limits
+        self._tasks = set()
 
-    async def run(self, engine, body, request_id, sink=None):
+    async def run(
+        self, engine, body, request_id, sink=None, check=None, repeatable=True
+    ):
         """Run one chat at an engine and return the reply.
 
+        A stream that is cut goes on where it stopped, if the engine still has it. When
+        the caller goes away the engine is told to stop.
+
         Parameters
         ----------
         engine : Engine
@@ -41,6 +51,10 @@
             Id of the request, passed to the engine.
         sink : Sink or None
             Takes a streamed answer; None for an answer in one piece.
+        check : callable or None
+            Called right before the request is sent; may raise `RequestError`.
+        repeatable : bool
+            Whether the request may run more than once.
 
         Returns
         -------
@@ -50,53 +64,135 @@
         Raises
         ------
         EndpointFailed
-            If the answer is missing, malformed or cut.
+            If the answer is missing, malformed, another request's, or cut.
         """
-        headers = {"Content-Type": "application/json", "X-Request-Id": request_id}
-        url = f"{engine.url}/v1/chat/completions"
-        stream = _Stream(engine, sink)
-        take = None if sink is None else stream.take
-        limits = self._limits
-        transfer = Transfer(limits.first_byte_ms, limits.gap_ms, take)
-        stream.transfer = transfer
-        if sink is not None:
-            sink.transfer = transfer
-        reply = await self._client.fetch("POST", url, headers, body, transfer)
-        if sink is None:
-            return _check_json(engine, reply)
-        return stream.finish(reply)
+        run = _Run(self._client, self._limits, engine, request_id, sink)
+        run.check, run.fresh = check, not repeatable
+        try:
+            reply = await run.start(body)
+        except (asyncio.CancelledError, RequestError):
+            if run.is_left_running():
+                self._cancel(run)
+            raise
+        return reply
 
+    def _cancel(self, run):
+        task = asyncio.create_task(run.cancel())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-class _Stream:
-    """The body of one streamed answer: data for the caller, or an error to keep."""
 
-    def __init__(self, engine, sink):
+class _Run:
+    """One chat at one engine, over as many connections as it takes."""
+
+    def __init__(self, client, limits, engine, request_id, sink):
+        self.check = None
+        self.fresh = False
+        self._client = client
+        self._limits = limits
         self._engine = engine
+        self._id = request_id
         self._sink = sink
-        self._tail = b""
+        self._events = EventStream(f"chatcmpl-{request_id}")
         self._head = b""
-        self.transfer = None
-
-    def take(self, data):
-        self._tail = (self._tail + data)[-TAIL_BYTES:]
-        if self._sink.started:
-            return self._sink.write(data)
-        self._head = (self._head + data)[:MAX_ERROR_BYTES]
-        if self.transfer.status != 200 or not self._head.startswith(EVENT_STARTS):
+        self._transfer = None
+        self._sent = False
+
+    async def start(self, body):
+        headers = {"Content-Type": "application/json", "X-Request-Id": self._id}
+        reply, failure = await self._fetch(
+            "POST", "/v1/chat/completions", headers, body
+        )
+        if self._sink is None:
+            if failure:
+                raise failure
+            return self._check_json(reply)
+        tries = 0
+        while self._may_resume(reply, failure) and tries < len(RESUME_MS):
+            await asyncio.sleep(RESUME_MS[tries] / MS_PER_S)
+            tries += 1
+            if not await self._resume(body):
+                break
+        return self._finish(reply, failure)
+
+    async def cancel(self):
+        path = f"/v1/streams/{self._id}/cancel"
+        url = self._engine.url + path
+        transfer = Transfer(CANCEL_MS, CANCEL_MS)
+        with contextlib.suppress(RequestError):
+            await self._client.fetch("POST", url, {}, b"", transfer)
+
+    def is_left_running(self):
+        gone = self._sink is None or self._sink.closed
+        return self._sent and gone and not self._events.whole
+
+    async def _resume(self, body):
+        self._events.restart()
+        usage = int(_wants_usage(body))
+        query = f"after={self._events.events}&usage={usage}"
+        path = f"/v1/streams/{self._id}?{query}"
+        reply, _ = await self._fetch("GET", path, {}, None)
+        return reply is None or reply.status == 200
+
+    async def _fetch(self, method, path, headers, body):
+        limits = self._limits
+        take = None if self._sink is None else self._take
+        transfer = Transfer(limits.first_byte_ms, limits.gap_ms, take)
+        if method == "POST":
+            transfer.check, transfer.fresh = self.check, self.fresh
+        self._transfer = transfer
+        if self._sink is not None:
+            self._sink.transfer = transfer
+        url = self._engine.url + path
+        try:
+            return await self._client.fetch(method, url, headers, body, transfer), None
+        except RequestError as error:
+            return None, error
+        finally:
+            self._sent = self._sent or transfer.connected
+
+    def _take(self, data):
+        if self._transfer.status != 200:
+            self._head = (self._head + data)[:MAX_ERROR_BYTES]
             return False
-        head, self._head = self._head, b""
-        return self._sink.write(head)
+        events = self._events.feed(data)
+        if self._events.fault:
+            self._transfer.cancel()
+        return self._sink.write(events) if events else False
 
-    def finish(self, reply):
+    def _may_resume(self, reply, failure):
+        if self._sink.closed or self._events.whole or self._events.fault:
+            return False
+        if reply is not None:
+            return reply.status == 200
+        return failure.code in CUTS and failure.verdict is Verdict.MAY_HAVE_RUN
+
+    def _finish(self, reply, failure):
+        if self._events.whole:
+            return reply or Reply(200, self._transfer.headers)
+        if failure or self._events.fault:
+            raise self._events.fault or failure
         if reply.status != 200:
             _check_status(self._engine, reply.status)
-            return type(reply)(reply.status, reply.headers, self._head)
-        if DONE not in self._tail:
-            message = f"{self._engine.name} ended its answer early"
-            raise EndpointFailed("cut", message, Verdict.MAY_HAVE_RUN)
+            return Reply(reply.status, reply.headers, self._head)
+        message = f"{self._engine.name} ended its answer early"
+        raise EndpointFailed("cut", message, Verdict.MAY_HAVE_RUN)
+
+    def _check_json(self, reply):
+        _check_status(self._engine, reply.status)
+        if reply.status == 200:
+            check_answer(reply.body, f"chatcmpl-{self._id}")
+            self._events.whole = True
         return reply
 
 
+def _wants_usage(body):
+    if b"include_usage" not in body:
+        return False
+    options = json.loads(body).get("stream_options") or {}
+    return bool(options.get("include_usage"))
+
+
 def _check_status(engine, status):
     if status in BUSY_STATUSES:
         message = f"{engine.name} is busy"
@@ -104,17 +200,3 @@
     if status >= 500 or status < 200 or 300 <= status < 400:
         message = f"{engine.name} answered with status {status}"
         raise EndpointFailed("engine-error", message, Verdict.MAY_HAVE_RUN)
-
-
-def _check_json(engine, reply):
-    _check_status(engine, reply.status)
-    if reply.status != 200:
-        return reply
-    try:
-        whole = isinstance(json.loads(reply.body)["choices"], list)
-    except (ValueError, KeyError, TypeError):
-        whole = False
-    if not whole:
-        message = f"{engine.name} sent something that is no answer"
-        raise EndpointFailed("garbage", message, Verdict.MAY_HAVE_RUN)
-    return reply
--- /dev/null
+++ b/tests/endpoints/test_engines.py
@@ -0,0 +1,132 @@
+"""The engine client against the engine stand-in and its faults."""
+
+import asyncio
+import json
+import unittest
+
+from peridotcove.clock import Clock
+from peridotcove.endpoints.client import EndpointClient
+from peridotcove.endpoints.engines import EngineClient
+from peridotcove.exceptions import EndpointFailed, RequestRefused
+from peridotcove.models import Engine
+from peridotcove.settings import Limits
+from peridotcove.standins.answers import Answer
+from peridotcove.standins.engine import EngineOptions, EngineStandin
+from peridotcove.verdict import Verdict
+
+MESSAGES = [{"role": "user", "content": "Four gilded stands for Saturday?"}]
+TOKENS = 12
+
+
+class Sink:
+    """Keeps what is passed on to the caller."""
+
+    def __init__(self):
+        self.data = b""
+        self.closed = False
+        self.transfer = None
+
+    def write(self, data):
+        self.data += data
+        return False
+
+    def close(self):
+        self.closed = True
+        self.transfer.cancel()
+
+    def text(self):
+        lines = [line[6:] for line in self.data.split(b"\n\n") if line]
+        values = [json.loads(line) for line in lines if line != b"[DONE]"]
+        deltas = [item["choices"][0]["delta"] for item in values]
+        return "".join(delta["content"] for delta in deltas), lines.count(b"[DONE]")
+
+
+class TestEngineClient(unittest.IsolatedAsyncioTestCase):
+    """Whole answers, resumed streams, cancelled work."""
+
+    async def asyncSetUp(self):
+        options = EngineOptions("m", token_ms=2.0, cancel_ms=60_000)
+        self.standin = EngineStandin(options)
+        self.standin.start()
+        self.addAsyncCleanup(self.standin.close)
+        self.engine = Engine("e", self.standin.url, "z", "m")
+        self.http = EndpointClient(Clock())
+        self.addCleanup(self.http.close)
+        self.client = EngineClient(self.http, Limits(first_byte_ms=500, gap_ms=500))
+        self.sink = Sink()
+
+    def body(self, tokens=TOKENS, **more):
+        value = {"model": "m", "messages": MESSAGES, "max_tokens": tokens, **more}
+        return json.dumps(value).encode()
+
+    async def run_stream(self, request_id="00ff", tokens=TOKENS, **more):
+        body = self.body(tokens, stream=True)
+        return await self.client.run(self.engine, body, request_id, self.sink, **more)
+
+    async def wait_for(self, condition):
+        async with asyncio.timeout(30):
+            while not condition():
+                await asyncio.sleep(0.001)
+
+    async def test_cut_stream_is_resumed(self):
+        for fault in ("ok", "half"):
+            with self.subTest(fault):
+                self.sink = Sink()
+                self.standin.faults.mode, self.standin.faults.left = fault, 1
+                reply = await self.run_stream(f"id-{fault}")
+                self.assertEqual(reply.status, 200)
+                expected = Answer("m", MESSAGES).text(TOKENS)
+                self.assertEqual(self.sink.text(), (expected, 1))
+                starts = self.standin.batch.starts_by_id
+                self.assertEqual(starts[f"id-{fault}"], 1)
+
+    async def test_what_can_not_be_resumed_is_not_whole(self):
+        for fault in ("garbage", "garbage-raw", "nothing", "silent", "error500"):
+            with self.subTest(fault):
+                self.sink = Sink()
+                self.standin.faults.mode, self.standin.faults.left = fault, None
+                with self.assertRaises(EndpointFailed) as caught:
+                    await self.run_stream(f"id-{fault}")
+                self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+                self.assertEqual(self.sink.data, b"")
+
+    async def test_dead_engine_cuts(self):
+        run = asyncio.create_task(self.run_stream(tokens=10_000))
+        await self.wait_for(lambda: self.sink.data)
+        await self.standin.close()
+        with self.assertRaises(EndpointFailed) as caught:
+            await run
+        self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertNotIn(b"[DONE]", self.sink.data)
+
+    async def test_caller_goes(self):
+        run = asyncio.create_task(self.run_stream(tokens=10_000))
+        await self.wait_for(lambda: self.sink.data)
+        self.sink.close()
+        with self.assertRaises(EndpointFailed):
+            await run
+        await self.wait_for(lambda: self.standin.batch.cancelled)
+
+    async def test_caller_of_one_piece_goes(self):
+        body = self.body(tokens=10_000)
+        run = asyncio.create_task(self.client.run(self.engine, body, "00ff"))
+        await self.wait_for(lambda: self.standin.batch.running)
+        run.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await run
+        await self.wait_for(lambda: self.standin.batch.cancelled)
+
+    async def test_check_stops_the_request(self):
+        def check():
+            raise RequestRefused("leaving", "the engine is leaving")
+
+        with self.assertRaises(RequestRefused):
+            await self.run_stream(check=check)
+        self.assertEqual(self.standin.requests, 0)
+
+    async def test_not_repeatable_is_sent_once(self):
+        await self.run_stream("first")
+        self.standin.faults.mode, self.standin.faults.left = "nothing", 1
+        with self.assertRaises(EndpointFailed):
+            await self.run_stream("second", repeatable=False)
+        self.assertEqual(self.standin.requests, 2)
--- /dev/null
+++ b/tests/test_whole.py
@@ -0,0 +1,87 @@
+"""A cut answer is never taken for a whole one, nor another request's for ours."""
+
+import json
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotcove.exceptions import EndpointFailed
+from peridotcove.whole import EventStream, check_answer
+
+ID = "chatcmpl-00ff"
+TEXTS = st.lists(st.text(max_size=12) | st.just("data: [DONE]\n\n"), max_size=6)
+
+
+def render(texts, answer_id=ID, end="\n\n", done=True):
+    """Return the data events and the end mark of an answer."""
+    events = [
+        f"data: {json.dumps({'id': answer_id, 'text': text})}{end}" for text in texts
+    ]
+    return [
+        event.encode()
+        for event in [*events, f"data: [DONE]{end}"][: None if done else -1]
+    ]
+
+
+class TestEventStream(unittest.TestCase):
+    """Streams cut, in pieces, foreign and malformed."""
+
+    @given(TEXTS, st.sampled_from(["\n\n", "\r\n\r\n"]), st.data())
+    def test_cut_anywhere_and_resumed(self, texts, end, data):
+        events = render(texts, end=end)
+        body = b"".join(events)
+        cut = data.draw(st.integers(0, len(body)))
+        step = data.draw(st.integers(1, 40))
+        stream = EventStream(ID)
+        passed = b""
+        for at in range(0, cut, step):
+            passed += stream.feed(body[at : min(cut, at + step)])
+        self.assertIsNone(stream.fault)
+        self.assertEqual(stream.whole, cut == len(body))
+        self.assertEqual(passed, b"".join(events[: stream.events + stream.whole]))
+        if not stream.whole:
+            stream.restart()
+            passed += stream.feed(b"".join(events[stream.events :]))
+        self.assertTrue(stream.whole)
+        self.assertEqual(passed, body)
+        self.assertEqual(stream.feed(body), b"")
+
+    @given(TEXTS, TEXTS)
+    def test_nothing_of_another_request_passes(self, texts, others):
+        stream = EventStream(ID)
+        own = b"".join(render(texts, done=False))
+        foreign = b"".join(render([*others, "x"], "chatcmpl-00fe"))
+        self.assertEqual(stream.feed(own + foreign), own)
+        self.assertEqual(stream.fault.code, "mixed-up")
+        self.assertEqual(stream.feed(own), b"")
+        self.assertFalse(stream.whole)
+
+    def test_malformed(self):
+        table = [b"\x00\xff<<no>>\n\n", b"{}\n\n", b"x" * (1 << 20) + b"xx"]
+        for data in table:
+            with self.subTest(data[:10]):
+                stream = EventStream(ID)
+                self.assertEqual(stream.feed(data), b"")
+                self.assertEqual(stream.fault.code, "garbage")
+
+    def test_comments_and_fields_pass(self):
+        body = b": ping\n\nevent: x\nid: 1\n" + b"".join(render(["a"]))
+        stream = EventStream(ID)
+        self.assertEqual(stream.feed(body), body)
+        self.assertEqual((stream.events, stream.whole), (1, True))
+
+
+class TestCheckAnswer(unittest.TestCase):
+    """Answers in one piece."""
+
+    def test_table(self):
+        whole = json.dumps({"id": ID, "choices": [{}]}).encode()
+        check_answer(whole, ID)
+        other = whole.replace(b"00ff", b"00fe")
+        table = [(other, "mixed-up"), (b"[]", "garbage"), (b"{}", "garbage")]
+        table += [(whole[:size], "garbage") for size in range(len(whole))]
+        for body, code in table:
+            with self.subTest(body), self.assertRaises(EndpointFailed) as caught:
+                check_answer(body, ID)
+            self.assertEqual(caught.exception.code, code)
