Run calls that may not be repeated by ticket, and drain in stages

Cause: bookings ran without a ticket; leaving endpoints and shutdown were only marked. Change: tickets, endpoint states and the drain are wired into the node; calls pass their header fields on but for hop-by-hop ones and our own.

--- a/peridotcove/callers/answers.py
+++ b/peridotcove/callers/answers.py
@@ -8,9 +8,7 @@
 VERDICT = "Peridotcove-Verdict"
 CONTINUATION = "Peridotcove-Continuation"
 TICKET = "Peridotcove-Ticket"
-REPEATABLE = "Peridotcove-Repeatable"
 REQUEST_ID = "X-Request-Id"
-DONE = b"data: [DONE]"
 
 TYPE_BY_STATUS = {
     400: "invalid_request_error",
@@ -60,6 +58,9 @@
     handler.set_header("Content-Type", "application/json")
     handler.set_header(REQUEST_ID, request_id)
     handler.set_header(VERDICT, error.verdict.value)
+    ticket = getattr(error, "ticket", "")
+    if ticket:
+        handler.set_header(TICKET, ticket)
     wait_ms = error.retry_after_ms
     if wait_ms is None and error.verdict is Verdict.NOT_RUN and error.status >= 500:
         wait_ms = 1000
--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -199,8 +199,8 @@
         self.desk.count(self._span, "ok", reply.verdict)
         self.set_status(reply.status)
         self.clear_header("Content-Type")
-        for field, value in reply.headers.items():
-            self.set_header(field, value)
+        for field, value in reply.headers:
+            self.add_header(field, value)
         self.set_header(REQUEST_ID, self.request_id.hex())
         self.set_header(VERDICT, reply.verdict.value)
         if reply.body and self.request.method != "HEAD":
--- a/peridotcove/callers/server.py
+++ b/peridotcove/callers/server.py
@@ -40,7 +40,9 @@
         Runs chats.
     calls : ServiceRouter
         Runs calls of plain services.
-    drain : object
+    activity : Activity
+        Requests in progress.
+    drain : Drain
         Says whether new requests are taken.
     limits : Limits
         What the node takes from strangers.
@@ -52,11 +54,23 @@
         The node's events.
     """
 
-    def __init__(self, fleet, router, calls, drain, limits, clock, metrics, timeline):
+    def __init__(
+        self,
+        fleet,
+        router,
+        calls,
+        activity,
+        drain,
+        limits,
+        clock,
+        metrics,
+        timeline,
+    ):
         self.fleet = fleet
         self.stream_buffer_bytes = limits.stream_buffer_bytes
         self._router = router
         self._calls = calls
+        self._activity = activity
         self._drain = drain
         self._clock = clock
         self._metrics = metrics
@@ -70,7 +84,7 @@
         request_id : bytes
             Id of the request.
         """
-        self._drain.begin()
+        self._activity.begin()
         self._metrics.in_progress.inc()
         self._timeline.record("request-arrived", request_id=request_id)
         return Span(request_id, self._clock.now())
@@ -86,7 +100,7 @@
         if span.ended:
             return
         span.ended = True
-        self._drain.end()
+        self._activity.end()
         self._metrics.in_progress.dec()
         self._timeline.record("request-ended", request_id=span.request_id)
 
@@ -124,7 +138,7 @@
 
     def check_open(self):
         """Refuse new requests once the node closes."""
-        if self._drain.closing:
+        if not self._drain.arrive():
             raise RequestRefused("closing", "this node is going away", 503, 1000)
 
     async def run_chat(self, chat, request_id, sink):
--- a/peridotcove/calls.py
+++ b/peridotcove/calls.py
@@ -4,15 +4,43 @@
 
 from attrs import frozen
 
-from peridotcove.endpoints.client import Transfer
-from peridotcove.exceptions import RequestError, RequestRefused
+from peridotcove.endpoints.services import Call
+from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
 from peridotcove.models import Status
 from peridotcove.retries import RetryBudget, backoff, may_repeat
+from peridotcove.ticketed_calls import TicketedCall
 from peridotcove.verdict import Verdict
 
 MAX_TRIES = 3
-PASSED_TO_ENDPOINT = ("Content-Type", "Accept", "Accept-Language", "If-Match")
-PASSED_TO_CALLER = ("Content-Type", "ETag", "Location", "Cache-Control")
+TICKET_WAIT_MS = 10_000
+OWN_PREFIX = "peridotcove-"
+TICKET = "Peridotcove-Ticket"
+SENTENCES = {
+    "ticket-needed": "send the call again with the ticket in Peridotcove-Ticket",
+    "ticket-invalid": "the ticket is not one of this fleet",
+    "ticket-of-other-customer": "the ticket belongs to another customer",
+    "ticket-bound": "the ticket was used for another call",
+    "ticket-expired": "the ticket has expired",
+    "ticket-spent": "the ticket was refused before; take the new one",
+    "ticket-home-gone": "the node that knows what became of the call is gone",
+    "ticket-home-unreachable": "the node that knows what became of it is silent",
+    "outcome-unknown": "the endpoint gave no whole answer",
+}
+HOP_BY_HOP = {
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+}
+KEPT_FROM_ENDPOINT = HOP_BY_HOP | {"authorization", "x-api-key", "x-request-id"}
+KEPT_FROM_CALLER = HOP_BY_HOP | {"server", "date", "x-request-id"}
 
 
 @frozen
@@ -23,8 +51,8 @@
     ----------
     status : int
         HTTP status.
-    headers : dict
-        Header fields for the caller.
+    headers : tuple of tuple
+        Names and values of header fields for the caller.
     body : bytes
         Body.
     verdict : Verdict
@@ -32,7 +60,7 @@
     """
 
     status: int
-    headers: dict
+    headers: tuple
     body: bytes
     verdict: Verdict
 
@@ -46,21 +74,30 @@
         Zone of this node.
     fleet : Fleet
         The node's view.
-    client : EndpointClient
+    states : EndpointStates
+        Which endpoints take new work.
+    client : ServiceClient
         HTTP towards endpoints.
     entry_limits : EntryLimits
         Customers' rates.
     limits : Limits
-        Waits for first byte and gaps.
+        Longest wait for an answer.
     rng : random.Random
         Source of jitter and of ties.
     metrics : Metrics
         The node's metrics.
+
+    Attributes
+    ----------
+    once : Once or None
+        Runs calls that may not be repeated.
     """
 
-    def __init__(self, zone, fleet, client, entry_limits, limits, rng, metrics):
+    def __init__(self, zone, fleet, states, client, entry_limits, limits, rng, metrics):
+        self.once = None
         self._zone = zone
         self._fleet = fleet
+        self._states = states
         self._client = client
         self._entry_limits = entry_limits
         self._limits = limits
@@ -88,23 +125,68 @@
         RequestError
             If there is no answer, with the verdict.
         """
-        service = self._fleet.configuration.service_by_name.get(name)
-        if service is None:
-            raise RequestRefused("unknown-service", f"no service {name!r}", 404)
+        service = self._find(name)
         self._entry_limits.admit(customer)
         path = path or "/"
-        repeatable = service.repeatable(request.method, path)
         target = f"{path}?{request.query}" if request.query else path
-        headers = _pick(request.headers, PASSED_TO_ENDPOINT)
-        headers["X-Request-Id"] = request_id.hex()
-        body = (
-            request.body if request.body or request.method in ("POST", "PUT") else None
-        )
-        return await self._repeat(
-            service, request.method, target, headers, body, repeatable
+        headers = _keep(request.headers.get_all(), KEPT_FROM_ENDPOINT)
+        headers += (("X-Request-Id", request_id.hex()),)
+        if service.repeatable(request.method, path):
+            call = Call(request.method, target, headers, request.body)
+            answer = await self._send_somewhere(service, call, True)
+        else:
+            ticket = request.headers.get(TICKET, "")
+            answer = await self._run_once(
+                TicketedCall(
+                    ticket,
+                    customer.name,
+                    request.method,
+                    name,
+                    target,
+                    headers,
+                    request.body,
+                )
+            )
+        passed = _keep(answer.headers, KEPT_FROM_CALLER)
+        return CallReply(answer.status, passed, answer.body, answer.verdict)
+
+    async def run_ticketed(self, call):
+        """Send a call that may not be repeated, once, and return the answer.
+
+        Parameters
+        ----------
+        call : TicketedCall
+            The call; its ticket is used up.
+
+        Raises
+        ------
+        RequestError
+            With the verdict "not run" only if nothing was sent.
+        """
+        service = self._find(call.service)
+        key = call.ticket
+        plain = Call(call.method, call.path, call.headers, call.body, key)
+        return await self._send_somewhere(service, plain, False)
+
+    def _find(self, name):
+        service = self._fleet.configuration.service_by_name.get(name)
+        if service is None:
+            raise RequestRefused("unknown-service", f"no service {name!r}", 404)
+        return service
+
+    async def _run_once(self, call):
+        reply = await self.once.call(call, TICKET_WAIT_MS)
+        if not reply.code:
+            return reply.answer
+        text = SENTENCES.get(reply.code, "the call was not answered")
+        error = EndpointFailed(
+            reply.code, text, reply.answer.verdict, reply.answer.status
         )
+        error.ticket = reply.ticket
+        raise error
 
-    async def _repeat(self, service, method, target, headers, body, repeatable):
+    async def _send_somewhere(self, service, call, repeatable):
+        self._budget.share = self._fleet.configuration.bounds.retry_share
         self._budget.deposit()
         tries, doubt, tried = 0, None, set()
         while True:
@@ -112,7 +194,7 @@
             endpoint = self._pick_endpoint(service, tried)
             tried.add(endpoint.name)
             try:
-                return await self.send(endpoint, method, target, headers, body, False)
+                return await self._send(endpoint, call, repeatable)
             except RequestError as error:
                 if error.verdict is not Verdict.NOT_RUN:
                     doubt = error
@@ -122,43 +204,24 @@
                 self._metrics.retries.inc()
             await asyncio.sleep(backoff(tries, self._rng) / 1000)
 
-    async def send(self, endpoint, method, target, headers, body, fresh):
-        """Send a call to one endpoint, once.
-
-        Parameters
-        ----------
-        endpoint : Endpoint
-            The server.
-        method, target : str
-            HTTP method, path and query.
-        headers : dict
-            Header fields.
-        body : bytes or None
-            Body.
-        fresh : bool
-            Whether to take a fresh connection, as calls that may not be repeated must.
-
-        Raises
-        ------
-        EndpointFailed
-            If there is no whole answer, with the verdict.
-        """
-        transfer = Transfer(self._limits.first_byte_ms, self._limits.gap_ms)
-        transfer.fresh = fresh
+    async def _send(self, endpoint, call, repeatable):
         load = self._load_by_endpoint
         load[endpoint.name] = load.get(endpoint.name, 0) + 1
         try:
-            url = endpoint.url + target
-            reply = await self._client.fetch(method, url, headers, body, transfer)
+            return await self._client.call(
+                endpoint.url,
+                call,
+                self._limits.first_byte_ms,
+                repeatable,
+                lambda: self._states.check(endpoint.name),
+            )
         finally:
             load[endpoint.name] -= 1
-        passed = _pick(reply.headers, PASSED_TO_CALLER)
-        return CallReply(reply.status, passed, reply.body, Verdict.RAN)
 
     def _pick_endpoint(self, service, tried):
-        usable = [
-            item for item in service.endpoints if item.status is Status.IN_SERVICE
-        ]
+        leaving = set(self._states.leaving())
+        usable = [item for item in service.endpoints if item.name not in leaving]
+        usable = [item for item in usable if item.status is Status.IN_SERVICE]
         if not usable:
             text = f"no endpoint of {service.name!r} is in service"
             raise RequestRefused("no-endpoint", text, 503, 5000)
@@ -170,5 +233,9 @@
         return load, endpoint.zone != self._zone, self._rng.random()
 
 
-def _pick(headers, names):
-    return {name: headers[name] for name in names if name in headers}
+def _keep(pairs, left_out):
+    return tuple(
+        (name, value)
+        for name, value in pairs
+        if name.lower() not in left_out and not name.lower().startswith(OWN_PREFIX)
+    )
--- a/peridotcove/fleet.py
+++ b/peridotcove/fleet.py
@@ -2,7 +2,7 @@
 
 from attrs import evolve
 
-from peridotcove.models import Configuration, State, Status
+from peridotcove.models import Configuration, Status
 from peridotcove.ownership import owner_rank, shards_of
 
 
@@ -17,7 +17,7 @@
     Attributes
     ----------
     configuration : Configuration
-        Revision in force, with what the platform lists as leaving marked so.
+        Revision in force, with what is believed to be leaving marked so.
     nodes : tuple of Instance
         Nodes of the region believed live, this one included.
     shard_by_name : dict
@@ -27,7 +27,7 @@
     def __init__(self, region):
         self.region = region
         self.configuration = self._described = Configuration()
-        self._leaving = set()
+        self._leaving = frozenset()
         self.nodes = ()
         self.shard_by_name = {}
         self.shards_by_model = {}
@@ -56,26 +56,20 @@
         }
         self._rank_by_shard = {}
 
-    def set_instances(self, instances):
-        """Learn from the platform's list which engines and endpoints are leaving.
+    def set_leaving(self, names):
+        """Learn which engines and endpoints are leaving; return whether that is new.
 
         Parameters
         ----------
-        instances : iterable of Instance
-            The whole list.
-
-        Returns
-        -------
-        bool
-            Whether anything changed.
+        names : iterable of str
+            Their names.
         """
-        gone = (State.LEAVING,)
-        leaving = {item.name for item in instances if item.state in gone}
-        changed = leaving != self._leaving
+        leaving = frozenset(names)
+        if leaving == self._leaving:
+            return False
         self._leaving = leaving
-        if changed:
-            self._apply()
-        return changed
+        self._apply()
+        return True
 
     def _apply(self):
         described = self._described
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -7,11 +7,16 @@
 from peridotcove.callers.server import make_server as make_caller_server
 from peridotcove.calls import ServiceRouter
 from peridotcove.control import Control
+from peridotcove.delivery import Delivery
+from peridotcove.drain import Drain
+from peridotcove.endpoint_states import EndpointStates
 from peridotcove.endpoints.client import EndpointClient
 from peridotcove.endpoints.engines import EngineClient
+from peridotcove.endpoints.services import ServiceClient
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet import Fleet
 from peridotcove.leases import LeaseClient, LeaseServer
+from peridotcove.leaving_news import LeavingNews
 from peridotcove.limits import EntryLimits, HomeLimits
 from peridotcove.logs import get_logger
 from peridotcove.metrics import Metrics
@@ -27,13 +32,33 @@
     RefuseLease,
     ReleaseLease,
 )
+from peridotcove.nodes.once_messages import (
+    AskLeaving,
+    EndpointsLeaving,
+    HandOverTickets,
+    RunTicketed,
+    TicketedAnswer,
+    TicketsHeld,
+    TicketsTaken,
+)
+from peridotcove.once import Once
 from peridotcove.operators.desk import OperatorDesk
 from peridotcove.operators.server import make_server as make_operator_server
 from peridotcove.platform.client import PlatformClient
+from peridotcove.ranking import rank
 from peridotcove.router import Router
+from peridotcove.tickets import Tickets
 from peridotcove.timeline import Timeline
 from peridotcove.usage import Usage
 
+ONCE_MESSAGES = (
+    RunTicketed,
+    TicketedAnswer,
+    HandOverTickets,
+    TicketsTaken,
+    TicketsHeld,
+)
+
 log = get_logger("node")
 
 
@@ -53,14 +78,17 @@
         self.clock = clock
         self.rng = random.Random()
         self.name = settings.node
-        self.incarnation = clock.wall()
         self.activity = Activity()
+        self.drain = Drain(clock, settings.limits.drain_ms)
         self.metrics = Metrics()
-        self.timeline = Timeline(clock, self.name, incarnation=self.incarnation)
         self.fleet = Fleet(settings.region)
-        self._wire_links()
+        self.states = EndpointStates(clock)
+        self.leaving_news = LeavingNews(self.states, clock, self.rng)
+        self._receiver_by_type = {}
         self._wire_control()
+        self._wire_links()
         self._wire_leases()
+        self._wire_tickets()
         self._wire_requests()
         self._wire_servers()
 
@@ -82,6 +110,8 @@
         host, port = settings.nodes.host, settings.nodes.port
         me = Instance(self.name, "node", host, port, settings.zone)
         self.control = Control(me, settings.region, self.clock, self.rng)
+        self.incarnation = self.control.membership.incarnation
+        self.timeline = Timeline(self.clock, self.name, incarnation=self.incarnation)
         self.platform = PlatformClient(settings.platform, self.name)
 
     def _wire_leases(self):
@@ -94,7 +124,7 @@
         self.entry_limits = EntryLimits(clock)
         home_limits = HomeLimits(clock)
         self.usage = Usage(self.name, fleet, links, self.entry_limits, home_limits)
-        self._receiver_by_type = {
+        self._receiver_by_type |= {
             AskLease: self.lease_server.receive,
             ReleaseLease: self.lease_server.receive,
             HoldLeases: self.lease_server.receive,
@@ -105,15 +135,34 @@
             ShareRates: self.usage.receive,
         }
 
+    def _wire_tickets(self):
+        secret = self.settings.secret.read("secret")
+        self.tickets = Tickets(self.name, self.incarnation, secret, self.clock)
+        self.delivery = Delivery(self.tickets, self.clock)
+        self.once = Once(self.delivery, self.links, self._run_ticketed)
+        for kind in ONCE_MESSAGES:
+            self._receiver_by_type[kind] = self.once.receive
+        for kind in (AskLeaving, EndpointsLeaving):
+            self._receiver_by_type[kind] = self._receive_leaving
+
+    async def _run_ticketed(self, call):
+        return await self.calls.run_ticketed(call)
+
+    def _receive_leaving(self, peer, message):
+        self.send_all(self.leaving_news.receive(peer, message))
+        self.follow_endpoints()
+
     def _wire_requests(self):
         settings = self.settings
         self.endpoint_client = EndpointClient(self.clock)
+        self.service_client = ServiceClient()
         engines = EngineClient(self.endpoint_client, settings.limits)
         self.router = Router(
             self.name,
             settings.zone,
             self.fleet,
             self.lease_client,
+            self.states,
             engines,
             self.entry_limits,
             self.clock,
@@ -124,12 +173,14 @@
         self.calls = ServiceRouter(
             settings.zone,
             self.fleet,
-            self.endpoint_client,
+            self.states,
+            self.service_client,
             self.entry_limits,
             settings.limits,
             self.rng,
             self.metrics,
         )
+        self.calls.once = self.once
 
     def _wire_servers(self):
         settings = self.settings
@@ -138,6 +189,7 @@
             self.router,
             self.calls,
             self.activity,
+            self.drain,
             settings.limits,
             self.clock,
             self.metrics,
@@ -146,7 +198,7 @@
         self.caller_server = make_caller_server(desk, settings.limits, settings.tls)
         self.operator_server = make_operator_server(
             OperatorDesk(
-                self.activity,
+                self.drain,
                 self.control,
                 self.lease_server,
                 self.metrics,
@@ -184,6 +236,8 @@
             return
         self.links.revision = current.revision
         self.fleet.set_configuration(current)
+        self.states.set_configuration(current)
+        self.tickets.ticket_ms = current.bounds.ticket_ms
         self.lease_server.follow()
         self.timeline.record("revision-in-force", revision=current.revision)
         log.info("revision %d is in force", current.revision)
@@ -206,6 +260,28 @@
         """
         self.control.membership.set_listed(instances, asked_ms)
         self.links.set_peers([item for item in instances if item.kind == "node"])
-        if self.fleet.set_instances(instances):
-            self.lease_server.follow()
+        peers = self.peers()
+        self.send_all(self.leaving_news.set_instances(instances, asked_ms, peers))
+        self.follow_endpoints()
         self.follow_nodes()
+
+    def follow_endpoints(self):
+        """Let the owner's side know which engines are leaving."""
+        if self.fleet.set_leaving(self.states.leaving()):
+            self.lease_server.follow()
+
+    def peers(self):
+        """Return the names of the other live nodes of the region."""
+        live = self.control.membership.live()
+        return [item.name for item in live if item.name != self.name]
+
+    def hand_over_tickets(self):
+        """Move this node's tickets to another live node, if there is one."""
+        peers = self.peers()
+        rank_of = rank(f"tickets of {self.name}", dict.fromkeys(peers, 1.0))
+        peer_by_name = self.control.membership.peer_by_name
+        for name in rank_of:
+            if name in peer_by_name and peer_by_name[name].incarnation:
+                incarnation = peer_by_name[name].incarnation
+                self.send_all(self.delivery.hand_over(name, incarnation, peers))
+                return
--- a/peridotcove/operators/desk.py
+++ b/peridotcove/operators/desk.py
@@ -6,8 +6,8 @@
 
     Parameters
     ----------
-    activity : Activity
-        Requests in progress.
+    drain : Drain
+        Stage of the shutdown.
     control : Control
         Membership and configuration.
     leases : LeaseServer
@@ -18,16 +18,16 @@
         The node's events.
     """
 
-    def __init__(self, activity, control, leases, metrics, timeline):
+    def __init__(self, drain, control, leases, metrics, timeline):
         self.metrics = metrics
         self.timeline = timeline
-        self._activity = activity
+        self._drain = drain
         self._control = control
         self._leases = leases
 
     def unready_reason(self):
         """Return why the balancer must not send callers here, or an empty text."""
-        if self._activity.leaving:
+        if not self._drain.ready:
             return "leaving"
         if not self._control.revisions.ready():
             return "no configuration yet"
@@ -54,7 +54,7 @@
         metrics.refused_revision.set(refused.revision if refused else 0)
         metrics.configuration_age.set((revisions.age_ms() or 0) / 1000)
         metrics.live_nodes.set(len(self._control.membership.live()))
-        metrics.draining.set(int(self._activity.leaving))
+        metrics.draining.set(int(not self._drain.ready))
         for name, dispatcher in self._leases.dispatcher_by_shard.items():
             load_by_engine = dispatcher.load_by_engine()
             for engine, load in load_by_engine.items():
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from peridotcove.exceptions import RequestError, RequestRefused
-from peridotcove.models import LeaseRequest, Status
+from peridotcove.models import LeaseRequest
 from peridotcove.retries import RetryBudget, backoff, may_repeat
 from peridotcove.verdict import Verdict
 
@@ -23,6 +23,8 @@
         The node's view.
     leases : LeaseClient
         Leases on engines.
+    states : EndpointStates
+        Which engines take new work.
     engines : EngineClient
         HTTP towards engines.
     limits : EntryLimits
@@ -38,12 +40,24 @@
     """
 
     def __init__(
-        self, node, zone, fleet, leases, engines, limits, clock, rng, metrics, timeline
+        self,
+        node,
+        zone,
+        fleet,
+        leases,
+        states,
+        engines,
+        limits,
+        clock,
+        rng,
+        metrics,
+        timeline,
     ):
         self._node = node
         self._zone = zone
         self._fleet = fleet
         self._leases = leases
+        self._states = states
         self._engines = engines
         self._limits = limits
         self._clock = clock
@@ -127,9 +141,8 @@
         )
         outcome, cached = "cancelled", -1
         try:
-            engine = self._fleet.configuration.engine_by_name.get(grant.engine)
-            if engine is None or engine.status is not Status.IN_SERVICE:
-                raise RequestRefused("leaving", "the engine is leaving", 503, 100)
+            self._states.check(grant.engine)
+            engine = self._fleet.configuration.engine_by_name[grant.engine]
             self._timeline.record(
                 "request-sent", request_id=request_id, peer=engine.name
             )
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -5,6 +5,7 @@
 
 from peridotcove.callers.server import listen
 from peridotcove.clock import Clock
+from peridotcove.drain import Stage
 from peridotcove.limits import REPORT_MS
 from peridotcove.logs import get_logger, start_logs
 from peridotcove.membership_events import LinkSilent, NodeJoined, NodeLost
@@ -13,7 +14,8 @@
 
 CONTROL_MS = 250
 LEASE_MS = 50
-LEAVE_MS = 3_000
+DRAIN_MS = 100
+TICKET_MS = 250
 ANNOUNCE_MS = 10_000
 
 log = get_logger("node")
@@ -62,6 +64,8 @@
         _every(CONTROL_MS, lambda: tick_control(node)),
         _every(LEASE_MS, node.lease_server.tick),
         _every(REPORT_MS, node.usage.tick),
+        _every(TICKET_MS, node.once.tick),
+        _every(CONTROL_MS, lambda: tick_endpoints(node)),
         _every(ANNOUNCE_MS, node.lease_client.announce),
         watch_configuration(
             node.platform, reader, lambda item: _send_and_follow(node, item)
@@ -106,9 +110,23 @@
             node.timeline.record("peer-down", peer=event.node)
         elif isinstance(event, NodeJoined):
             node.timeline.record("peer-up", peer=event.node)
+            node.send_all(node.delivery.greet(event.node))
     node.follow_nodes()
 
 
+def tick_endpoints(node):
+    """Ask peers which endpoints are leaving, after a pause of this process.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    """
+    node.send_all(node.leaving_news.tick(node.peers()))
+    node.follow_endpoints()
+    node.tickets.expire()
+
+
 async def drain(node):
     """Leave the balancer, let every request end, and hand everything over.
 
@@ -119,14 +137,22 @@
     """
     log.info("leaving")
     node.timeline.record("drain-started")
-    node.activity.leaving = True
+    node.drain.begin()
     node.send_all(node.control.membership.leave())
     node.follow_nodes()
-    await asyncio.sleep(min(LEAVE_MS, node.settings.limits.drain_ms) / 1000)
-    node.activity.closing = True
-    done = await node.activity.wait_idle(node.settings.limits.drain_ms)
+    handing = False
+    while True:
+        in_progress = node.activity.count + node.tickets.running()
+        handed = handing and not node.delivery.busy()
+        stage = node.drain.tick(in_progress, handed)
+        if stage is Stage.DONE:
+            break
+        if stage is Stage.HANDING_OVER and not handing:
+            handing = True
+            node.hand_over_tickets()
+        await asyncio.sleep(DRAIN_MS / 1000)
     node.timeline.record("drain-ended")
-    log.info("left" if done else "left with requests in progress")
+    log.info("left with %d requests cut", node.drain.cut)
 
 
 async def close(node):
@@ -141,4 +167,5 @@
     node.operator_server.stop()
     await node.links.close()
     node.endpoint_client.close()
+    node.service_client.close()
     node.platform.close()
