Shorten the messages of leases and key chats by their opening

Cause: an ask carried every prefix hash and fields that the owner knows itself. Change: thinned hashes as bytes, no zone, priority or model where the owner has them, releases by request id alone; chats carry a key that all their turns share. Bytes are counted by message.

--- a/peridotcove/callers/chats.py
+++ b/peridotcove/callers/chats.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from peridotcove.exceptions import RequestRefused
-from peridotcove.prefixes import flatten, hash_prefixes
+from peridotcove.prefixes import flatten, hash_opening, hash_prefixes
 
 BEARER = "bearer "
 MAX_MODEL_CHARS = 256
@@ -30,6 +30,8 @@
         Whether the request may run more than once.
     prefixes : tuple of int
         Hashes of the chat's prefixes.
+    key : int
+        Key of the chat that stays the same on each turn, 64 bits.
     continuation : str
         Token of the chat's last turn, or empty.
     body : bytes
@@ -42,6 +44,7 @@
     stream: bool
     repeatable: bool
     prefixes: tuple
+    key: int
     continuation: str
     body: bytes
 
@@ -127,7 +130,8 @@
     prefixes = hash_prefixes(model, flatten(messages), block_chars)
     repeatable = headers.get("Peridotcove-Repeatable", "yes").lower() != "no"
     token = headers.get("Peridotcove-Continuation", "")
-    return Chat(customer, model, base, stream, repeatable, prefixes, token, body)
+    key = hash_opening(model, messages)
+    return Chat(customer, model, base, stream, repeatable, prefixes, key, token, body)
 
 
 def check_model(fleet, model):
--- a/peridotcove/fleet.py
+++ b/peridotcove/fleet.py
@@ -29,6 +29,7 @@
         self.configuration = self._described = Configuration()
         self._leaving = frozenset()
         self.nodes = ()
+        self._zone_by_node = {}
         self.shard_by_name = {}
         self.shards_by_model = {}
         self._customer_by_digest = {}
@@ -106,9 +107,20 @@
         if nodes == self.nodes:
             return False
         self.nodes = nodes
+        self._zone_by_node = {item.name: item.zone for item in nodes}
         self._rank_by_shard = {}
         return True
 
+    def zone_of(self, node):
+        """Return the zone of a live node, or an empty name.
+
+        Parameters
+        ----------
+        node : str
+            Name of the node.
+        """
+        return self._zone_by_node.get(node, "")
+
     def find_customer(self, digest):
         """Return the customer whose API key has a digest, or None.
 
--- a/peridotcove/leases.py
+++ b/peridotcove/leases.py
@@ -19,13 +19,17 @@
     QueueLease,
     RefuseLease,
     ReleaseLease,
+    pack,
+    unpack,
 )
+from peridotcove.prefixes import thin
 
 ANSWER_MS = 500
 PAUSE_MS = 100
 MAX_OWNERS = 2
 NOT_OWNER = "not-owner"
 MOVED = "moved"
+DEFAULT_PRIORITY = 1
 
 log = get_logger("leases")
 
@@ -104,14 +108,15 @@
             return None
         future = asyncio.get_running_loop().create_future()
         request_id = request.request_id
+        model = self._fleet.shard_by_name[shard].model
         self._future_by_id[request_id] = future
         try:
-            self._send(owner, _to_message(shard, request, left))
+            self._send(owner, to_message(shard, model, request, left))
             return await self._wait(owner, future, request_id, left)
         except LinkDown:
             return None
         except asyncio.CancelledError:
-            self._send_quietly(owner, ReleaseLease(request_id, shard, "cancelled"))
+            self._send_quietly(owner, ReleaseLease(request_id, "cancelled"))
             raise
         finally:
             self._future_by_id.pop(request_id, None)
@@ -128,7 +133,7 @@
             await asyncio.wait([future], timeout=step / 1000)
         if future.done():
             return future.result()
-        self._send_quietly(owner, ReleaseLease(request_id, "", "cancelled"))
+        self._send_quietly(owner, ReleaseLease(request_id, "cancelled"))
         return None
 
     def _names(self):
@@ -148,7 +153,7 @@
         """
         held = self.held_by_id.pop(request_id, None)
         if held is not None:
-            message = ReleaseLease(request_id, held.shard, outcome, cached_blocks)
+            message = ReleaseLease(request_id, outcome, cached_blocks)
             self._send_quietly(held.owner, message)
 
     def receive(self, peer, message):
@@ -170,7 +175,7 @@
         elif isinstance(message, GiveLease):
             held = self.held_by_id.get(message.request_id)
             if held is None or held.owner != peer:
-                lost = ReleaseLease(message.request_id, "", "cancelled")
+                lost = ReleaseLease(message.request_id, "cancelled")
                 self._send_quietly(peer, lost)
 
     def announce(self):
@@ -231,7 +236,7 @@
         self._fleet = fleet
         self._network = network
         self._clock = clock
-        self._entry_by_id = {}
+        self._owed_by_id = {}
         self.client = None
         self.dispatcher_by_shard = {}
 
@@ -258,31 +263,35 @@
         if message.shard not in self._fleet.shard_by_name or self._node not in owners:
             self._answer(peer, RefuseLease(message.request_id, NOT_OWNER, 0))
             return
-        request = LeaseRequest(
+        request = self._read(peer, message)
+        self._owed_by_id[message.request_id] = (peer, message.shard)
+        decisions = self._dispatcher(message.shard).ask(request)
+        self._tell(decisions)
+        if not any(item.request_id == message.request_id for item in decisions):
+            self._answer(peer, QueueLease(message.request_id))
+
+    def _read(self, peer, message):
+        customer = self._fleet.configuration.customer_by_name.get(message.customer)
+        model = self._fleet.shard_by_name[message.shard].model
+        return LeaseRequest(
             message.request_id,
             peer,
             message.customer,
-            message.model,
-            tuple(message.prefixes),
+            message.model or model,
+            unpack(message.prefixes),
             message.hint,
-            message.zone,
+            self._fleet.zone_of(peer),
             message.deadline_ms,
-            message.priority,
+            customer.priority if customer else DEFAULT_PRIORITY,
+            message.chat_key,
+            message.blocks,
         )
-        self._entry_by_id[message.request_id] = peer
-        decisions = self._dispatcher(message.shard).ask(request)
-        self._tell(decisions)
-        if not any(item.request_id == message.request_id for item in decisions):
-            self._answer(peer, QueueLease(message.request_id))
 
     def _release(self, message):
-        self._entry_by_id.pop(message.request_id, None)
+        _, shard = self._owed_by_id.pop(message.request_id, (None, None))
         dispatchers = self.dispatcher_by_shard
-        if message.shard in dispatchers:
-            chosen = [dispatchers[message.shard]]
-        else:
-            chosen = list(dispatchers.values())
-        for dispatcher in chosen:
+        chosen = [dispatchers[shard]] if shard in dispatchers else dispatchers.values()
+        for dispatcher in list(chosen):
             decisions = dispatcher.release(
                 message.request_id, message.outcome, message.cached_blocks
             )
@@ -335,16 +344,19 @@
         """
         for dispatcher in list(self.dispatcher_by_shard.values()):
             self._tell(dispatcher.drop_entry(entry))
+        for request_id, (peer, _) in list(self._owed_by_id.items()):
+            if peer == entry:
+                del self._owed_by_id[request_id]
 
     def _tell(self, decisions):
         for decision in decisions:
-            entry = self._entry_by_id.get(decision.request_id)
+            entry, _ = self._owed_by_id.get(decision.request_id, (None, None))
             if isinstance(decision, Grant):
                 message = GiveLease(
                     decision.request_id, decision.engine, decision.cached_blocks
                 )
             else:
-                self._entry_by_id.pop(decision.request_id, None)
+                self._owed_by_id.pop(decision.request_id, None)
                 message = RefuseLease(
                     decision.request_id, decision.code, decision.retry_after_ms
                 )
@@ -361,17 +373,30 @@
             log.info("an answer to %s was not sent: %s", entry, error)
 
 
-def _to_message(shard, request, left_ms):
+def to_message(shard, model, request, left_ms):
+    """Return the message that asks for a lease.
+
+    Parameters
+    ----------
+    shard, model : str
+        Name of the shard, and the model that its engines serve.
+    request : LeaseRequest
+        What is asked for; its prefixes are thinned for the wire.
+    left_ms : int
+        Time in ms for which the request may still wait.
+    """
+    blocks = request.blocks or len(request.prefixes)
+    prefixes = request.prefixes if request.blocks else thin(request.prefixes)
     return AskLease(
         request.request_id,
         shard,
         request.customer,
-        request.model,
-        list(request.prefixes),
+        "" if request.model == model else request.model,
+        pack(prefixes),
+        blocks,
         request.hint,
-        request.zone,
         left_ms,
-        request.priority,
+        request.chat_key,
     )
 
 
--- a/peridotcove/metrics.py
+++ b/peridotcove/metrics.py
@@ -27,7 +27,10 @@
             "peridotcove_prompt_blocks", "Prefix blocks sent to engines."
         )
         self.control_bytes = self._count(
-            "peridotcove_control_bytes", "Bytes between nodes on the wire.", "way"
+            "peridotcove_control_bytes",
+            "Bytes between nodes on the wire, headers of TCP and IP included.",
+            "way",
+            "message",
         )
         self.first_byte = Histogram(
             "peridotcove_first_byte_seconds",
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -101,7 +101,7 @@
             identity,
             secret,
             self.clock,
-            traffic=lambda way, size: count.labels(way).inc(size),
+            traffic=lambda way, kind, size: count.labels(way, kind).inc(size),
         )
         self.links.on_message = self._receive
 
--- a/peridotcove/nodes/links.py
+++ b/peridotcove/nodes/links.py
@@ -24,7 +24,6 @@
 REDIAL_MS = 250
 TCP_IP_BYTES = 52
 CLIENT_FRAME_BYTES = 8
-SERVER_FRAME_BYTES = 4
 
 log = get_logger("links")
 
@@ -53,7 +52,8 @@
     clock : Clock
         Source of time.
     traffic : callable
-        Called with ``"in"`` or ``"out"`` and a number of bytes on the wire.
+        Called with ``"in"`` or ``"out"``, the name of the message and its bytes on the
+        wire.
 
     Attributes
     ----------
@@ -63,7 +63,7 @@
         Called with the peer's name, a message and the revision on its frame.
     """
 
-    def __init__(self, identity, secret, clock, traffic=lambda way, count: None):
+    def __init__(self, identity, secret, clock, traffic=lambda way, kind, size: None):
         super().__init__()
         self.identity = identity
         self.revision = 0
@@ -136,7 +136,8 @@
                 raise LinkDown(f"{peer!r} is not reachable")
             link.task = asyncio.create_task(self._write(link))
         try:
-            link.queue.put_nowait(encode(message, self.revision))
+            frame = encode(message, self.revision)
+            link.queue.put_nowait((type(message).__name__, frame))
         except asyncio.QueueFull:
             raise LinkDown(f"the queue to {peer!r} is full") from None
 
@@ -194,12 +195,13 @@
         closed.add_done_callback(lambda _: _wake(link.queue))
         try:
             while True:
-                frame = await link.queue.get()
-                if frame is None or closed.done():
+                item = await link.queue.get()
+                if item is None or closed.done():
                     return
+                kind, frame = item
                 await socket.send(frame)
                 size = len(frame) + CLIENT_FRAME_BYTES + TCP_IP_BYTES
-                self._traffic("out", size)
+                self._traffic("out", kind, size)
         finally:
             closed.cancel()
 
@@ -218,7 +220,8 @@
         if not isinstance(frame, bytes):
             raise ProtocolError(f"{peer!r} sent text")
         message, revision = decode(frame)
-        self._traffic("in", len(frame) + CLIENT_FRAME_BYTES + TCP_IP_BYTES)
+        size = len(frame) + CLIENT_FRAME_BYTES + TCP_IP_BYTES
+        self._traffic("in", type(message).__name__, size)
         if self.on_message is not None:
             self.on_message(peer, message, revision)
 
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -16,6 +16,7 @@
 VERSION = 1
 MAX_FRAME_BYTES = 8 << 20
 HEAD_FIELDS = 3
+HASH_BYTES = 8
 
 messages = Registry("message")
 
@@ -63,17 +64,39 @@
 @message(2)
 @frozen
 class AskLease:
-    """An entry node asks for a lease; see `peridotcove.models.LeaseRequest`."""
+    """An entry node asks for a lease; see `peridotcove.models.LeaseRequest`.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Id of the request.
+    shard : str
+        Shard asked of.
+    customer : str
+        Customer that pays.
+    model : str
+        Model with its adapter; empty without adapter.
+    prefixes : bytes
+        Thinned prefix hashes, `HASH_BYTES` each, big-endian.
+    blocks : int
+        Whole blocks of the chat.
+    hint : str
+        Engine of the chat's last turn, or empty.
+    deadline_ms : int
+        Longest wait in ms.
+    chat_key : int
+        Key of the chat that stays the same on each turn, 64 bits.
+    """
 
     request_id: bytes
     shard: str
     customer: str
     model: str
-    prefixes: list
+    prefixes: bytes
+    blocks: int
     hint: str
-    zone: str
     deadline_ms: int
-    priority: int
+    chat_key: int
 
 
 @message(3)
@@ -105,8 +128,6 @@
     ----------
     request_id : bytes
         Id of the request.
-    shard : str
-        Shard of the lease.
     outcome : str
         ``"done"``, ``"failed"`` or ``"cancelled"``.
     cached_blocks : int
@@ -114,7 +135,6 @@
     """
 
     request_id: bytes
-    shard: str
     outcome: str
     cached_blocks: int = -1
 
@@ -150,6 +170,36 @@
     request_id: bytes
 
 
+def pack(hashes):
+    """Return hashes as bytes.
+
+    Parameters
+    ----------
+    hashes : iterable of int
+        64-bit hashes.
+    """
+    return b"".join(item.to_bytes(HASH_BYTES, "big") for item in hashes)
+
+
+def unpack(data):
+    """Return the hashes that `pack` packed.
+
+    Parameters
+    ----------
+    data : bytes
+        Packed hashes.
+
+    Raises
+    ------
+    ProtocolError
+        If the length is no multiple of `HASH_BYTES`.
+    """
+    if len(data) % HASH_BYTES:
+        raise ProtocolError(f"{len(data)} bytes are no hashes")
+    starts = range(0, len(data), HASH_BYTES)
+    return tuple(int.from_bytes(data[i : i + HASH_BYTES], "big") for i in starts)
+
+
 def encode(item, revision):
     """Return the frame of a message.
 
--- a/peridotcove/prefixes.py
+++ b/peridotcove/prefixes.py
@@ -35,6 +35,27 @@
     return "" if content is None else str(content)
 
 
+def hash_opening(model, messages):
+    """Return a key of a chat that stays the same on each of its turns.
+
+    It covers the messages up to the first of the user.
+
+    Parameters
+    ----------
+    model : str
+        Model and adapter.
+    messages : list of dict
+        Messages with ``role`` and ``content``.
+    """
+    opening = []
+    for item in messages:
+        opening.append(item)
+        if item.get("role") == "user":
+            break
+    text = f"{model}{FIELD_END}{flatten(opening)}"
+    return xxhash.xxh3_64_intdigest(text.encode("utf-8", "surrogatepass"))
+
+
 def hash_prefixes(model, text, block_chars):
     """Return the hash of each prefix of whole blocks, shortest prefix first.
 
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -133,6 +133,7 @@
             self._zone,
             left,
             chat.customer.priority,
+            chat.key,
         )
         self._timeline.record("lease-asked", request_id=request_id, peer=shard)
         grant = await self._leases.ask(shard, request)
