--- a/peridotcove/endpoints/orders.py
+++ b/peridotcove/endpoints/orders.py
@@ -31,16 +31,16 @@
         self._client = client
         self._tasks = set()
 
-    def tick(self, url_by_engine):
+    def tick(self, engine_by_name):
         """Begin the reads that are due; call it a few times a second.
 
         Parameters
         ----------
-        url_by_engine : dict
-            Base URL of each engine.
+        engine_by_name : dict of Engine
+            The described engines.
         """
         for read in self.issuer.tick():
-            job = self._visit(read, url_by_engine[read.engine])
+            job = self._visit(read, engine_by_name[read.engine].url)
             task = asyncio.create_task(job)
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -12,6 +12,7 @@
 from peridotcove.endpoint_states import EndpointStates
 from peridotcove.endpoints.client import EndpointClient
 from peridotcove.endpoints.engines import EngineClient
+from peridotcove.endpoints.orders import OrderClient
 from peridotcove.endpoints.services import ServiceClient
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet import Fleet
@@ -20,7 +21,7 @@
 from peridotcove.limits import EntryLimits, HomeLimits
 from peridotcove.logs import get_logger
 from peridotcove.metrics import Metrics
-from peridotcove.models import Instance
+from peridotcove.models import Instance, State
 from peridotcove.nodes.handshake import Identity
 from peridotcove.nodes.limit_messages import ReportUsage, ShareRates
 from peridotcove.nodes.links import Links
@@ -44,6 +45,7 @@
 from peridotcove.once import Once
 from peridotcove.operators.desk import OperatorDesk
 from peridotcove.operators.server import make_server as make_operator_server
+from peridotcove.orders import OrderIssuer
 from peridotcove.platform.client import PlatformClient
 from peridotcove.ranking import rank
 from peridotcove.router import Router
@@ -90,6 +92,7 @@
         self._wire_leases()
         self._wire_tickets()
         self._wire_requests()
+        self._wire_orders()
         self._wire_servers()
 
     def _wire_links(self):
@@ -182,6 +185,10 @@
         )
         self.calls.once = self.once
 
+    def _wire_orders(self):
+        self.orders = OrderIssuer(self.clock, self.rng)
+        self.order_client = OrderClient(self.orders, self.service_client)
+
     def _wire_servers(self):
         settings = self.settings
         desk = CallerDesk(
@@ -239,6 +246,7 @@
         self.states.set_configuration(current)
         self.tickets.ticket_ms = current.bounds.ticket_ms
         self.lease_server.follow()
+        self.follow_orders()
         self.timeline.record("revision-in-force", revision=current.revision)
         log.info("revision %d is in force", current.revision)
 
@@ -246,6 +254,7 @@
         """Let all parts know which nodes are live."""
         if self.fleet.set_nodes(self.control.membership.live()):
             self.lease_server.follow()
+            self.follow_orders()
             self.lease_client.announce()
 
     def take_instances(self, instances, asked_ms):
@@ -262,6 +271,8 @@
         self.links.set_peers([item for item in instances if item.kind == "node"])
         peers = self.peers()
         self.send_all(self.leaving_news.set_instances(instances, asked_ms, peers))
+        live = [item.name for item in instances if item.state is State.LIVE]
+        self.orders.set_listed(live)
         self.follow_endpoints()
         self.follow_nodes()
 
@@ -269,6 +280,18 @@
         """Let the owner's side know which engines are leaving."""
         if self.fleet.set_leaving(self.states.leaving()):
             self.lease_server.follow()
+            self.follow_orders()
+
+    def follow_orders(self):
+        """Let the issuer of orders know its engines and what they are to run."""
+        fleet = self.fleet
+        engines = [
+            engine
+            for shard in fleet.shard_by_name.values()
+            if fleet.rank_owners(shard.name)[:1] == [self.name]
+            for engine in shard.engines
+        ]
+        self.orders.set_configuration(fleet.configuration, engines)
 
     def peers(self):
         """Return the names of the other live nodes of the region."""
--- a/peridotcove/orders.py
+++ b/peridotcove/orders.py
@@ -52,6 +52,7 @@
         self.watch_by_engine = {}
         self.budget = LoadBudget(clock)
         self._rng = rng
+        self._listed = frozenset()
         self._configuration = Configuration()
 
     def set_configuration(self, configuration, engines):
@@ -81,16 +82,19 @@
             watch.wanted = order
         self.budget.set_share(configuration, len(self.watch_by_engine))
 
-    def wake(self, name):
-        """Read an engine soon, because the platform lists it as live.
+    def set_listed(self, names):
+        """Take the names that the platform lists as live; read new ones soon.
 
         Parameters
         ----------
-        name : str
-            Name of the engine.
+        names : iterable of str
+            Names of engines; others are ignored.
         """
-        if name in self.watch_by_engine:
-            self._wake(self.watch_by_engine[name])
+        listed = frozenset(names)
+        for name in listed - self._listed:
+            if name in self.watch_by_engine:
+                self._wake(self.watch_by_engine[name])
+        self._listed = listed
 
     def tick(self):
         """Return the reads that are due."""
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -66,6 +66,7 @@
         _every(REPORT_MS, node.usage.tick),
         _every(TICKET_MS, node.once.tick),
         _every(CONTROL_MS, lambda: tick_endpoints(node)),
+        _every(CONTROL_MS, lambda: tick_orders(node)),
         _every(ANNOUNCE_MS, node.lease_client.announce),
         watch_configuration(
             node.platform, reader, lambda item: _send_and_follow(node, item)
@@ -127,6 +128,19 @@
     node.tickets.expire()
 
 
+def tick_orders(node):
+    """Read engines and order them, if this node's view is fresh.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    """
+    if node.control.membership.fresh() and node.drain.ready:
+        engine_by_name = node.fleet.configuration.engine_by_name
+        node.order_client.tick(engine_by_name)
+
+
 async def drain(node):
     """Leave the balancer, let every request end, and hand everything over.
 
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,261 @@
+"""Three nodes in one process, over real sockets, with stand-ins around them."""
+
+import asyncio
+import hashlib
+import json
+import os
+import socket
+import unittest
+from unittest import mock
+
+import tornado.httpclient
+import tornado.simple_httpclient
+
+from peridotcove.clock import Clock
+from peridotcove.node import Node
+from peridotcove.running import close, drain, start
+from peridotcove.schema import build
+from peridotcove.settings import Settings
+from peridotcove.standins.answers import Answer
+from peridotcove.standins.engine import EngineOptions, EngineStandin
+from peridotcove.standins.platform import PlatformStandin
+from peridotcove.standins.service import ServiceStandin
+
+NAMES = ("n1", "n2", "n3")
+KEY = "key-of-the-bakery"
+HOST = "127.0.0.1"
+PATH = "/services/stock/reservations"
+TICKET = "Peridotcove-Ticket"
+VERDICT = "Peridotcove-Verdict"
+MESSAGES = [{"role": "user", "content": "Which stands are free on Saturday?"}]
+
+
+def free_port():
+    """Return a port that the operating system says is free."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+class TestNode(unittest.IsolatedAsyncioTestCase):
+    """Promises that only whole nodes can keep."""
+
+    async def asyncSetUp(self):
+        variable = mock.patch.dict(os.environ, {"TEST_SECRET": "s" * 32})
+        variable.start()
+        self.addCleanup(variable.stop)
+        self.engines = [EngineStandin(EngineOptions("", token_ms=2.0)) for _ in "12"]
+        self.service = ServiceStandin()
+        self.platform = PlatformStandin()
+        for standin in (*self.engines, self.service, self.platform):
+            standin.start()
+            self.addAsyncCleanup(standin.close)
+        self.http = tornado.simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=100
+        )
+        self.addCleanup(self.http.close)
+        self.ports = {name: [free_port() for _ in "123"] for name in NAMES}
+        self.publish(1)
+        self.list()
+        self.node_by_name, self.tasks = {}, {}
+        for name in NAMES:
+            node = Node(self.settings(name), Clock())
+            self.node_by_name[name] = node
+            self.tasks[name] = await start(node)
+            self.addAsyncCleanup(self.stop, name)
+        await self.wait_for(self.is_settled)
+
+    async def stop(self, name):
+        if not self.tasks[name]:
+            return
+        for task in self.tasks[name]:
+            task.cancel()
+        await asyncio.gather(*self.tasks[name], return_exceptions=True)
+        await close(self.node_by_name[name])
+        self.tasks[name] = []
+
+    def settings(self, name):
+        caller, nodes, operators = self.ports[name]
+        raw = {
+            "node": name,
+            "zone": "z1",
+            "region": "r1",
+            "callers": {"host": HOST, "port": caller},
+            "nodes": {"host": HOST, "port": nodes},
+            "operators": {"host": HOST, "port": operators},
+            "secret": {"variable": "TEST_SECRET"},
+            "platform": {
+                "configuration_url": self.platform.url,
+                "instances_url": self.platform.url,
+            },
+        }
+        return build(Settings, raw, "test")
+
+    def publish(self, revision, model="m"):
+        engines = {
+            f"e{i}": {"url": engine.url, "zone": "z1", "model": model}
+            for i, engine in enumerate(self.engines)
+        }
+        endpoint = {"name": "s1", "url": self.service.url, "zone": "z1"}
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        value = {
+            "revision": revision,
+            "zones": {"z1": {"region": "r1"}},
+            "models": {"m": {}, "other": {}},
+            "engines": engines,
+            "services": {"stock": {"endpoints": [endpoint]}},
+            "customers": {"bakery": {"key_digests": [digest]}},
+        }
+        self.platform.set_configuration(value)
+
+    def list(self, *leaving):
+        ports = {name: ports[1] for name, ports in self.ports.items()}
+        kinds = [("node", name, port) for name, port in ports.items()]
+        kinds += [("engine", f"e{i}", e.port) for i, e in enumerate(self.engines)]
+        kinds += [("endpoint", "s1", self.service.port)]
+        self.platform.set_instances(
+            [
+                {
+                    "name": name,
+                    "kind": kind,
+                    "host": HOST,
+                    "port": port,
+                    "zone": "z1",
+                    "state": "leaving" if name in leaving else "live",
+                }
+                for kind, name, port in kinds
+            ]
+        )
+
+    def is_settled(self):
+        nodes = self.node_by_name.values()
+        known = all(node.links.revision == 1 for node in nodes)
+        orders = [engine.orders for engine in self.engines]
+        ordered = all(item.model == "m" and not item.loading for item in orders)
+        return known and ordered and all(len(node.peers()) == 2 for node in nodes)
+
+    async def wait_for(self, condition):
+        async with asyncio.timeout(60):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def call(self, node, path=PATH, body=b"{}", ticket="", **options):
+        headers = {"Authorization": f"Bearer {KEY}"}
+        if ticket:
+            headers[TICKET] = ticket
+        url = f"http://{HOST}:{self.ports[node][0]}{path}"
+        return await self.http.fetch(
+            url,
+            method="POST",
+            headers=headers,
+            body=body,
+            raise_error=False,
+            **options,
+        )
+
+    async def get_ticket(self, node):
+        answer = await self.call(node)
+        self.assertEqual((answer.code, answer.headers[VERDICT]), (428, "not-run"))
+        return answer.headers[TICKET]
+
+    async def check_call(self, node, ticket, code, verdict, runs, body=b"{}"):
+        answer = await self.call(node, ticket=ticket, body=body)
+        found = (answer.code, answer.headers[VERDICT])
+        self.assertEqual(found, (code, verdict), answer.body)
+        self.assertEqual(self.service.runs_by_key[ticket], runs)
+        return answer
+
+    async def test_resends_anywhere_run_once(self):
+        ticket = await self.get_ticket("n1")
+        first = await self.check_call("n2", ticket, 200, "ran", 1)
+        for node in NAMES:
+            again = await self.check_call(node, ticket, 200, "ran", 1)
+            self.assertEqual(again.body, first.body)
+        for body in (b"other", b""):
+            await self.check_call("n3", ticket, 422, "may-have-run", 1, body)
+        together = [self.call(node, ticket=ticket) for node in NAMES * 5]
+        for answer in await asyncio.gather(*together):
+            self.assertEqual(answer.body, first.body)
+        self.assertEqual(self.service.runs_by_key[ticket], 1)
+
+    async def test_lost_answer_stays_unknown(self):
+        for mode in ("run-then-close", "half", "garbage"):
+            with self.subTest(mode):
+                ticket = await self.get_ticket("n1")
+                self.service.faults.set(mode, 1)
+                await self.check_call("n2", ticket, 502, "may-have-run", 1)
+                for node in NAMES:
+                    await self.check_call(node, ticket, 409, "may-have-run", 1)
+
+    async def test_refused_is_spent_and_brings_a_new_ticket(self):
+        ticket = await self.get_ticket("n1")
+        self.list("s1")
+        nodes = self.node_by_name.values()
+        await self.wait_for(lambda: all(n.states.leaving() == ["s1"] for n in nodes))
+        answer = await self.check_call("n2", ticket, 503, "not-run", 0)
+        self.assertIn(TICKET, answer.headers)
+        await self.check_call("n3", ticket, 409, "not-run", 0)
+
+    async def test_nobody_else_says_not_run(self):
+        ticket = await self.get_ticket("n1")
+        await self.check_call("n1", ticket, 200, "ran", 1)
+        paths = ("/services/other/x", "/services/other/x", "/nowhere")
+        for path in paths:
+            answer = await self.call("n2", path, ticket=ticket)
+            self.assertEqual(answer.headers[VERDICT], "may-have-run")
+        self.node_by_name["n2"].drain.begin()
+        self.node_by_name["n2"].drain.stage = mock.Mock()
+        answer = await self.call("n2", ticket=ticket)
+        found = (answer.code, answer.headers[VERDICT])
+        self.assertEqual(found, (503, "may-have-run"))
+
+    async def test_gone_node_stays_unknown(self):
+        ticket = await self.get_ticket("n1")
+        await self.check_call("n2", ticket, 200, "ran", 1)
+        await self.stop("n1")
+        with mock.patch("peridotcove.calls.TICKET_WAIT_MS", 300):
+            await self.check_call("n2", ticket, 503, "may-have-run", 1)
+        self.node_by_name["n1"] = node = Node(self.settings("n1"), Clock())
+        self.tasks["n1"] = await start(node)
+        await self.wait_for(self.is_settled)
+        for name in NAMES:
+            await self.check_call(name, ticket, 409, "may-have-run", 1)
+
+    async def test_drain_cuts_nothing_and_moves_tickets(self):
+        used, unused = await self.get_ticket("n1"), await self.get_ticket("n1")
+        first = await self.check_call("n2", used, 200, "ran", 1)
+        chat = {"model": "m", "messages": MESSAGES, "max_tokens": 1500, "stream": True}
+        body = json.dumps(chat).encode()
+        path = "/v1/chat/completions"
+        stream = asyncio.create_task(self.call("n1", path, body, request_timeout=60))
+        await self.wait_for(lambda: any(e.batch.running for e in self.engines))
+        await drain(self.node_by_name["n1"])
+        self.assertEqual(self.node_by_name["n1"].drain.cut, 0)
+        answer = await stream
+        self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
+        self.assertEqual(answer.body.count(b"data: "), 1501)
+        await self.stop("n1")
+        again = await self.check_call("n3", used, 200, "ran", 1)
+        self.assertEqual(again.body, first.body)
+        await self.check_call("n3", unused, 200, "ran", 1)
+        await self.check_call("n2", unused, 200, "ran", 1)
+
+    async def test_leaving_engine_gets_no_new_work(self):
+        self.list("e0")
+        nodes = self.node_by_name.values()
+        await self.wait_for(lambda: all(n.states.leaving() == ["e0"] for n in nodes))
+        before = self.engines[0].requests
+        chat = {"model": "m", "messages": MESSAGES, "max_tokens": 4}
+        body = json.dumps(chat).encode()
+        for node in NAMES * 3:
+            answer = await self.call(node, "/v1/chat/completions", body)
+            self.assertEqual(answer.code, 200, answer.body)
+            text = json.loads(answer.body)["choices"][0]["message"]["content"]
+            self.assertEqual(text, Answer("m", MESSAGES).text(4))
+        self.assertEqual(self.engines[0].requests, before)
+
+    async def test_orders_follow_the_configuration(self):
+        self.publish(2, model="other")
+        orders = lambda: [engine.orders for engine in self.engines]
+        await self.wait_for(lambda: all(o.model == "other" for o in orders()))
+        self.assertEqual([item.fence for item in orders()], [2, 2])
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -180,7 +180,7 @@
                     issuer.take_result(item.engine, deaf.take(item.order))
         self.assertEqual(issuer.parked(), ["absent", "deaf"])
         self.assertEqual(counts, {"absent": MAX_TRIES, "deaf": MAX_TRIES + 1})
-        issuer.wake("absent")
+        issuer.set_listed(["absent"])
         engine = FakeEngine(self.clock, True)
         run(self.clock, [issuer], {"absent": engine}, 5_000)
         self.assertEqual(engine.order.model, "b")
