Prove the engine client against engines that misbehave

Cause: pooled connections can be silent, libcurl resends a POST on a reused one, and a caller that stops reading held its stream for ever. Change: a fresh connection for each chat, one watch over all transfers, a limit on how long a caller may keep a full buffer (caller_stall_ms). With a watch for each transfer the cut came after 60 s in place of 1 s, as the watch slept on the limit of an earlier state.

--- a/peridotcove/callers/sink.py
+++ b/peridotcove/callers/sink.py
@@ -35,6 +35,11 @@
         self.closed = False
         self.transfer = None
 
+    @property
+    def held(self):
+        """Bytes that wait for the caller, besides the write in progress."""
+        return len(self._buffer)
+
     @property
     def started(self):
         """Whether the caller has got the head of the answer."""
--- a/peridotcove/endpoints/client.py
+++ b/peridotcove/endpoints/client.py
@@ -1,8 +1,8 @@
-"""HTTP towards endpoints: tornado's curl client, with back-pressure and cancelling.
+"""HTTP towards engines: tornado's curl client, with back-pressure and cancelling.
 
-What libcurl does by itself and must not do here: it sends a request again when a reused
-connection closes without an answer. Every request that may not be repeated therefore
-takes a fresh connection.
+Every request takes a connection of its own. libcurl would send a request again by
+itself when a reused connection closes without an answer, and an idle connection may
+have gone silent; both can't happen on a fresh one, at the price of one round trip.
 """
 
 import asyncio
@@ -18,8 +18,7 @@
 
 MAX_TRANSFERS = 512
 CONNECT_MS = 1_000
-CONNECTION_AGE_S = 60
-CONNECTION_IDLE_S = 20
+WATCH_MS = 100
 
 
 class CurlClient(CurlAsyncHTTPClient):
@@ -50,11 +49,14 @@
         Header fields.
     body : bytes
         Whole body, or what had not been given to the sink.
+    cached_share : float or None
+        Share of the prompt that the engine says it had in its cache, if it says so.
     """
 
     status: int
     headers: object
     body: bytes = b""
+    cached_share: float | None = None
 
 
 @define(eq=False)
@@ -63,12 +65,11 @@
 
     Attributes
     ----------
-    first_byte_ms, gap_ms : int
-        Longest wait in ms for the first byte of the body, and between two reads.
+    first_byte_ms, gap_ms, stall_ms : int
+        Longest wait in ms for the first byte of the body, between two reads, and for
+        the sink while it keeps the transfer paused.
     sink : callable or None
         Takes each read of the body; returns true to pause the transfer.
-    fresh : bool
-        Whether the request must not use, or leave behind, a shared connection.
     status : int
         HTTP status of the answer; 0 before its head.
     headers : tornado.httputil.HTTPHeaders
@@ -77,8 +78,8 @@
 
     first_byte_ms: int
     gap_ms: int
+    stall_ms: int
     sink: object = None
-    fresh: bool = False
     status: int = 0
     headers: HTTPHeaders = field(factory=HTTPHeaders)
     connected: bool = False
@@ -88,8 +89,16 @@
     cancelled: bool = False
     received: int = 0
     last_ms: int = 0
+    clock: object = None
     _client: object = None
 
+    @property
+    def limit_ms(self):
+        """Longest wait in ms in the present state."""
+        if self.paused:
+            return self.stall_ms
+        return self.gap_ms if self.received else self.first_byte_ms
+
     def take_header(self, line):
         """Take one line of the answer's head.
 
@@ -122,6 +131,7 @@
         """Go on with a paused transfer."""
         if self.paused and self.curl is not None:
             self.paused = False
+            self.last_ms = self.clock.now()
             self.curl.pause(pycurl.PAUSE_CONT)
 
     def cancel(self):
@@ -143,10 +153,14 @@
 
     def __init__(self, clock):
         self._clock = clock
+        self._transfers = set()
+        self._watching = None
         self._client = CurlClient(force_instance=True, max_clients=MAX_TRANSFERS)
 
     def close(self):
         """Close every connection."""
+        if self._watching is not None:
+            self._watching.cancel()
         self._client.close()
 
     async def fetch(self, method, url, headers, body, transfer):
@@ -187,8 +201,11 @@
             allow_nonstandard_methods=True,
             prepare_curl_callback=lambda curl: self._prepare(curl, transfer),
         )
+        transfer.clock = self._clock
         transfer.last_ms = self._clock.now()
-        watch = asyncio.create_task(self._watch(transfer))
+        self._transfers.add(transfer)
+        if self._watching is None or self._watching.done():
+            self._watching = asyncio.create_task(self._watch())
         try:
             response = await self._client.fetch(request, raise_error=False)
         except CurlError as error:
@@ -197,7 +214,7 @@
             transfer.cancel()
             raise
         finally:
-            watch.cancel()
+            self._transfers.discard(transfer)
             transfer.curl = None
         return Reply(response.code, transfer.headers, response.body or b"")
 
@@ -205,11 +222,8 @@
         transfer.curl = curl
         transfer._client = self._client
         curl.setopt(pycurl.TCP_NODELAY, 1)
-        curl.setopt(pycurl.MAXAGE_CONN, CONNECTION_IDLE_S)
-        curl.setopt(pycurl.MAXLIFETIME_CONN, CONNECTION_AGE_S)
-        if transfer.fresh:
-            curl.setopt(pycurl.FRESH_CONNECT, 1)
-            curl.setopt(pycurl.FORBID_REUSE, 1)
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
         curl.setopt(pycurl.HEADERFUNCTION, transfer.take_header)
         curl.setopt(pycurl.PREREQFUNCTION, transfer.note_connected)
         if transfer.sink is not None:
@@ -224,23 +238,23 @@
             transfer.paused = True
         return len(data)
 
-    async def _watch(self, transfer):
-        while True:
-            limit = transfer.gap_ms if transfer.received else transfer.first_byte_ms
-            left = transfer.last_ms + limit - self._clock.now()
-            if transfer.paused:
-                left = limit
-            elif left <= 0:
-                transfer.timed_out = True
-                transfer.cancel()
-                return
-            await asyncio.sleep(left / 1000)
+    async def _watch(self):
+        while self._transfers:
+            now = self._clock.now()
+            for transfer in list(self._transfers):
+                if now - transfer.last_ms > transfer.limit_ms:
+                    transfer.timed_out = True
+                    transfer.cancel()
+            await asyncio.sleep(WATCH_MS / 1000)
 
 
 def _explain(url, error, transfer):
     if not transfer.connected:
         message = f"no connection to {url}"
         return EndpointFailed("unreachable", message, Verdict.NOT_RUN)
+    if transfer.timed_out and transfer.paused:
+        message = "the caller does not read its answer"
+        return EndpointFailed("slow-caller", message, Verdict.MAY_HAVE_RUN, 408)
     if transfer.timed_out:
         message = f"{url} went silent"
         return EndpointFailed("timeout", message, Verdict.MAY_HAVE_RUN, 504)
--- a/peridotcove/endpoints/engines.py
+++ b/peridotcove/endpoints/engines.py
@@ -1,14 +1,20 @@
 """Sends chats to engines and checks that their answers are whole."""
 
 import json
+import re
+
+from attrs import evolve
 
 from peridotcove.endpoints.client import Transfer
 from peridotcove.exceptions import EndpointFailed
 from peridotcove.verdict import Verdict
 
 DONE = b"data: [DONE]"
+USAGE = re.compile(
+    rb'"prompt_tokens":\s*(\d+).{0,200}?"cached_tokens":\s*(\d+)', re.DOTALL
+)
 EVENT_STARTS = (b"data:", b":", b"event:", b"id:")
-TAIL_BYTES = 64
+TAIL_BYTES = 1_024
 MAX_ERROR_BYTES = 65_536
 BUSY_STATUSES = (429, 503)
 
@@ -57,7 +63,9 @@
         stream = _Stream(engine, sink)
         take = None if sink is None else stream.take
         limits = self._limits
-        transfer = Transfer(limits.first_byte_ms, limits.gap_ms, take)
+        transfer = Transfer(
+            limits.first_byte_ms, limits.gap_ms, limits.caller_stall_ms, take
+        )
         stream.transfer = transfer
         if sink is not None:
             sink.transfer = transfer
@@ -90,11 +98,18 @@
     def finish(self, reply):
         if reply.status != 200:
             _check_status(self._engine, reply.status)
-            return type(reply)(reply.status, reply.headers, self._head)
+            return evolve(reply, body=self._head)
         if DONE not in self._tail:
             message = f"{self._engine.name} ended its answer early"
             raise EndpointFailed("cut", message, Verdict.MAY_HAVE_RUN)
-        return reply
+        return evolve(reply, cached_share=_read_cached_share(self._tail))
+
+
+def _read_cached_share(tail):
+    found = USAGE.search(tail)
+    if found is None or not int(found[1]):
+        return None
+    return min(1.0, int(found[2]) / int(found[1]))
 
 
 def _check_status(engine, status):
@@ -117,4 +132,4 @@
     if not whole:
         message = f"{engine.name} sent something that is no answer"
         raise EndpointFailed("garbage", message, Verdict.MAY_HAVE_RUN)
-    return reply
+    return evolve(reply, cached_share=_read_cached_share(reply.body))
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -150,6 +150,7 @@
             name = request_id.hex()
             reply = await self._engines.run(engine, chat.body, name, sink)
             outcome = "done"
+            cached = self._count_blocks(chat, reply)
             return reply, engine.name
         except RequestError:
             outcome = "failed"
@@ -160,6 +161,15 @@
                 "lease-released", request_id=request_id, detail=outcome
             )
 
+    def _count_blocks(self, chat, reply):
+        blocks = len(chat.prefixes)
+        self._metrics.prompt_blocks.inc(blocks)
+        if reply.cached_share is None:
+            return -1
+        cached = round(reply.cached_share * blocks)
+        self._metrics.cached_blocks.inc(cached)
+        return cached
+
     def engine_of(self, request_id):
         """Return the engine on which a request holds a lease, or an empty name.
 
--- a/peridotcove/settings.py
+++ b/peridotcove/settings.py
@@ -114,6 +114,8 @@
         Longest time in ms for a request's head and body to arrive.
     first_byte_ms, gap_ms : int
         Longest wait in ms for an endpoint's first byte, and between two.
+    caller_stall_ms : int
+        Longest time in ms for which a caller may keep a full buffer.
     stream_buffer_bytes : int
         Most bytes held for a caller that reads slowly.
     drain_ms : int
@@ -125,6 +127,7 @@
     body_ms: int = within(100, 600_000, default=30_000)
     first_byte_ms: int = within(10, 3_600_000, default=60_000)
     gap_ms: int = within(10, 3_600_000, default=30_000)
+    caller_stall_ms: int = within(1_000, 3_600_000, default=120_000)
     stream_buffer_bytes: int = within(4_096, 1 << 24, default=131_072)
     drain_ms: int = within(0, 86_400_000, default=60_000)
 
