Test the router's verdicts over all tries

Cause: a first try that may have run, followed by a refusal, must not end as not run. Change: a table and a property over scripted leases and engines. Conclusion: the verdict is that of all tries together.

--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,142 @@
+"""Tests of the router: one verdict for each request, whatever its tries met."""
+
+import random
+import unittest
+
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotcove.callers.chats import Chat
+from peridotcove.configuration import parse_configuration
+from peridotcove.endpoint_states import EndpointStates
+from peridotcove.endpoints.client import Reply
+from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
+from peridotcove.fleet import Fleet
+from peridotcove.limits import EntryLimits
+from peridotcove.metrics import Metrics
+from peridotcove.models import Grant
+from peridotcove.router import MAX_TRIES, Router
+from peridotcove.timeline import Timeline
+from peridotcove.verdict import Verdict
+from tests.test_leases import RAW
+from tests.virtual import LoopClock, run
+
+NOT_RUN, MAY, RAN = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN
+OUTCOMES = ("ok", "unreachable", "cut", "no-lease", "started-cut")
+
+
+class ScriptedEngines:
+    """Answers each try as the script says and keeps the truth."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.tries = 0
+        self.may_have_run = 0
+
+    def next_is(self, outcome):
+        """Return whether the next try meets an outcome."""
+        return bool(self.script) and self.script[0] == outcome
+
+    async def run(self, engine, body, name, sink):
+        """Run one try."""
+        self.tries += 1
+        outcome = self.script.pop(0) if self.script else "ok"
+        if outcome == "unreachable":
+            raise EndpointFailed("unreachable", "x", NOT_RUN)
+        self.may_have_run += 1
+        if outcome == "started-cut":
+            sink.started = True
+        if outcome != "ok":
+            raise EndpointFailed("cut", "x", MAY)
+        return Reply(200, {}, b"{}")
+
+
+class ScriptedLeases:
+    """Grants leases, or refuses where the script says so, and counts them."""
+
+    def __init__(self, engines):
+        self.engines = engines
+        self.held_by_id = {}
+
+    async def ask(self, shard, request):
+        """Grant or refuse."""
+        if self.engines.next_is("no-lease"):
+            self.engines.script.pop(0)
+            raise RequestRefused("overloaded", "x")
+        self.held_by_id[request.request_id] = "e1"
+        return Grant(request.request_id, "e1")
+
+    def release(self, request_id, outcome, cached):
+        """Take the lease back."""
+        del self.held_by_id[request_id]
+
+
+class Started:
+    """A sink that only knows whether the caller has got anything."""
+
+    started = False
+
+
+async def route(script, repeatable, budget):
+    """Return the verdict, the scripted engines and the leases left over."""
+    clock, fleet, states = LoopClock(), Fleet("r"), EndpointStates(LoopClock())
+    configuration = parse_configuration(RAW)
+    fleet.set_configuration(configuration)
+    states.set_configuration(configuration)
+    states.tick = states.fresh = lambda: True
+    engines = ScriptedEngines(script)
+    leases = ScriptedLeases(engines)
+    router = Router(
+        "n1",
+        "a",
+        fleet,
+        leases,
+        states,
+        engines,
+        EntryLimits(clock),
+        clock,
+        random.Random(1),
+        Metrics(),
+        Timeline(clock, "n1"),
+    )
+    router._budget.balance = budget
+    customer = evolve(fleet.configuration.customer_by_name["c"])
+    chat = Chat(customer, "m", "m", True, repeatable, (), 1, "", b"{}")
+    try:
+        await router.run_chat(chat, b"12345678", sink=Started())
+        return RAN, engines, leases
+    except RequestError as error:
+        return error.verdict, engines, leases
+
+
+class RouterTest(unittest.TestCase):
+    """The verdict is that of all tries together."""
+
+    def test_table(self):
+        cases = [
+            # script, repeatable, budget, verdict, tries
+            (["ok"], False, 0, RAN, 1),
+            (["unreachable"], False, 0, NOT_RUN, 1),
+            (["unreachable", "ok"], False, 2, RAN, 2),
+            (["cut", "ok"], True, 2, RAN, 2),
+            (["cut", "ok"], False, 2, MAY, 1),
+            (["cut", "no-lease"], True, 2, MAY, 1),
+            (["cut", "unreachable", "unreachable"], True, 5, MAY, 3),
+            (["started-cut", "ok"], True, 2, MAY, 1),
+            (["no-lease"], True, 2, NOT_RUN, 0),
+            (["unreachable"] * 9, True, 9, NOT_RUN, MAX_TRIES),
+        ]
+        for script, repeatable, budget, verdict, tries in cases:
+            with self.subTest(script=script, repeatable=repeatable):
+                found, engines, _ = run(route(script, repeatable, budget))
+                self.assertEqual((found, engines.tries), (verdict, tries))
+
+    @given(st.lists(st.sampled_from(OUTCOMES), max_size=5), st.booleans())
+    def test_not_run_is_true_and_nothing_leaks(self, script, repeatable):
+        verdict, engines, leases = run(route(script, repeatable, 9))
+        if verdict is NOT_RUN:
+            self.assertEqual(engines.may_have_run, 0)
+        if not repeatable:
+            self.assertLessEqual(engines.may_have_run, 1)
+        self.assertEqual(leases.held_by_id, {})
