--- a/peridotcove/endpoints/engines.py
+++ b/peridotcove/endpoints/engines.py
@@ -3,6 +3,9 @@
 import asyncio
 import contextlib
 import json
+import re
+
+from attrs import evolve
 
 from peridotcove.clock import MS_PER_S
 from peridotcove.endpoints.client import Reply, Transfer
@@ -13,6 +16,10 @@
 RESUME_MS = (0, 100, 500, 1_000)
 CANCEL_MS = 2_000
 CUTS = ("cut", "timeout")
+USAGE = re.compile(
+    rb'"prompt_tokens":\s*(\d+).{0,200}?"cached_tokens":\s*(\d+)', re.DOTALL
+)
+TAIL_BYTES = 1_024
 MAX_ERROR_BYTES = 65_536
 BUSY_STATUSES = (429, 503)
 
@@ -33,9 +40,7 @@
         self._limits = limits
         self._tasks = set()
 
-    async def run(
-        self, engine, body, request_id, sink=None, check=None, repeatable=True
-    ):
+    async def run(self, engine, body, request_id, sink=None, check=None):
         """Run one chat at an engine and return the reply.
 
         A stream that is cut goes on where it stopped, if the engine still has it. When
@@ -53,8 +58,6 @@
             Takes a streamed answer; None for an answer in one piece.
         check : callable or None
             Called right before the request is sent; may raise `RequestError`.
-        repeatable : bool
-            Whether the request may run more than once.
 
         Returns
         -------
@@ -67,7 +70,7 @@
             If the answer is missing, malformed, another request's, or cut.
         """
         run = _Run(self._client, self._limits, engine, request_id, sink)
-        run.check, run.fresh = check, not repeatable
+        run.check = check
         try:
             reply = await run.start(body)
         except (asyncio.CancelledError, RequestError):
@@ -87,14 +90,13 @@
 
     def __init__(self, client, limits, engine, request_id, sink):
         self.check = None
-        self.fresh = False
         self._client = client
         self._limits = limits
         self._engine = engine
         self._id = request_id
         self._sink = sink
         self._events = EventStream(f"chatcmpl-{request_id}")
-        self._head = b""
+        self._head = self._tail = b""
         self._transfer = None
         self._sent = False
 
@@ -118,7 +120,7 @@
     async def cancel(self):
         path = f"/v1/streams/{self._id}/cancel"
         url = self._engine.url + path
-        transfer = Transfer(CANCEL_MS, CANCEL_MS)
+        transfer = Transfer(CANCEL_MS, CANCEL_MS, CANCEL_MS)
         with contextlib.suppress(RequestError):
             await self._client.fetch("POST", url, {}, b"", transfer)
 
@@ -131,15 +133,17 @@
         usage = int(_wants_usage(body))
         query = f"after={self._events.events}&usage={usage}"
         path = f"/v1/streams/{self._id}?{query}"
-        reply, _ = await self._fetch("GET", path, {}, None)
-        return reply is None or reply.status == 200
+        reply, failure = await self._fetch("GET", path, {}, None)
+        return reply.status == 200 if reply else failure.code in CUTS
 
     async def _fetch(self, method, path, headers, body):
         limits = self._limits
         take = None if self._sink is None else self._take
-        transfer = Transfer(limits.first_byte_ms, limits.gap_ms, take)
+        transfer = Transfer(
+            limits.first_byte_ms, limits.gap_ms, limits.caller_stall_ms, take
+        )
         if method == "POST":
-            transfer.check, transfer.fresh = self.check, self.fresh
+            transfer.check = self.check
         self._transfer = transfer
         if self._sink is not None:
             self._sink.transfer = transfer
@@ -156,6 +160,7 @@
             self._head = (self._head + data)[:MAX_ERROR_BYTES]
             return False
         events = self._events.feed(data)
+        self._tail = (self._tail + events)[-TAIL_BYTES:]
         if self._events.fault:
             self._transfer.cancel()
         return self._sink.write(events) if events else False
@@ -169,12 +174,13 @@
 
     def _finish(self, reply, failure):
         if self._events.whole:
-            return reply or Reply(200, self._transfer.headers)
+            whole = reply or Reply(200, self._transfer.headers)
+            return evolve(whole, cached_share=_read_cached_share(self._tail))
         if failure or self._events.fault:
             raise self._events.fault or failure
         if reply.status != 200:
             _check_status(self._engine, reply.status)
-            return Reply(reply.status, reply.headers, self._head)
+            return evolve(reply, body=self._head)
         message = f"{self._engine.name} ended its answer early"
         raise EndpointFailed("cut", message, Verdict.MAY_HAVE_RUN)
 
@@ -183,7 +189,7 @@
         if reply.status == 200:
             check_answer(reply.body, f"chatcmpl-{self._id}")
             self._events.whole = True
-        return reply
+        return evolve(reply, cached_share=_read_cached_share(reply.body))
 
 
 def _wants_usage(body):
@@ -193,6 +199,13 @@
     return bool(options.get("include_usage"))
 
 
+def _read_cached_share(tail):
+    found = USAGE.search(tail)
+    if found is None or not int(found[1]):
+        return None
+    return min(1.0, int(found[2]) / int(found[1]))
+
+
 def _check_status(engine, status):
     if status in BUSY_STATUSES:
         message = f"{engine.name} is busy"
