Share places among customers and refuse what can't start in time

Cause: a surge must leave room for others, and work that can't start is refused early. Change: fair shares with a reserve, foreseen waits, leases booked by entry node.

--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -1,43 +1,19 @@
 """The owner's decisions: which request runs on which engine of a shard, and when."""
 
-from collections import Counter
-
-from attrs import frozen
-
 from peridotcove.cache_index import CacheIndex
 from peridotcove.choice import Chooser
 from peridotcove.fair_queue import FairQueue, Waiting
+from peridotcove.lease_book import Lease, LeaseBook
 from peridotcove.loads import Loads
 from peridotcove.models import Customer, Grant, Refusal
+from peridotcove.places import Places
+from peridotcove.ranking import hash_name
 
 FRESH_MS = 3_000
+HASHES = 1 << 64
 FRESH_SHARE = 0.5
 HOLD_GRACE_MS = 5_000
-NO_ENGINE_RETRY_MS = 1_000
-
-
-@frozen
-class Lease:
-    """A lease that is out.
-
-    Attributes
-    ----------
-    request_id : bytes
-        Id of the request.
-    entry, customer, engine : str
-        Entry node that holds it, customer that pays and engine that runs it.
-    since_ms : int
-        Monotonic time in ms at which it was granted or first told.
-    cached_blocks : int
-        Prefix blocks expected in the engine's cache.
-    """
-
-    request_id: bytes
-    entry: str
-    customer: str
-    engine: str
-    since_ms: int
-    cached_blocks: int = 0
+RETRY_MS = 1_000
 
 
 class Dispatcher:
@@ -68,8 +44,8 @@
         self._fresh_until_ms = clock.now() + FRESH_MS
         self._weights = weights
         self._index = CacheIndex(configuration.bounds.block_chars)
-        self._lease_by_id = {}
-        self._count_by_customer = {}
+        self._book = LeaseBook()
+        self._places = Places(clock)
         self._queue = FairQueue()
         self._loads = Loads(configuration.bounds.load_bound)
         self.set_configuration(configuration)
@@ -97,9 +73,8 @@
         engines : iterable of Engine
             The shard's engines, with the status that is believed now.
         """
-        leases = Counter(lease.engine for lease in self._lease_by_id.values())
         engines = list(engines)
-        self._loads.set_engines(engines, leases)
+        self._loads.set_engines(engines, self._book.count_by_engine())
         self._index.set_engines(engines)
         return self._drain()
 
@@ -148,18 +123,36 @@
         request : LeaseRequest
             The request; asked again with the same id, the answer is the same.
         """
-        lease = self._lease_by_id.get(request.request_id)
+        lease = self._book.get(request.request_id)
         if lease is not None:
             return [Grant(lease.request_id, lease.engine, lease.cached_blocks)]
         if request.request_id in self._queue:
             return []
         if not self._loads.open_loads():
-            return [Refusal(request.request_id, "no_engine", NO_ENGINE_RETRY_MS)]
+            return [Refusal(request.request_id, "no_engine", RETRY_MS)]
         now = self._clock.now()
         wait = min(request.deadline_ms, self._configuration.bounds.queue_ms)
         customer = self._customer(request.customer)
         self._queue.push(Waiting(request, now, now + wait), customer.weight)
-        return self._drain()
+        self._places.change(customer, waiting=1)
+        decisions = self._drain()
+        if request.request_id in self._queue:
+            decisions.extend(self._shed(request, customer, wait))
+        return decisions
+
+    def _shed(self, request, customer, wait_ms):
+        foreseen = self._places.foresee(customer)
+        if foreseen is None or foreseen <= wait_ms:
+            if not self._places.overfull():
+                return []
+            foreseen = wait_ms
+        spread = 0.5 + hash_name(request.request_id.hex()) / HASHES
+        self._leave(request.request_id)
+        return [Refusal(request.request_id, "overloaded", int(foreseen * spread))]
+
+    def _leave(self, request_id):
+        item = self._queue.remove(request_id)
+        self._places.change(self._customer(item.request.customer), waiting=-1)
 
     def release(self, request_id, outcome, cached_blocks=-1):
         """Take back a lease, or a request that still waits.
@@ -174,9 +167,9 @@
             Prefix blocks that the engine said it reused; -1 if it said nothing.
         """
         if request_id in self._queue:
-            self._queue.remove(request_id)
+            self._leave(request_id)
             return [Refusal(request_id, "cancelled", 0)]
-        lease = self._lease_by_id.get(request_id)
+        lease = self._book.get(request_id)
         if lease is None:
             return []
         if cached_blocks >= 0:
@@ -198,11 +191,11 @@
         held = set()
         for request_id, engine, customer in leases:
             held.add(request_id)
-            if request_id not in self._lease_by_id:
+            if self._book.get(request_id) is None:
                 self._add(Lease(request_id, entry, customer, engine, now))
-        for lease in list(self._lease_by_id.values()):
+        for lease in self._book.of_entry(entry):
             old = now - lease.since_ms >= HOLD_GRACE_MS
-            if lease.entry == entry and old and lease.request_id not in held:
+            if old and lease.request_id not in held:
                 self._drop(lease)
         self._untold.discard(entry)
         return self._drain()
@@ -218,11 +211,10 @@
         refusals = []
         for item in self._queue.requests():
             if item.request.entry == entry:
-                self._queue.remove(item.request.request_id)
+                self._leave(item.request.request_id)
                 refusals.append(Refusal(item.request.request_id, "cancelled", 0))
-        for lease in list(self._lease_by_id.values()):
-            if lease.entry == entry:
-                self._drop(lease)
+        for lease in self._book.of_entry(entry):
+            self._drop(lease)
         self._untold.discard(entry)
         return refusals + self._drain()
 
@@ -254,18 +246,18 @@
         wall = self._clock.wall()
         for load in self._loads.by_engine.values():
             load.forget_report(wall)
-        late = self._queue.expire(self._clock.now())
-        refusals = [
-            Refusal(item.request.request_id, "deadline", NO_ENGINE_RETRY_MS)
-            for item in late
-        ]
+        refusals = []
+        for item in self._queue.expire(self._clock.now()):
+            request = item.request
+            self._places.change(self._customer(request.customer), waiting=-1)
+            refusals.append(Refusal(request.request_id, "deadline", RETRY_MS))
         return refusals + self._drain()
 
     def close(self):
         """Refuse all that waits, since another node owns the shard now."""
         refusals = []
         for item in self._queue.requests():
-            self._queue.remove(item.request.request_id)
+            self._leave(item.request.request_id)
             refusals.append(Refusal(item.request.request_id, "moved", 0))
         return refusals
 
@@ -273,20 +265,24 @@
         customer = self._configuration.customer_by_name.get(name)
         return Customer(name) if customer is None else customer
 
-    def _eligible(self, name):
-        return self._count_by_customer.get(name, 0) < self._customer(name).concurrency
-
     def _drain(self):
         granted = []
         while len(self._queue):
             share = FRESH_SHARE if self.fresh else 1.0
             candidates = self._loads.candidates(share)
-            item = self._queue.pop(self._eligible) if candidates else None
+            if not candidates:
+                break
+            load = self._loads.total()
+            self._places.capacity = self._loads.capacity() * share
+            item = self._queue.pop(lambda name, load=load: self._may_take(name, load))
             if item is None:
                 break
             granted.append(self._grant(item.request, candidates))
         return granted
 
+    def _may_take(self, name, load):
+        return self._places.may_take(self._customer(name), load)
+
     def _grant(self, request, candidates):
         lookup = self._index.look(request.prefixes, request.blocks)
         mean = self._loads.mean()
@@ -295,25 +291,16 @@
         self._index.record(lookup, name, self._clock.wall())
         now = self._clock.now()
         request_id = request.request_id
+        self._places.change(self._customer(request.customer), waiting=-1)
         self._add(Lease(request_id, request.entry, request.customer, name, now, cached))
         return Grant(request_id, name, cached)
 
     def _add(self, lease):
-        self._lease_by_id[lease.request_id] = lease
-        count = self._count_by_customer.get(lease.customer, 0)
-        self._count_by_customer[lease.customer] = count + 1
-        self._count(lease.engine, 1)
+        self._book.add(lease)
+        self._places.change(self._customer(lease.customer), leases=1)
+        self._loads.change(lease.engine, 1, self._clock.wall())
 
     def _drop(self, lease):
-        del self._lease_by_id[lease.request_id]
-        count = self._count_by_customer[lease.customer] - 1
-        if count:
-            self._count_by_customer[lease.customer] = count
-        else:
-            del self._count_by_customer[lease.customer]
-        self._count(lease.engine, -1)
-
-    def _count(self, engine, step):
-        load = self._loads.by_engine.get(engine)
-        if load is not None:
-            load.change(step, self._clock.wall())
+        self._book.remove(lease)
+        self._places.change(self._customer(lease.customer), leases=-1)
+        self._loads.change(lease.engine, -1, self._clock.wall())
--- /dev/null
+++ b/peridotcove/lease_book.py
@@ -0,0 +1,90 @@
+"""The leases of one shard that are out."""
+
+from collections import Counter
+
+from attrs import frozen
+
+
+@frozen
+class Lease:
+    """A lease that is out.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Id of the request.
+    entry, customer, engine : str
+        Entry node that holds it, customer that pays and engine that runs it.
+    since_ms : int
+        Monotonic time in ms at which it was granted or first told.
+    cached_blocks : int
+        Prefix blocks expected in the engine's cache.
+    """
+
+    request_id: bytes
+    entry: str
+    customer: str
+    engine: str
+    since_ms: int
+    cached_blocks: int = 0
+
+
+class LeaseBook:
+    """Leases by request, by entry node and by engine."""
+
+    def __init__(self):
+        self._lease_by_id = {}
+        self._ids_by_entry = {}
+
+    def __len__(self):
+        return len(self._lease_by_id)
+
+    def get(self, request_id):
+        """Return the lease of a request, or None.
+
+        Parameters
+        ----------
+        request_id : bytes
+            Id of the request.
+        """
+        return self._lease_by_id.get(request_id)
+
+    def add(self, lease):
+        """Enter a lease.
+
+        Parameters
+        ----------
+        lease : Lease
+            The lease of a request that has none.
+        """
+        self._lease_by_id[lease.request_id] = lease
+        self._ids_by_entry.setdefault(lease.entry, set()).add(lease.request_id)
+
+    def remove(self, lease):
+        """Strike a lease out.
+
+        Parameters
+        ----------
+        lease : Lease
+            A lease in the book.
+        """
+        del self._lease_by_id[lease.request_id]
+        ids = self._ids_by_entry[lease.entry]
+        ids.discard(lease.request_id)
+        if not ids:
+            del self._ids_by_entry[lease.entry]
+
+    def of_entry(self, entry):
+        """Return the leases that an entry node holds, oldest id first.
+
+        Parameters
+        ----------
+        entry : str
+            Name of the node.
+        """
+        ids = sorted(self._ids_by_entry.get(entry, ()))
+        return [self._lease_by_id[request_id] for request_id in ids]
+
+    def count_by_engine(self):
+        """Return a counter of leases by engine."""
+        return Counter(lease.engine for lease in self._lease_by_id.values())
--- a/peridotcove/loads.py
+++ b/peridotcove/loads.py
@@ -158,6 +158,27 @@
         loads = self.by_engine.values()
         return sum(load.engine.weight for load in loads if load.open)
 
+    def capacity(self):
+        """Return the summed capacity of the engines that may get new work."""
+        loads = self.by_engine.values()
+        return sum(load.engine.capacity for load in loads if load.open)
+
+    def change(self, engine, step, wall_ms):
+        """Count leases on an engine up or down.
+
+        Parameters
+        ----------
+        engine : str
+            Name of the engine; one that is not known is ignored.
+        step : int
+            Leases more, or fewer when negative.
+        wall_ms : int
+            Wall time in ms.
+        """
+        load = self.by_engine.get(engine)
+        if load is not None:
+            load.change(step, wall_ms)
+
     def mean(self):
         """Return the load per unit of weight, with one request more."""
         total = self.total() + self.other_total + 1
