--- /dev/null
+++ b/peridotcove/bench/workload.py
@@ -0,0 +1,218 @@
+"""A seeded workload of chats that return after pauses.
+
+A chat's turns depend on the seed and the chat alone, so that each policy meets the
+same chats.
+"""
+
+import random
+
+from attrs import define, field, frozen
+
+from peridotcove.models import Customer
+
+MASK = (1 << 64) - 1
+MIX = 0x9E3779B97F4A7C15
+STEP = 0xBF58476D1CE4E5B9
+MEAN_TURNS = 8
+MEAN_ANSWER_BLOCKS = 4
+QUESTION_BLOCKS = (1, 3)
+SHORT_PAUSE_SHARE = 0.9
+LONG_PAUSE_FACTOR = 5
+
+
+@frozen
+class Shape:
+    """What the workload looks like.
+
+    Attributes
+    ----------
+    chats_per_second : float
+        New chats a second.
+    mean_pause_ms : float
+        Mean of most pauses in ms; the others are `LONG_PAUSE_FACTOR` times longer.
+    share_by_customer : dict
+        Share of new chats by customer; they sum to 1.
+    prefix_blocks_by_customer : dict
+        Blocks of the prefix that a customer's chats share.
+    models : tuple of str
+        Models that chats use in turn.
+    surging : str
+        Customer that sends more for a time, or empty.
+    surge_factor : float
+        How many times more.
+    surge_ms : tuple of int
+        Start and end of the surge in ms.
+    """
+
+    chats_per_second: float
+    mean_pause_ms: float
+    share_by_customer: dict
+    prefix_blocks_by_customer: dict
+    models: tuple
+    surging: str = ""
+    surge_factor: float = 1.0
+    surge_ms: tuple = (0, 0)
+
+
+@define
+class Chat:
+    """One chat.
+
+    Attributes
+    ----------
+    number : int
+        Number of the chat.
+    customer, model : str
+        Who pays and what answers.
+    key : int
+        Key that stays the same on each turn.
+    prefixes : list of int
+        Hashes of the chat's prefixes so far.
+    turns_left : int
+        Turns that follow.
+    answer_blocks : int
+        Length of the answer to come, in blocks.
+    engine : str
+        Engine of the last turn, or empty.
+    rng : random.Random
+        The chat's own randomness.
+    """
+
+    number: int
+    customer: str
+    model: str
+    key: int
+    prefixes: list
+    turns_left: int
+    rng: random.Random
+    answer_blocks: int = 0
+    engine: str = ""
+    _state: int = field(default=0)
+
+    def grow(self, blocks):
+        """Add blocks that no other chat has.
+
+        Parameters
+        ----------
+        blocks : int
+            How many.
+        """
+        for _ in range(blocks):
+            self._state = _mix(self._state + self.key)
+            self.prefixes.append(self._state)
+
+    def ask(self):
+        """Add a question and set the length of its answer."""
+        self.grow(self.rng.randint(*QUESTION_BLOCKS))
+        length = round(self.rng.expovariate(1 / MEAN_ANSWER_BLOCKS))
+        self.answer_blocks = max(1, min(16, length))
+
+    def pause_ms(self, mean_ms):
+        """Return the pause before the next turn in ms.
+
+        Parameters
+        ----------
+        mean_ms : float
+            Mean of most pauses.
+        """
+        if self.rng.random() > SHORT_PAUSE_SHARE:
+            mean_ms *= LONG_PAUSE_FACTOR
+        return int(self.rng.expovariate(1 / mean_ms))
+
+
+class Workload:
+    """Makes chats.
+
+    Parameters
+    ----------
+    shape : Shape
+        What the workload looks like.
+    seed : int
+        Seed of all randomness.
+    """
+
+    def __init__(self, shape, seed):
+        self.shape = shape
+        self._seed = seed
+        self._names = sorted(shape.share_by_customer)
+        self._shares = [shape.share_by_customer[name] for name in self._names]
+        self._count = 0
+
+    def arrivals(self, end_ms):
+        """Yield times in ms and the customers whose new chats come then.
+
+        Parameters
+        ----------
+        end_ms : int
+            Time at which arrivals stop.
+        """
+        rng = random.Random(f"arrivals {self._seed}")
+        now = 0.0
+        while True:
+            now += rng.expovariate(self.shape.chats_per_second / 1000)
+            if now >= end_ms:
+                return
+            yield int(now), rng.choices(self._names, self._shares)[0]
+
+    def surge(self):
+        """Yield times in ms at which the surging customer's additional chats come."""
+        shape = self.shape
+        start, end = shape.surge_ms
+        if not shape.surging:
+            return
+        share = shape.share_by_customer[shape.surging]
+        rate = shape.chats_per_second * share * (shape.surge_factor - 1) / 1000
+        rng = random.Random(f"surge {self._seed}")
+        now = start + rng.expovariate(rate)
+        while now < end:
+            yield int(now), shape.surging
+            now += rng.expovariate(rate)
+
+    def open_chat(self, number, customer):
+        """Return a new chat.
+
+        Parameters
+        ----------
+        number : int
+            Number of the chat; it sets the chat's randomness.
+        customer : str
+            Name of the customer.
+        """
+        rng = random.Random(f"chat {self._seed} {number}")
+        turns = 1 + int(rng.expovariate(1 / (MEAN_TURNS - 0.5)))
+        model = self.shape.models[number % len(self.shape.models)]
+        key = rng.getrandbits(64) | 1
+        length = self.shape.prefix_blocks_by_customer[customer]
+        shared = _shared_prefix(f"{customer} {model}", length)
+        chat = Chat(number, customer, model, key, shared, turns, rng)
+        chat._state = shared[-1] if shared else 0
+        return chat
+
+
+def make_customers(names, concurrency):
+    """Return customers of equal weight by name.
+
+    Parameters
+    ----------
+    names : iterable of str
+        Their names.
+    concurrency : int
+        Requests in progress of each.
+    """
+    return {name: Customer(name, concurrency=concurrency) for name in names}
+
+
+def _shared_prefix(text, length):
+    state = random.Random(text).getrandbits(64)
+    prefixes = []
+    for _ in range(length):
+        state = _mix(state)
+        prefixes.append(state)
+    return prefixes
+
+
+def _mix(value):
+    value = (value * MIX + STEP) & MASK
+    value ^= value >> 29
+    value = (value * STEP) & MASK
+    return (value ^ (value >> 32)) or 1
