--- a/peridotcove/bench/owners.py
+++ b/peridotcove/bench/owners.py
@@ -20,6 +20,7 @@
     """Entry nodes ask the owner of a shard, as `peridotcove.dispatch` decides."""
 
     hints = False
+    weights = None
 
     def __init__(self, world):
         super().__init__(world)
@@ -46,7 +47,7 @@
     def _make_dispatchers(self, entries):
         return {
             shard.name: Dispatcher(
-                shard, self._configuration, self.world.clock, entries
+                shard, self._configuration, self.world.clock, entries, self.weights
             )
             for shard in self.shards
         }
--- a/peridotcove/bench/workload.py
+++ b/peridotcove/bench/workload.py
@@ -28,6 +28,10 @@
     ----------
     chats_per_second : float
         New chats a second.
+    live_chats : int
+        Chats that go on when the run begins.
+    spread_ms : float
+        Time in ms over which they ask for the first time.
     mean_pause_ms : float
         Mean of most pauses in ms; the others are `LONG_PAUSE_FACTOR` times longer.
     share_by_customer : dict
@@ -45,6 +49,8 @@
     """
 
     chats_per_second: float
+    live_chats: int
+    spread_ms: float
     mean_pause_ms: float
     share_by_customer: dict
     prefix_blocks_by_customer: dict
@@ -154,6 +160,29 @@
                 return
             yield int(now), rng.choices(self._names, self._shares)[0]
 
+    def open_earlier(self, number, customer):
+        """Return a chat that began before the run and goes on in it.
+
+        Parameters
+        ----------
+        number : int
+            Number of the chat.
+        customer : str
+            Name of the customer.
+        """
+        chat = self.open_chat(number, customer)
+        for _ in range(int(chat.rng.expovariate(1 / MEAN_TURNS))):
+            chat.ask()
+            chat.grow(chat.answer_blocks)
+        return chat
+
+    def earlier(self):
+        """Yield first times in ms and customers of the chats of `open_earlier`."""
+        rng = random.Random(f"earlier {self._seed}")
+        for _ in range(self.shape.live_chats):
+            at_ms = int(rng.uniform(0, self.shape.spread_ms))
+            yield at_ms, rng.choices(self._names, self._shares)[0]
+
     def surge(self):
         """Yield times in ms at which the surging customer's additional chats come."""
         shape = self.shape
--- a/peridotcove/bench/world.py
+++ b/peridotcove/bench/world.py
@@ -45,7 +45,7 @@
     cache_blocks: int
     hop_ms: int = 2
     report_lag_ms: int = 300
-    warm_ms: int = 60_000
+    warm_ms: int = 100_000
     end_ms: int = 240_000
     script: tuple = ()
 
@@ -150,12 +150,16 @@
 
     def run(self):
         """Run to the end and return the measure."""
+        workload = self.workload
         number = 0
-        arrivals = list(self.workload.arrivals(self.setup.end_ms))
-        arrivals.extend(self.workload.surge())
+        for at_ms, customer in workload.earlier():
+            number += 1
+            self.after(at_ms, self._open, workload.open_earlier, number, customer)
+        arrivals = list(workload.arrivals(self.setup.end_ms))
+        arrivals.extend(workload.surge())
         for at_ms, customer in arrivals:
             number += 1
-            self.after(at_ms, self._open, number, customer)
+            self.after(at_ms, self._open, workload.open_chat, number, customer)
         for at_ms, action in self.setup.script:
             self.after(at_ms, action, self)
         self._tick()
@@ -167,8 +171,8 @@
             action(*args)
         return self.measure
 
-    def _open(self, number, customer):
-        self._ask(self.workload.open_chat(number, customer))
+    def _open(self, make, number, customer):
+        self._ask(make(number, customer))
 
     def _ask(self, chat):
         chat.ask()
