Let a request wait a little for the engine that holds its prefix

Cause: at the bound, chats moved although a place was about to come free. Change: a wait of at most 400 ms and of 8 ms a block saved; loads kept as plain counts.

--- a/peridotcove/bench/cases.py
+++ b/peridotcove/bench/cases.py
@@ -94,7 +94,9 @@
     blocks = int(cache_factor * live_chats * MEAN_CHAT_BLOCKS / size.engines)
     shares, prefixes = _make_shares(names, long_prefixes)
     models = tuple(f"m{number}" for number in range(size.models))
-    shape = Shape(rate / TURNS, live_chats, cycle_ms, PAUSE_MS, shares, prefixes, models)
+    shape = Shape(
+        rate / TURNS, live_chats, cycle_ms, PAUSE_MS, shares, prefixes, models
+    )
     setup = Setup(
         _make_configuration(size, names, models, blocks),
         REGION,
@@ -305,9 +307,7 @@
     """
     plan = make_plan(size)
     window = (EVENT_MS, EVENT_MS + 90_000)
-    shape = evolve(
-        plan.shape, surging="customer-2", surge_factor=10.0, surge_ms=window
-    )
+    shape = evolve(plan.shape, surging="customer-2", surge_factor=10.0, surge_ms=window)
     return evolve(plan, shape=shape, window_ms=window)
 
 
--- a/peridotcove/bench/owners.py
+++ b/peridotcove/bench/owners.py
@@ -234,4 +234,3 @@
     """The same, with callers that send the continuation token back."""
 
     hints = True
-
--- a/peridotcove/choice.py
+++ b/peridotcove/choice.py
@@ -1,7 +1,8 @@
-"""Chooses the engine of one request among those below the bound.
+"""Chooses the engine of one request, below the bound on load.
 
 The cost of an engine is counted in blocks of prompt that it would have to compute, to
-which load, distance and rank add.
+which load, distance and rank add. Where the engine with the lowest cost is at its
+bound, a request may wait a little for it, as long as that is worth the blocks saved.
 """
 
 from attrs import frozen
@@ -24,12 +25,37 @@
     hint : float
         Share of the chat that a hint is trusted to be cached, where the index knows
         nothing of the hinted engine.
+    patience_ms : float
+        Longest wait in ms for an engine at its bound, for each block saved.
+    max_patience_ms : int
+        Longest wait in ms for an engine at its bound.
     """
 
-    load: float = 4.0
+    load: float = 40.0
     zone: float = 1.0
-    rank: float = 4.0
+    rank: float = 10.0
     hint: float = 0.75
+    patience_ms: float = 8.0
+    max_patience_ms: int = 400
+
+
+@frozen
+class Choice:
+    """The outcome for one request.
+
+    Attributes
+    ----------
+    engine : str
+        Engine with the lowest cost among those below the bound, or empty.
+    wanted : str
+        Engine with the lowest cost, below the bound or not.
+    patience_ms : int
+        How long it is worth waiting for the wanted engine in ms.
+    """
+
+    engine: str
+    wanted: str
+    patience_ms: int
 
 
 class Chooser:
@@ -47,8 +73,8 @@
         self.weights = weights or Weights()
         self._ranking = Ranking({item.name: item.weight for item in engines})
 
-    def choose(self, request, lookup, candidates, mean):
-        """Return the load of the chosen engine.
+    def choose(self, request, lookup, loads):
+        """Return a `Choice`.
 
         Parameters
         ----------
@@ -56,39 +82,50 @@
             What is asked for.
         lookup : Lookup
             What the caches are expected to hold of it.
-        candidates : list of EngineLoad
-            Engines that may get it; not empty.
-        mean : float
-            Load per unit of weight.
+        loads : Loads
+            Loads of the engines; at least one is open.
         """
+        mean = loads.mean()
+        costs = self._costs(request, lookup, loads.open, mean)
+        limit = loads.limit
+        engine = ""
+        lowest = 0.0
+        for load, cost in zip(loads.open, costs, strict=True):
+            if (not engine or cost < lowest) and load.total < limit(load, mean):
+                engine = load.name
+                lowest = cost
+        least = min(costs)
+        if not engine or least == lowest:
+            wanted = engine or loads.open[costs.index(least)].name
+            return Choice(engine, wanted, 0)
+        patience = int((lowest - least) * self.weights.patience_ms)
+        wanted = loads.open[costs.index(least)].name
+        return Choice(engine, wanted, min(patience, self.weights.max_patience_ms))
+
+    def _costs(self, request, lookup, open_loads, mean):
         weights = self.weights
-        best_name = self._best_name(request, lookup, candidates)
+        best_name = self._best_name(request, lookup, open_loads)
         per_load = weights.load / mean
         hint = request.hint
         blocks_by_engine = lookup.blocks_by_engine
-        chosen = None
-        lowest = 0.0
-        for load in candidates:
-            engine = load.engine
-            name = engine.name
-            cached = blocks_by_engine.get(name)
-            if cached is None:
-                cached = weights.hint * lookup.blocks if name == hint else 0
-            cost = per_load * load.total / engine.weight - cached
-            if engine.zone != request.zone:
+        costs = []
+        for load in open_loads:
+            name = load.name
+            cost = per_load * load.total / load.weight
+            cost -= blocks_by_engine.get(name, 0)
+            if name == hint and name not in blocks_by_engine:
+                cost -= weights.hint * lookup.blocks
+            if load.zone != request.zone:
                 cost += weights.zone
             if name == best_name:
                 cost -= weights.rank
-            if chosen is None or cost < lowest:
-                chosen = load
-                lowest = cost
-        return chosen
+            costs.append(cost)
+        return costs
 
-    def _best_name(self, request, lookup, candidates):
-        names = {load.engine.name for load in candidates}
+    def _best_name(self, request, lookup, open_loads):
         key = request.chat_key
         if not key and lookup.pairs:
             key = lookup.pairs[0][1]
         if not key:
             key = int.from_bytes(request.request_id, "big")
-        return self._ranking.best(key, names)
+        return self._ranking.best(key, {load.name for load in open_loads})
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -10,17 +10,17 @@
 from peridotcove.ranking import hash_name
 
 FRESH_MS = 3_000
-HASHES = 1 << 64
 FRESH_SHARE = 0.5
-HOLD_GRACE_MS = 5_000
+HOLD_GRACE_MS = 2_000
 RETRY_MS = 1_000
+HASHES = 1 << 64
 
 
 class Dispatcher:
     """Grants leases on the engines of one shard.
 
-    Each method returns the grants and refusals that are due; each request asked for
-    gets one of the two, once.
+    Each method that returns a list returns the grants and refusals that are due; each
+    request asked for gets one of the two, once.
 
     Parameters
     ----------
@@ -47,6 +47,7 @@
         self._book = LeaseBook()
         self._places = Places(clock)
         self._queue = FairQueue()
+        self._held_by_id = {}
         self._loads = Loads(configuration.bounds.load_bound)
         self.set_configuration(configuration)
 
@@ -88,8 +89,7 @@
         weight : float
             Summed weight of their engines that take work.
         """
-        self._loads.other_total = total
-        self._loads.other_weight = weight
+        self._loads.set_others(total, weight)
 
     @property
     def load(self):
@@ -99,12 +99,12 @@
     @property
     def weight(self):
         """Summed weight of the shard's open engines; for heartbeats."""
-        return self._loads.weight()
+        return self._loads.weight
 
     @property
     def waiting(self):
-        """Requests in the queue."""
-        return len(self._queue)
+        """Requests that wait."""
+        return len(self._queue) + len(self._held_by_id)
 
     @property
     def fresh(self):
@@ -123,20 +123,21 @@
         request : LeaseRequest
             The request; asked again with the same id, the answer is the same.
         """
-        lease = self._book.get(request.request_id)
+        request_id = request.request_id
+        lease = self._book.get(request_id)
         if lease is not None:
             return [Grant(lease.request_id, lease.engine, lease.cached_blocks)]
-        if request.request_id in self._queue:
+        if request_id in self._queue or request_id in self._held_by_id:
             return []
-        if not self._loads.open_loads():
-            return [Refusal(request.request_id, "no_engine", RETRY_MS)]
+        if not self._loads.open:
+            return [Refusal(request_id, "no_engine", RETRY_MS)]
         now = self._clock.now()
         wait = min(request.deadline_ms, self._configuration.bounds.queue_ms)
         customer = self._customer(request.customer)
         self._queue.push(Waiting(request, now, now + wait), customer.weight)
         self._places.change(customer, waiting=1)
         decisions = self._drain()
-        if request.request_id in self._queue:
+        if request_id in self._queue:
             decisions.extend(self._shed(request, customer, wait))
         return decisions
 
@@ -151,7 +152,10 @@
         return [Refusal(request.request_id, "overloaded", int(foreseen * spread))]
 
     def _leave(self, request_id):
-        item = self._queue.remove(request_id)
+        if request_id in self._held_by_id:
+            item, _, _ = self._held_by_id.pop(request_id)
+        else:
+            item = self._queue.remove(request_id)
         self._places.change(self._customer(item.request.customer), waiting=-1)
 
     def release(self, request_id, outcome, cached_blocks=-1):
@@ -166,7 +170,7 @@
         cached_blocks : int
             Prefix blocks that the engine said it reused; -1 if it said nothing.
         """
-        if request_id in self._queue:
+        if request_id in self._queue or request_id in self._held_by_id:
             self._leave(request_id)
             return [Refusal(request_id, "cancelled", 0)]
         lease = self._book.get(request_id)
@@ -209,10 +213,10 @@
             Name of the entry node.
         """
         refusals = []
-        for item in self._queue.requests():
-            if item.request.entry == entry:
-                self._leave(item.request.request_id)
-                refusals.append(Refusal(item.request.request_id, "cancelled", 0))
+        for request in self._waiting_requests():
+            if request.entry == entry:
+                self._leave(request.request_id)
+                refusals.append(Refusal(request.request_id, "cancelled", 0))
         for lease in self._book.of_entry(entry):
             self._drop(lease)
         self._untold.discard(entry)
@@ -247,7 +251,12 @@
         for load in self._loads.by_engine.values():
             load.forget_report(wall)
         refusals = []
-        for item in self._queue.expire(self._clock.now()):
+        now = self._clock.now()
+        late = self._queue.expire(now)
+        for item, _, _ in list(self._held_by_id.values()):
+            if item.expires_ms <= now:
+                late.append(self._held_by_id.pop(item.request.request_id)[0])
+        for item in late:
             request = item.request
             self._places.change(self._customer(request.customer), waiting=-1)
             refusals.append(Refusal(request.request_id, "deadline", RETRY_MS))
@@ -256,40 +265,58 @@
     def close(self):
         """Refuse all that waits, since another node owns the shard now."""
         refusals = []
-        for item in self._queue.requests():
-            self._leave(item.request.request_id)
-            refusals.append(Refusal(item.request.request_id, "moved", 0))
+        for request in self._waiting_requests():
+            self._leave(request.request_id)
+            refusals.append(Refusal(request.request_id, "moved", 0))
         return refusals
 
+    def _waiting_requests(self):
+        items = self._queue.items()
+        items.extend(item for item, _, _ in self._held_by_id.values())
+        return [item.request for item in items]
+
     def _customer(self, name):
         customer = self._configuration.customer_by_name.get(name)
         return Customer(name) if customer is None else customer
 
     def _drain(self):
+        self._loads.capacity_share = FRESH_SHARE if self.fresh else 1.0
         granted = []
-        while len(self._queue):
-            share = FRESH_SHARE if self.fresh else 1.0
-            candidates = self._loads.candidates(share)
-            if not candidates:
-                break
-            load = self._loads.total()
-            self._places.capacity = self._loads.capacity() * share
-            item = self._queue.pop(lambda name, load=load: self._may_take(name, load))
+        for item, wanted, until_ms in list(self._held_by_id.values()):
+            if not self._loads.has_room():
+                return granted
+            grant = self._place(item, wanted, until_ms)
+            if grant is not None:
+                granted.append(grant)
+        while len(self._queue) and self._loads.has_room():
+            item = self._queue.pop(self._may_take)
             if item is None:
                 break
-            granted.append(self._grant(item.request, candidates))
+            grant = self._place(item)
+            if grant is not None:
+                granted.append(grant)
         return granted
 
-    def _may_take(self, name, load):
-        return self._places.may_take(self._customer(name), load)
+    def _may_take(self, name):
+        self._places.capacity = self._loads.capacity * self._loads.capacity_share
+        return self._places.may_take(self._customer(name), self._loads.total())
 
-    def _grant(self, request, candidates):
+    def _place(self, item, wanted="", until_ms=None):
+        request = item.request
         lookup = self._index.look(request.prefixes, request.blocks)
-        mean = self._loads.mean()
-        name = self._chooser.choose(request, lookup, candidates, mean).engine.name
+        choice = self._chooser.choose(request, lookup, self._loads)
+        now = self._clock.now()
+        if choice.engine != choice.wanted:
+            if until_ms is None:
+                until_ms = now + choice.patience_ms
+            if now < until_ms:
+                held = (item, choice.wanted, until_ms)
+                self._held_by_id[request.request_id] = held
+                return None
+        self._held_by_id.pop(request.request_id, None)
+        name = choice.engine
         cached = int(lookup.blocks_by_engine.get(name, 0))
         self._index.record(lookup, name, self._clock.wall())
-        now = self._clock.now()
         request_id = request.request_id
         self._places.change(self._customer(request.customer), waiting=-1)
         self._add(Lease(request_id, request.entry, request.customer, name, now, cached))
--- a/peridotcove/fair_queue.py
+++ b/peridotcove/fair_queue.py
@@ -196,7 +196,7 @@
                 late.append(self.remove(request_id))
         return late
 
-    def requests(self):
+    def items(self):
         """Return the requests that wait, in no set order."""
         return list(self._waiting_by_id.values())
 
--- a/peridotcove/loads.py
+++ b/peridotcove/loads.py
@@ -21,31 +21,44 @@
     ----------
     engine : Engine
         The engine, as configured.
+    leases : int
+        Leases that are out.
 
     Attributes
     ----------
-    leases : int
-        Leases that are out.
-    foreign : int
-        Requests of others that its last report showed.
+    name, zone : str
+        Name and zone of the engine.
+    weight : float
+        Its weight.
+    capacity : int
+        Requests that it can run at once.
+    open : bool
+        Whether it may get new work.
+    total : int
+        Requests believed in progress.
     """
 
-    def __init__(self, engine):
-        self.engine = engine
-        self.leases = 0
-        self.foreign = 0
+    def __init__(self, engine, leases=0):
+        self.set_engine(engine)
+        self.total = leases
+        self._leases = leases
+        self._foreign = 0
         self._foreign_until_ms = 0
         self._history = deque()
 
-    @property
-    def total(self):
-        """Requests believed in progress."""
-        return self.leases + self.foreign
+    def set_engine(self, engine):
+        """Take a new description of the engine.
 
-    @property
-    def open(self):
-        """Whether the engine may get new work."""
-        return self.engine.status is Status.IN_SERVICE
+        Parameters
+        ----------
+        engine : Engine
+            The engine.
+        """
+        self.name = engine.name
+        self.zone = engine.zone
+        self.weight = engine.weight
+        self.capacity = engine.capacity
+        self.open = engine.status is Status.IN_SERVICE
 
     def change(self, step, wall_ms):
         """Count leases up or down.
@@ -57,10 +70,12 @@
         wall_ms : int
             Wall time in ms.
         """
-        self._history.append((wall_ms, self.leases))
-        self.leases += step
-        while self._history[0][0] < wall_ms - HISTORY_MS:
-            self._history.popleft()
+        history = self._history
+        history.append((wall_ms, self._leases))
+        self._leases += step
+        self.total += step
+        while history[0][0] < wall_ms - HISTORY_MS:
+            history.popleft()
 
     def report(self, report, wall_ms):
         """Take the engine's own report.
@@ -73,9 +88,13 @@
             Wall time in ms.
         """
         seen = report.running + report.waiting
-        self.foreign = max(0, seen - self._most_leases(report.at_ms))
+        self._set_foreign(max(0, seen - self._most_leases(report.at_ms)))
         self._foreign_until_ms = wall_ms + REPORT_LIFE_MS
 
+    def _set_foreign(self, foreign):
+        self.total += foreign - self._foreign
+        self._foreign = foreign
+
     def _most_leases(self, at_ms):
         # The history holds each count with the time until which it was true.
         most = 0
@@ -87,7 +106,7 @@
                 most = max(most, count)
             since_ms = until_ms
         if since_ms <= at_ms + REPORT_SLACK_MS:
-            most = max(most, self.leases)
+            most = max(most, self._leases)
         return most
 
     def forget_report(self, wall_ms):
@@ -98,8 +117,8 @@
         wall_ms : int
             Wall time in ms.
         """
-        if self.foreign and wall_ms >= self._foreign_until_ms:
-            self.foreign = 0
+        if self._foreign and wall_ms >= self._foreign_until_ms:
+            self._set_foreign(0)
 
 
 class Loads:
@@ -114,15 +133,25 @@
     ----------
     by_engine : dict
         `EngineLoad` by name of the engine.
-    other_total, other_weight : float
-        Load and weight of the model's other shards in the region.
+    open : list of EngineLoad
+        Those that may get new work.
+    weight : float
+        Summed weight of the open engines.
+    capacity : int
+        Summed capacity of the open engines.
+    capacity_share : float
+        Share of each engine's capacity that may be used.
     """
 
     def __init__(self, load_bound):
         self.load_bound = load_bound
         self.by_engine = {}
-        self.other_total = 0.0
-        self.other_weight = 0.0
+        self.open = []
+        self.weight = 0.0
+        self.capacity = 0
+        self.capacity_share = 1.0
+        self._other_total = 0.0
+        self._other_weight = 0.0
 
     def set_engines(self, engines, leases_by_engine):
         """Set which engines there are.
@@ -134,34 +163,38 @@
         leases_by_engine : collections.Counter
             Leases that are out.
         """
-        engine_by_name = {engine.name: engine for engine in engines}
-        for name in [name for name in self.by_engine if name not in engine_by_name]:
-            del self.by_engine[name]
-        for name, engine in engine_by_name.items():
-            load = self.by_engine.get(name)
+        known = self.by_engine
+        self.by_engine = {}
+        for engine in engines:
+            load = known.get(engine.name)
             if load is None:
-                load = self.by_engine[name] = EngineLoad(engine)
-                load.leases = leases_by_engine[name]
+                load = EngineLoad(engine, leases_by_engine[engine.name])
             else:
-                load.engine = engine
+                load.set_engine(engine)
+            self.by_engine[engine.name] = load
+        self.open = [load for load in self.by_engine.values() if load.open]
+        self.weight = sum(load.weight for load in self.open)
+        self.capacity = sum(load.capacity for load in self.open)
 
-    def open_loads(self):
-        """Return the loads of the engines that may get new work."""
-        return [load for load in self.by_engine.values() if load.open]
+    def set_others(self, total, weight):
+        """Set the load of the model's other shards in the region.
 
-    def total(self):
-        """Return the requests in progress at engines that may get new work."""
-        return sum(load.total for load in self.by_engine.values() if load.open)
-
-    def weight(self):
-        """Return the summed weight of the engines that may get new work."""
-        loads = self.by_engine.values()
-        return sum(load.engine.weight for load in loads if load.open)
+        Parameters
+        ----------
+        total : float
+            Requests in progress there.
+        weight : float
+            Summed weight of their engines that take work.
+        """
+        self._other_total = total
+        self._other_weight = weight
 
-    def capacity(self):
-        """Return the summed capacity of the engines that may get new work."""
-        loads = self.by_engine.values()
-        return sum(load.engine.capacity for load in loads if load.open)
+    def total(self):
+        """Return the requests in progress at open engines."""
+        total = 0
+        for load in self.open:
+            total += load.total
+        return total
 
     def change(self, engine, step, wall_ms):
         """Count leases on an engine up or down.
@@ -181,36 +214,25 @@
 
     def mean(self):
         """Return the load per unit of weight, with one request more."""
-        total = self.total() + self.other_total + 1
-        return total / (self.weight() + self.other_weight)
+        total = self.total() + self._other_total + 1
+        return total / (self.weight + self._other_weight)
 
-    def bound(self, engine, mean):
+    def limit(self, load, mean):
         """Return the most requests that an engine may have after a grant.
 
         Parameters
         ----------
-        engine : Engine
+        load : EngineLoad
             The engine.
         mean : float
             Load per unit of weight, from `mean`.
         """
-        return math.ceil(self.load_bound * mean * engine.weight)
-
-    def candidates(self, capacity_share=1.0):
-        """Return the loads of the engines that may get the next request.
+        bound = math.ceil(self.load_bound * mean * load.weight)
+        return min(bound, max(1, int(load.capacity * self.capacity_share)))
 
-        Parameters
-        ----------
-        capacity_share : float
-            Share of each engine's capacity that may be used.
-        """
-        loads = self.open_loads()
-        if not loads:
-            return []
+    def has_room(self):
+        """Return whether an engine may get the next request."""
+        if not self.open:
+            return False
         mean = self.mean()
-        return [
-            load
-            for load in loads
-            if load.total < self.bound(load.engine, mean)
-            and load.total < max(1, load.engine.capacity * capacity_share)
-        ]
+        return any(load.total < self.limit(load, mean) for load in self.open)
