--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from peridotcove.exceptions import RequestError, RequestRefused
-from peridotcove.models import LeaseRequest, Status
+from peridotcove.models import LeaseRequest
 from peridotcove.retries import RetryBudget, backoff, may_repeat
 from peridotcove.verdict import Verdict
 
@@ -23,6 +23,8 @@
         The node's view.
     leases : LeaseClient
         Leases on engines.
+    states : EndpointStates
+        Which engines take new work.
     engines : EngineClient
         HTTP towards engines.
     limits : EntryLimits
@@ -38,12 +40,24 @@
     """
 
     def __init__(
-        self, node, zone, fleet, leases, engines, limits, clock, rng, metrics, timeline
+        self,
+        node,
+        zone,
+        fleet,
+        leases,
+        states,
+        engines,
+        limits,
+        clock,
+        rng,
+        metrics,
+        timeline,
     ):
         self._node = node
         self._zone = zone
         self._fleet = fleet
         self._leases = leases
+        self._states = states
         self._engines = engines
         self._limits = limits
         self._clock = clock
@@ -127,9 +141,8 @@
         )
         outcome, cached = "cancelled", -1
         try:
-            engine = self._fleet.configuration.engine_by_name.get(grant.engine)
-            if engine is None or engine.status is not Status.IN_SERVICE:
-                raise RequestRefused("leaving", "the engine is leaving", 503, 100)
+            self._states.check(grant.engine)
+            engine = self._fleet.configuration.engine_by_name[grant.engine]
             self._timeline.record(
                 "request-sent", request_id=request_id, peer=engine.name
             )
@@ -146,6 +159,39 @@
                 "lease-released", request_id=request_id, detail=outcome
             )
 
+    def engine_of(self, request_id):
+        """Return the engine on which a request holds a lease, or an empty name.
+
+        Parameters
+        ----------
+        request_id : bytes
+            Id of the request.
+        """
+        held = self._leases.held_by_id.get(request_id)
+        return held.engine if held is not None else ""
+
+    def read_hint(self, chat):
+        """Return the engine of the chat's last turn, or an empty name.
+
+        Parameters
+        ----------
+        chat : Chat
+            The request.
+        """
+        return ""
+
+    def make_hint(self, engine, chat):
+        """Return the token for the chat's next turn, or an empty one.
+
+        Parameters
+        ----------
+        engine : str
+            Engine of this turn.
+        chat : Chat
+            The request.
+        """
+        return ""
+
     def _pick_shard(self, chat):
         shards = self._fleet.shards_by_model.get(chat.base)
         if not shards:
