Wake the owner's loop only when a request waits

Cause: 20 ticks a second for leases and three more loops took most of an idle node. Change: one control tick; the owner's queue is looked at each 20 ms only while it holds something.

--- a/peridotcove/leases.py
+++ b/peridotcove/leases.py
@@ -229,6 +229,8 @@
         This node's own side as an entry.
     dispatcher_by_shard : dict
         A `Dispatcher` for each shard in use here.
+    queued : asyncio.Event
+        Set when a request begins to wait here.
     """
 
     def __init__(self, node, fleet, network, clock):
@@ -237,6 +239,7 @@
         self._network = network
         self._clock = clock
         self._owed_by_id = {}
+        self.queued = asyncio.Event()
         self.client = None
         self.dispatcher_by_shard = {}
 
@@ -269,6 +272,7 @@
         self._tell(decisions)
         if not any(item.request_id == message.request_id for item in decisions):
             self._answer(peer, QueueLease(message.request_id))
+            self.queued.set()
 
     def _read(self, peer, message):
         customer = self._fleet.configuration.customer_by_name.get(message.customer)
@@ -329,6 +333,11 @@
         dispatchers = self.dispatcher_by_shard
         return {name: int(item.load) for name, item in dispatchers.items()}
 
+    @property
+    def waiting(self):
+        """Requests that wait for an engine here."""
+        return sum(item.waiting for item in self.dispatcher_by_shard.values())
+
     def tick(self):
         """Send the decisions whose time has come."""
         for dispatcher in list(self.dispatcher_by_shard.values()):
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -1,6 +1,7 @@
 """Runs a node: its servers, its periodic work and its graceful shutdown."""
 
 import asyncio
+import contextlib
 import signal
 
 from peridotcove.callers.server import listen
@@ -13,9 +14,8 @@
 from peridotcove.platform.watch import watch_configuration, watch_instances
 
 CONTROL_MS = 250
-LEASE_MS = 50
+WAITING_MS = 20
 DRAIN_MS = 100
-TICKET_MS = 250
 ANNOUNCE_MS = 10_000
 
 log = get_logger("node")
@@ -62,10 +62,8 @@
     reader = node.control.reader
     jobs = [
         _every(CONTROL_MS, lambda: tick_control(node)),
-        _every(LEASE_MS, node.lease_server.tick),
+        _tick_leases(node.lease_server),
         _every(REPORT_MS, node.usage.tick),
-        _every(TICKET_MS, node.once.tick),
-        _every(CONTROL_MS, lambda: tick_endpoints(node)),
         _every(ANNOUNCE_MS, node.lease_client.announce),
         watch_configuration(
             node.platform, reader, lambda item: _send_and_follow(node, item)
@@ -81,6 +79,17 @@
     node.follow_configuration()
 
 
+async def _tick_leases(server):
+    while True:
+        server.tick()
+        if server.waiting:
+            await asyncio.sleep(WAITING_MS / 1000)
+            continue
+        server.queued.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(server.queued.wait(), CONTROL_MS / 1000)
+
+
 async def _every(period_ms, work):
     while True:
         try:
@@ -112,6 +121,8 @@
             node.timeline.record("peer-up", peer=event.node)
             node.send_all(node.delivery.greet(event.node))
     node.follow_nodes()
+    node.once.tick()
+    tick_endpoints(node)
 
 
 def tick_endpoints(node):
