Cut the cost of membership and count bytes as the links send them

Change: heartbeats in a module of their own with cached lists; contacts beat each 2 s; a probe whose acknowledgement stands still shows one's own silent connection; reads of parts are spaced so that 22 readers stay below the service's limit.

--- a/peridotcove/contacts.py
+++ b/peridotcove/contacts.py
@@ -1,26 +1,10 @@
 """Chooses which nodes a node exchanges heartbeats with."""
 
-import xxhash
+from peridotcove.ranking import rank
 
 MESH_NODES = 16
 CONTACTS_TRIED = 3
-
-
-def rank(key, names):
-    """Return names by rendezvous: in an order that is random, but fixed by the key.
-
-    Parameters
-    ----------
-    key : str
-        What the order is for.
-    names : iterable of str
-        Names to order.
-    """
-
-    def score(name):
-        return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
-
-    return sorted(names, key=score)
+UNKNOWN = ""
 
 
 def choose_neighbours(node, zone, zone_by_name):
@@ -56,6 +40,8 @@
         Whether a node, given by name, was tried in vain of late.
     """
     chosen = []
+    if ranked and hears(ranked[0]):
+        return ranked[:1]
     for name in sorted(ranked, key=given_up):
         chosen.append(name)
         if hears(name) or len(chosen) == CONTACTS_TRIED:
@@ -85,6 +71,8 @@
         Names of contacts in the region's other zones.
     far : list of str
         Contacts in other regions.
+    version : int
+        Grows when the neighbours or contacts change.
     """
 
     def __init__(self, node, region):
@@ -95,6 +83,7 @@
         self.neighbours = set()
         self.contacts_by_zone = {}
         self.far = []
+        self.version = 0
         self._zone_by_name = None
         self._region_by_zone = {node.zone: region}
         self._ranked_by_zone = {}
@@ -119,7 +108,7 @@
         name : str
             Name of the node.
         """
-        return self._region(self.zone(name)) == self.region
+        return self._region_by_zone.get(self.zone(name)) == self.region
 
     def set_zones(self, zone_by_name):
         """Take the zones of all regions.
@@ -166,20 +155,21 @@
 
     def arrange(self):
         """Choose the neighbours, and rank the nodes of other zones and regions."""
-        zone_by_name = {name: self.zone(name) for name in self.instance_by_name}
+        self.version += 1
+        node, instances = self.node, self.instance_by_name.values()
         zone_by_name = {
-            name: zone
-            for name, zone in zone_by_name.items()
-            if self._region(zone) == self.region
+            one.name: one.zone
+            for one in instances
+            if self._region_by_zone.get(one.zone) == self.region
         }
-        node = self.node
         self.neighbours = choose_neighbours(node.name, node.zone, zone_by_name)
         by_zone, by_region = {}, {}
-        for name in set(self.instance_by_name) - self.neighbours:
-            zone = self.zone(name)
-            region = self._region(zone)
-            group = by_zone if region == self.region else by_region
-            group.setdefault(zone if group is by_zone else region, []).append(name)
+        for one in instances:
+            region = self._region_by_zone.get(one.zone, UNKNOWN)
+            if region != self.region:
+                by_region.setdefault(region, []).append(one.name)
+            elif one.name not in self.neighbours:
+                by_zone.setdefault(one.zone, []).append(one.name)
         self._ranked_by_zone = _rank_all(node.name, by_zone)
         self._ranked_by_region = _rank_all(node.name, by_region)
 
@@ -193,18 +183,18 @@
         far : bool
             Whether to have contacts in other regions.
         """
-        self.contacts_by_zone = {
+        contacts = {
             zone: choose_contacts(ranked, hears, given_up)
             for zone, ranked in self._ranked_by_zone.items()
         }
-        self.far = []
-        if far:
-            for ranked in self._ranked_by_region.values():
-                self.far += choose_contacts(ranked, hears, given_up)
-
-    def _region(self, zone):
-        return self._region_by_zone.get(zone, self.region)
+        distant = []
+        for region, ranked in self._ranked_by_region.items():
+            if far or region == UNKNOWN:
+                distant += choose_contacts(ranked, hears, given_up)
+        if contacts != self.contacts_by_zone or distant != self.far:
+            self.contacts_by_zone, self.far = contacts, distant
+            self.version += 1
 
 
 def _rank_all(key, group):
-    return {name: rank(key, group[name]) for name in sorted(group)}
+    return {name: rank(key, dict.fromkeys(group[name], 1.0)) for name in sorted(group)}
--- a/peridotcove/control.py
+++ b/peridotcove/control.py
@@ -76,11 +76,11 @@
     def _neighbours(self):
         if not self.membership.has_list:
             return None
-        return sorted(self.membership.layout.neighbours & self.membership.listed())
+        layout = self.membership.layout
+        return sorted((layout.neighbours | set(layout.far)) & layout.listed)
 
     def _reads_fail(self, name):
-        peer = self.membership.peer_by_name.get(name)
-        return peer is not None and peer.reads_fail
+        return self.membership.heartbeats.peer(name).reads_fail
 
     def _confirm(self):
         first = self.membership.reader_rank()[0]
--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -1,15 +1,13 @@
 """Which nodes are listed, live and leaving, as one node believes.
 
 Neighbours exchange heartbeats directly: the whole region if it is small, else the
-zone. What goes on in other zones is told by a contact there. A node that falls silent
-is probed, then reported as a silent link, and counts as lost only if most neighbours
-do not hear it either.
+zone. What goes on in other zones is told by a contact there.
 """
 
 import logging
 
-from peridotcove.contacts import Layout, rank
-from peridotcove.flaps import Flaps
+from peridotcove.contacts import Layout
+from peridotcove.heartbeats import Heartbeats
 from peridotcove.membership_events import (
     LinkSilent,
     NodeJoined,
@@ -21,20 +19,17 @@
 from peridotcove.nodes.membership_messages import (
     LEAVING,
     READS_FAIL,
-    REPLY_WANTED,
     AskView,
     Heartbeat,
     View,
 )
 from peridotcove.nodes.network import Outgoing
-from peridotcove.peers import FAR_HEARTBEAT_MS, REPLY_AHEAD_MS, Peer
+from peridotcove.ranking import rank
 from peridotcove.zone_views import Record, ZoneView, digest_records
 
 PAUSE_MS = 2_000
 SETTLE_MS = 3_000
-FORGET_MS = 60_000
-ANNOUNCE_MS = 30_000
-URGENT_MS = 500
+FORGET_EVERY_MS = 5_000
 
 log = logging.getLogger("peridotcove.membership")
 
@@ -61,7 +56,7 @@
         Whether this node leaves; see `leave`.
     reads_fail : bool
         Whether its reads of the configuration service fail; set by the reader.
-    peer_by_name : dict
+    heartbeats : Heartbeats
         Heartbeat state of other nodes.
     layout : Layout
         Listed nodes, neighbours and contacts.
@@ -75,18 +70,22 @@
         self.incarnation = clock.wall()
         self.leaving = False
         self.reads_fail = False
-        self.peer_by_name = {}
         self.layout = Layout(node, region)
+        self.heartbeats = Heartbeats(clock, self.layout, self.incarnation)
         self._shards = {}
         self._view_by_zone = {}
-        self._flaps = Flaps(clock)
         self._live = {}
         self._left = frozenset()
+        self._own = ()
+        self._own_digest = b""
+        self._readers = (node.name,)
         self._events = []
         self._ran_ms = clock.now()
         self._woke_ms = clock.now()
+        self._forgot_ms = clock.now()
         self._listed_ms = None
         self._sequence_at_wake = {}
+        self._update_live(clock.now())
 
     # What other parts tell.
 
@@ -103,9 +102,10 @@
         now = self.clock.now()
         self._notice_pause(now)
         nodes = {one.name: one for one in instances if one.kind == "node"}
-        nodes.pop(self.node.name, None)
+        own = nodes.pop(self.node.name, self.node)
+        self.leaving = self.leaving or own.state is State.LEAVING
         self._listed_ms = now if asked_ms is None else asked_ms
-        self.layout.set_listed(nodes, lambda name: self._keep(name, now))
+        self.layout.set_listed(nodes, self.heartbeats.hears)
         self._update_live(now)
 
     def set_zones(self, zone_by_name):
@@ -137,8 +137,9 @@
         """Tell the others that this node leaves; return the messages."""
         self.leaving = True
         now = self.clock.now()
-        watched = self._watched()
-        return [self._heartbeat(peer, now) for peer in watched if peer.heard(now)]
+        self._update_live(now)
+        peers = self.heartbeats.peer_by_name.values()
+        return [self._heartbeat(peer, now) for peer in peers if peer.heard(now)]
 
     # What other parts ask.
 
@@ -161,6 +162,10 @@
         """Return the names of the listed nodes of all regions but this node."""
         return self.layout.listed
 
+    def known(self):
+        """Return the listed nodes, and those that were and are still heard."""
+        return list(self.layout.instance_by_name.values())
+
     def leaving_nodes(self):
         """Return the names of live nodes that are leaving."""
         return self._left
@@ -173,8 +178,20 @@
         name : str
             Name of the node.
         """
-        peer = self.peer_by_name.get(name)
-        return peer is not None and peer.heard(self.clock.now())
+        return self.heartbeats.hears(name)
+
+    def reader_rank(self):
+        """Return the live nodes of the zone in the order in which they are readers."""
+        return self._readers
+
+    def settled(self):
+        """Return whether the neighbours were heard, or had the time to be."""
+        now = self.clock.now()
+        if now - self._woke_ms >= SETTLE_MS:
+            return True
+        if self._listed_ms is None:
+            return False
+        return all(peer.heard(now) for peer in self.heartbeats.neighbours())
 
     def shards(self):
         """Return the load total by shard over the live nodes of the region."""
@@ -183,11 +200,7 @@
         for view in self._view_by_zone.values():
             if view.current(now):
                 merged.update(view.shards)
-        peers = self._neighbours(now)
-        for peer in sorted(peers, key=lambda one: one.heard_ms or 0):
-            if peer.live:
-                merged.update(peer.shards)
-        merged.update(self._shards)
+        merged.update(self._collect_shards())
         return merged
 
     def fresh(self):
@@ -218,20 +231,17 @@
         now = self.clock.now()
         self._notice_pause(now)
         self._ran_ms = now
-        self._choose_contacts(now)
-        watched = self._watched()
-        for peer in watched:
-            self._judge(peer, now)
-        urgent = self._suspicious(now)
-        outgoing = []
-        for peer in watched:
-            if peer.due(now) or (urgent and peer.name in self.layout.neighbours):
-                outgoing.append(self._heartbeat(peer, now))
-            if peer.report_silence(now):
-                self._events.append(LinkSilent(peer.name))
-        self._forget_strangers(now)
+        beats = self.heartbeats
+        far = self._readers[0] == self.node.name
+        self.layout.choose(beats.hears, beats.gave_up, far)
+        due = beats.tick()
+        if now - self._forgot_ms >= FORGET_EVERY_MS:
+            self._forgot_ms = now
+            beats.forget_strangers()
         self._update_live(now)
-        return outgoing
+        self._events += [LinkSilent(name) for name in beats.silent]
+        beats.silent.clear()
+        return [self._heartbeat(peer, now) for peer in due]
 
     def receive(self, peer, message):
         """Take a message in and return the answers.
@@ -248,35 +258,40 @@
         if isinstance(message, Heartbeat):
             return self._receive_heartbeat(peer, message, now)
         if isinstance(message, AskView):
-            records = [[one.name, one.incarnation, one.flags] for one in self._own()]
+            records = [[one.name, one.incarnation, one.flags] for one in self._own]
             return [Outgoing(peer, View(records))]
         if isinstance(message, View):
             self._receive_view(peer, message, now)
         return []
 
     def _receive_heartbeat(self, name, message, now):
-        peer = self._peer(name, now)
-        news = peer.take(message, now)
+        peer = self.heartbeats.peer(name)
+        before = (peer.live, peer.incarnation, peer.leaving)
+        news, wanted = self.heartbeats.take(name, message)
         outgoing = []
-        if news and name in self.layout.neighbours:
-            self._judge(peer, now)
+        if (peer.live, peer.incarnation, peer.leaving) != before:
             self._update_live(now)
-        elif news and message.view:
+        if news and message.view:
             outgoing += self._hear_zone(name, message, now)
-        wanted = message.flags & REPLY_WANTED
-        if wanted or peer.sent_ms is None or now - peer.sent_ms >= REPLY_AHEAD_MS:
+        if wanted:
             outgoing.append(self._heartbeat(peer, now, answer=True))
         return outgoing
 
     def _hear_zone(self, name, message, now):
         zone = self.layout.zone(name)
-        if zone is None or self._primary(zone, now) != name:
+        if self._find_primary(zone) != name:
             return []
         view = self._view_by_zone.setdefault(zone, ZoneView())
         if not view.hear(message, now):
             return []
         return [Outgoing(name, AskView(view.digest))]
 
+    def _find_primary(self, zone):
+        for name in self.layout.contacts_by_zone.get(zone, ()):
+            if self.heartbeats.hears(name):
+                return name
+        return None
+
     def _receive_view(self, name, message, now):
         view = self._view_by_zone.get(self.layout.zone(name))
         if view is not None:
@@ -285,81 +300,41 @@
 
     def _heartbeat(self, peer, now, answer=False):
         flags = LEAVING * self.leaving + READS_FAIL * self.reads_fail
-        if not answer and peer.suspect(now):
-            flags += REPLY_WANTED
-        shards, unheard, view = self._shards, [], b""
-        if peer.name in self.layout.neighbours:
-            unheard = self._unheard(now)
-        elif self.layout.in_region(peer.name):
-            shards = self._zone_shards()
-            view = self._own_digest(now)
-        else:
-            shards = {}
-        sequence = peer.send(now)
-        beat = Heartbeat(
-            self.incarnation, sequence, peer.sequence_in, flags, shards, unheard, view
-        )
-        return Outgoing(peer.name, beat)
-
-    # Judgement.
-
-    def _judge(self, peer, now):
-        if peer.live:
-            if peer.unheard_for(now) < peer.lost_ms or self._vouched(peer, now):
-                return
-            peer.live = False
-            self._flaps.lose(peer.name)
-            log.info("membership: lost %s", peer.name)
-        elif peer.heard(now):
-            peer.live = now - peer.since_ms >= self._flaps.hold_ms(peer.name)
-
-    def _vouched(self, peer, now):
+        shards, view = self._shards, b""
         if peer.name not in self.layout.neighbours:
-            return False
-        vouchers, deniers = 0, 1
-        for other in self._neighbours(now):
-            if other is not peer and other.live and not other.suspect(now):
-                denies = peer.name in other.unheard
-                deniers += denies
-                vouchers += not denies
-        return vouchers >= deniers
-
-    def _suspicious(self, now):
-        peers = self._neighbours(now)
-        limit = URGENT_MS
-        return any(
-            peer.live and 0 <= peer.unheard_for(now) - peer.silent_after_ms < limit
-            for peer in peers
-        )
-
-    def _unheard(self, now):
-        peers = self._neighbours(now)
-        return sorted(
-            peer.name
-            for peer in peers
-            if peer.silent(now) and peer.unheard_for(now) < ANNOUNCE_MS
-        )
+            near = self.layout.in_region(peer.name)
+            shards = self._collect_shards() if near else {}
+            view = self._own_digest if near and self.settled() else b""
+        return self.heartbeats.make(peer, flags, shards, view, answer)
+
+    def _collect_shards(self):
+        merged = {}
+        for peer in sorted(self.heartbeats.neighbours(), key=_last_heard):
+            if peer.live:
+                merged.update(peer.shards)
+        merged.update(self._shards)
+        return merged
+
+    # Belief.
 
     def _update_live(self, now):
         live, left = {}, set()
-        for peer in self._neighbours(now):
+        known = self.layout.instance_by_name
+        for peer in self.heartbeats.neighbours():
             if peer.live:
                 live[peer.name] = peer.incarnation
-                if peer.leaving:
+                if peer.leaving or known[peer.name].state is State.LEAVING:
                     left.add(peer.name)
         for view in self._view_by_zone.values():
             for record in view.records if view.current(now) else ():
-                if self._told(record.name):
-                    live[record.name] = record.incarnation
-                    if record.leaving:
-                        left.add(record.name)
-        known = self.layout.instance_by_name
-        left |= {name for name in live if known[name].state is State.LEAVING}
-        self._note_changes(live, left)
-
-    def _told(self, name):
-        known = name in self.layout.instance_by_name and name != self.node.name
-        return known and name not in self.layout.neighbours
+                name = record.name
+                if name in known and name not in self.layout.neighbours:
+                    live[name] = record.incarnation
+                    if record.leaving or known[name].state is State.LEAVING:
+                        left.add(name)
+        known_leaving = bool(self._own) and self._own[0].leaving
+        if not self._own or self.leaving != known_leaving or live != self._live or left != self._left:
+            self._note_changes(live, left)
 
     def _note_changes(self, live, left):
         for name, incarnation in self._live.items():
@@ -371,8 +346,18 @@
         self._events += [NodeLeaving(name) for name in sorted(left - self._left)]
         self._live = live
         self._left = frozenset(left)
+        self._summarize()
 
-    # Bookkeeping.
+    def _summarize(self):
+        own = [Record(self.node.name, self.incarnation, LEAVING * self.leaving)]
+        for name, incarnation in self._live.items():
+            if self.layout.zone(name) == self.node.zone:
+                own.append(Record(name, incarnation, LEAVING * (name in self._left)))
+        self._own = tuple(own)
+        self._own_digest = digest_records(own)
+        names = [one.name for one in own if not one.leaving] or [self.node.name]
+        zone = f"reader {self.node.zone}"
+        self._readers = tuple(rank(zone, dict.fromkeys(names, 1.0)))
 
     def _notice_pause(self, now):
         paused_ms = now - self._ran_ms
@@ -382,99 +367,14 @@
         self._ran_ms = now
         self._woke_ms = now
         self._events.append(Woke(paused_ms))
-        for peer in self.peer_by_name.values():
+        for peer in self.heartbeats.peer_by_name.values():
             self._sequence_at_wake[peer.name] = peer.sequence_out
             peer.wake(now)
 
     def _answered(self, name):
-        peer = self.peer_by_name.get(name)
-        return peer is not None and peer.acked > self._sequence_at_wake.get(name, 0)
-
-    def settled(self, now=None):
-        """Return whether the neighbours were heard, or had the time to be.
-
-        Parameters
-        ----------
-        now : int or None
-            Time in ms.
-        """
-        now = self.clock.now() if now is None else now
-        if now - self._woke_ms >= SETTLE_MS:
-            return True
-        if self._listed_ms is None:
-            return False
-        return all(peer.heard(now) for peer in self._neighbours(now))
-
-    def _own(self):
-        now = self.clock.now()
-        own = [Record(self.node.name, self.incarnation, LEAVING * self.leaving)]
-        for peer in self._neighbours(now):
-            if peer.live and self.layout.zone(peer.name) == self.node.zone:
-                flags = LEAVING * (peer.name in self._left)
-                own.append(Record(peer.name, peer.incarnation, flags))
-        return own
+        peer = self.heartbeats.peer(name)
+        return peer.acked > self._sequence_at_wake.get(name, 0)
 
-    def _own_digest(self, now):
-        return digest_records(self._own()) if self.settled(now) else b""
 
-    def _zone_shards(self):
-        merged = {}
-        for name in sorted(self.layout.neighbours):
-            peer = self.peer_by_name.get(name)
-            if peer is not None and peer.live:
-                merged.update(peer.shards)
-        merged.update(self._shards)
-        return merged
-
-    def _choose_contacts(self, now):
-        def hears(name):
-            return name in self.peer_by_name and self.peer_by_name[name].heard(now)
-
-        def given_up(name):
-            peer = self.peer_by_name.get(name)
-            return peer is not None and peer.unheard_for(now) >= peer.lost_ms
-
-        self.layout.choose(hears, given_up, self.reader_rank()[0] == self.node.name)
-
-    def reader_rank(self):
-        """Return the live nodes of the zone in the order in which they are readers."""
-        names = {one.name for one in self.live_in_zone()} | {self.node.name}
-        return rank(f"reader {self.node.zone}", names)
-
-    def _primary(self, zone, now):
-        for name in self.layout.contacts_by_zone.get(zone, ()):
-            if self._peer(name, now).heard(now):
-                return name
-        return None
-
-    def _neighbours(self, now):
-        return [self._peer(name, now) for name in sorted(self.layout.neighbours)]
-
-    def _watched(self):
-        now = self.clock.now()
-        watched = self._neighbours(now)
-        for names in self.layout.contacts_by_zone.values():
-            watched += [self._peer(name, now) for name in names]
-        for name in self.layout.far:
-            peer = self._peer(name, now)
-            peer.period_ms = FAR_HEARTBEAT_MS
-            watched.append(peer)
-        return watched
-
-    def _peer(self, name, now):
-        peer = self.peer_by_name.get(name)
-        if peer is None:
-            peer = self.peer_by_name[name] = Peer(name, now)
-        return peer
-
-    def _keep(self, name, now):
-        peer = self.peer_by_name.get(name)
-        return peer is not None and peer.heard(now)
-
-    def _forget_strangers(self, now):
-        for name, peer in list(self.peer_by_name.items()):
-            if peer.unheard_for(now) < FORGET_MS or name in self.layout.listed:
-                continue
-            del self.peer_by_name[name]
-            self._flaps.forget(name)
-            self.layout.forget(name)
+def _last_heard(peer):
+    return peer.heard_ms or 0
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -205,7 +205,7 @@
             Time in ms at which it was asked for.
         """
         self.control.membership.set_listed(instances, asked_ms)
-        self.links.set_peers([item for item in instances if item.kind == "node"])
+        self.links.set_peers(self.control.membership.known())
         if self.fleet.set_instances(instances):
             self.lease_server.follow()
         self.follow_nodes()
--- a/peridotcove/parts.py
+++ b/peridotcove/parts.py
@@ -6,6 +6,7 @@
 from attrs import field, frozen
 
 from peridotcove.exceptions import ProtocolError
+from peridotcove.fragments import compact
 
 DIGEST_BYTES = 16
 
@@ -72,8 +73,7 @@
     value : object
         A JSON value.
     """
-    text = json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False)
-    return text.encode("utf-8", "surrogatepass")
+    return compact(value).encode("utf-8", "surrogatepass")
 
 
 def digest(data):
--- a/peridotcove/peers.py
+++ b/peridotcove/peers.py
@@ -5,8 +5,9 @@
 from peridotcove.nodes.membership_messages import LEAVING, READS_FAIL
 
 HEARTBEAT_MS = 1_000
+CONTACT_HEARTBEAT_MS = 2_000
 FAR_HEARTBEAT_MS = 5_000
-REPLY_AHEAD_MS = 500
+PROBE_ACK_MS = 500
 SUSPECT_AFTER_MS = 250
 SILENT_AFTER_MS = 500
 LOST_AFTER_MS = 1_500
@@ -220,9 +221,39 @@
         """
         if self.sent_ms is None:
             return False
-        if self.silent(now):
-            return True
-        return self.unacked_ms is not None and now - self.unacked_ms >= self.lost_ms
+        return self.silent(now) or self.unacked_for(now) >= self.silent_after_ms
+
+    def unacked_for(self, now):
+        """Return for how long in ms a heartbeat waits to be acknowledged.
+
+        Parameters
+        ----------
+        now : int
+            Time in ms.
+        """
+        return 0 if self.unacked_ms is None else now - self.unacked_ms
+
+    def answer_due(self, now):
+        """Return whether a heartbeat is due as an answer to one just received.
+
+        Parameters
+        ----------
+        now : int
+            Time in ms.
+        """
+        return self.sent_ms is None or now - self.sent_ms >= self.period_ms // 2
+
+    def misses(self, message, now):
+        """Return whether a probe shows that this node's heartbeats do not arrive.
+
+        Parameters
+        ----------
+        message : Heartbeat
+            A heartbeat that wants a reply.
+        now : int
+            Time in ms.
+        """
+        return message.ack < self.sequence_out and self.unacked_for(now) >= PROBE_ACK_MS
 
     def report_silence(self, now):
         """Return whether its silent link is to be reported now.
@@ -232,8 +263,16 @@
         now : int
             Time in ms.
         """
-        if not self.link_is_silent(now):
-            return False
+        return self.link_is_silent(now) and self.repeat_due(now)
+
+    def repeat_due(self, now):
+        """Return whether its silent link may be reported again, and note the report.
+
+        Parameters
+        ----------
+        now : int
+            Time in ms.
+        """
         repeat = SILENT_REPEAT_MS if self.live else LOST_REPEAT_MS
         if self.silent_ms is not None and now - self.silent_ms < repeat:
             return False
--- a/peridotcove/platform/watch.py
+++ b/peridotcove/platform/watch.py
@@ -7,7 +7,7 @@
 from peridotcove.reader import ReadPart
 
 MS_PER_S = 1000
-IDLE_S = 0.25
+IDLE_S = 0.02
 LIST_WAIT_MS = 20_000
 FIRST_BACKOFF_MS = 250
 MAX_BACKOFF_MS = 15_000
--- a/peridotcove/reader.py
+++ b/peridotcove/reader.py
@@ -7,6 +7,8 @@
 WATCH_MS = 20_000
 MIN_GAP_MS = 100
 MAX_GAP_MS = 300
+MIN_PART_GAP_MS = 20
+MAX_PART_GAP_MS = 30
 FIRST_BACKOFF_MS = 500
 MAX_BACKOFF_MS = 30_000
 MAX_MISMATCHES = 3
@@ -148,7 +150,7 @@
         data : bytes or None
             Its content; None if the service has no such part.
         """
-        self._succeed(gap=False)
+        self._succeed(MIN_PART_GAP_MS, MAX_PART_GAP_MS)
         if self._manifest is None:
             return []
         pointer = self._manifest.pointer_by_name[name]
@@ -170,13 +172,12 @@
         limit = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(self._failures, 10))
         self._due_ms = self.clock.now() + self._rng.randint(limit // 2, limit)
 
-    def _succeed(self, gap=True):
+    def _succeed(self, low=MIN_GAP_MS, high=MAX_GAP_MS):
         self._asked_once = True
         self._failures = 0
         self.reads_fail = False
         self.revisions.confirm()
-        if gap:
-            self._due_ms = self.clock.now() + self._rng.randint(MIN_GAP_MS, MAX_GAP_MS)
+        self._due_ms = self.clock.now() + self._rng.randint(low, high)
 
     def _finish(self):
         wanted = self.revisions.missing(self._manifest)
--- a/peridotcove/standins/links.py
+++ b/peridotcove/standins/links.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 
-from attrs import evolve, field, frozen
+from attrs import evolve, frozen
 
 from peridotcove.exceptions import LinkDown
 from peridotcove.nodes import messages
@@ -97,14 +97,6 @@
             self.on_message(peer, item)
 
 
-@frozen(order=True)
-class _Event:
-    at_ms: int
-    number: int
-    host: object = field(order=False)
-    call: object = field(order=False)
-
-
 class Links:
     """All links of a fleet, and the timers of its nodes.
 
@@ -159,25 +151,29 @@
             old = self.faults_by_pair.get(pair, self.faults)
             self.faults_by_pair[pair] = evolve(old, **changes)
 
-    def silence(self, one, other):
-        """Let the open connection of two nodes go silent for good.
+    def silence(self, one, other, both=True):
+        """Let open connections of two nodes go silent for good.
 
         Parameters
         ----------
         one, other : str
-            Names of the nodes.
+            Names of the nodes; the connection that the first dialed goes silent.
+        both : bool
+            Whether that of the other goes silent too.
         """
-        self.silent.add(frozenset((one, other)))
+        self.silent.add((one, other))
+        if both:
+            self.silent.add((other, one))
 
     def reconnect(self, one, other):
-        """Open a new connection between two nodes.
+        """Let a node dial another anew.
 
         Parameters
         ----------
         one, other : str
-            Names of the nodes.
+            The node, and the one that it dials.
         """
-        self.silent.discard(frozenset((one, other)))
+        self.silent.discard((one, other))
 
     def partition(self, *sides):
         """Part the network; nodes of no side are together on one more.
@@ -216,7 +212,8 @@
             Name of the node.
         """
         for event in self.paused.pop(name, []):
-            self._push(0, event.host, event.call)
+            _, _, host, call = event
+            self._push(0, host, call)
 
     def stop(self, name):
         """End a process.
@@ -277,7 +274,6 @@
         """
         size = count_wire_bytes(len(frame))
         sender.bytes_out += size
-        self._piggyback(sender.name, receiver)
         faults = self.faults_by_pair.get((sender.name, receiver), self.faults)
         copies = 1 + (self.rng.random() < faults.duplicate)
         for _ in range(copies):
@@ -297,9 +293,9 @@
             Length in ms.
         """
         end = self.clock.now() + ms
-        while self._events and self._events[0].at_ms <= end:
+        while self._events and self._events[0][0] <= end:
             event = heapq.heappop(self._events)
-            self.clock.advance(max(0, event.at_ms - self.clock.now()))
+            self.clock.advance(max(0, event[0] - self.clock.now()))
             self._call(event)
         self.clock.advance(end - self.clock.now())
 
@@ -314,17 +310,18 @@
         sides = self.side_by_name
         if sides.get(sender, 0) != sides.get(receiver, 0):
             return False
-        return frozenset((sender, receiver)) not in self.silent
+        return (sender, receiver) not in self.silent
 
     def _call(self, event):
-        name = event.host.name if event.host is not None else None
+        _, _, host, call = event
+        name = host.name if host is not None else None
         if name is not None:
-            if name in self.down or self.host_by_name[name] is not event.host:
+            if name in self.down or self.host_by_name[name] is not host:
                 return
             if name in self.paused:
                 self.paused[name].append(event)
                 return
-        event.call()
+        call()
 
     def _arrival(self, sender, target, frame, size):
         def arrive():
@@ -337,12 +334,12 @@
         return arrive
 
     def _acknowledge(self, target, sender):
-        # A segment is acknowledged with the next data of its link or, after a delay,
-        # by a segment of its own.
+        # Each direction has a connection of its own, so nothing carries an
+        # acknowledgement along; one answers for all segments of a short time.
         pair = (target.name, sender)
         if pair in self._acks:
             return
-        self._acks[pair] = self.clock.now()
+        self._acks[pair] = True
         self._push(DELAYED_ACK_MS, None, lambda: self._send_ack(pair))
 
     def _send_ack(self, pair):
@@ -351,12 +348,9 @@
         self.host_by_name[pair[0]].bytes_out += SEGMENT_HEAD_BYTES
         self.host_by_name[pair[1]].bytes_in += SEGMENT_HEAD_BYTES
 
-    def _piggyback(self, sender, receiver):
-        self._acks.pop((sender, receiver), None)
-
     def _push(self, delay_ms, host, call):
         at_ms = self.clock.now() + delay_ms
-        event = _Event(at_ms, next(self._numbers), host, call)
+        event = (at_ms, next(self._numbers), host, call)
         heapq.heappush(self._events, event)
 
 
