--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -333,7 +333,12 @@
                     if record.leaving or known[name].state is State.LEAVING:
                         left.add(name)
         known_leaving = bool(self._own) and self._own[0].leaving
-        if not self._own or self.leaving != known_leaving or live != self._live or left != self._left:
+        if (
+            not self._own
+            or self.leaving != known_leaving
+            or live != self._live
+            or left != self._left
+        ):
             self._note_changes(live, left)
 
     def _note_changes(self, live, left):
