--- a/peridotcove/control.py
+++ b/peridotcove/control.py
@@ -1,6 +1,7 @@
 """What one node exchanges with the others beside requests, in one place."""
 
 from peridotcove.membership import Membership
+from peridotcove.nodes.membership_messages import Heartbeat
 from peridotcove.reader import Reader
 from peridotcove.revisions import Revisions
 
@@ -46,6 +47,7 @@
     def tick(self):
         """Return the messages that are due; called each 250 ms."""
         self.membership.reads_fail = self.reader.reads_fail
+        self.membership.heartbeats.refused = self.revisions.refused_revision
         self._confirm()
         self.membership.set_zones(self.revisions.current().zone_by_name)
         return self.membership.tick() + self.revisions.tick()
@@ -63,8 +65,10 @@
             The revision that the frame carries.
         """
         self.revisions.notice(peer, revision)
+        refused = message.refused if isinstance(message, Heartbeat) else 0
         outgoing = self.membership.receive(peer, message)
         outgoing += self.revisions.receive(peer, message)
+        outgoing += self.revisions.notice_refused(peer, refused)
         return outgoing
 
     def _push_to(self):
--- a/peridotcove/heartbeats.py
+++ b/peridotcove/heartbeats.py
@@ -36,6 +36,8 @@
         State with each other node.
     silent : list of str
         Nodes whose links were found silent, until taken.
+    refused : int
+        Revision that this node has refused, on every heartbeat; 0 if none.
     """
 
     def __init__(self, clock, layout, incarnation):
@@ -44,6 +46,7 @@
         self.incarnation = incarnation
         self.peer_by_name = {}
         self.silent = []
+        self.refused = 0
         self._flaps = Flaps(clock)
         self._version = None
         self._neighbours = []
@@ -137,7 +140,16 @@
         neighbour = peer.name in self.layout.neighbours
         unheard = self._list_unheard(now) if neighbour else []
         ack, sequence = peer.sequence_in, peer.send(now)
-        beat = Heartbeat(self.incarnation, sequence, ack, flags, shards, unheard, view)
+        beat = Heartbeat(
+            self.incarnation,
+            sequence,
+            ack,
+            flags,
+            shards,
+            unheard,
+            view,
+            self.refused,
+        )
         return Outgoing(peer.name, beat)
 
     def tick(self):
--- a/peridotcove/nodes/configuration_messages.py
+++ b/peridotcove/nodes/configuration_messages.py
@@ -106,7 +106,24 @@
         The revision.
     faults : list
         Its faults, one line each.
+    final : bool
+        False if it could not be read as the manifest describes it, and may be yet.
     """
 
     revision: int
     faults: list
+    final: bool = True
+
+
+@message(29)
+@frozen
+class AskRefused:
+    """Asks why a revision was refused; answered by `RevisionRefused`.
+
+    Attributes
+    ----------
+    revision : int
+        The revision.
+    """
+
+    revision: int
--- a/peridotcove/nodes/membership_messages.py
+++ b/peridotcove/nodes/membership_messages.py
@@ -30,6 +30,8 @@
         Names of neighbours that the sender does not hear.
     view : bytes
         Digest of the live nodes of the sender's zone, towards other zones.
+    refused : int
+        Revision that the sender has refused, if later than the one in force; else 0.
     """
 
     incarnation: int
@@ -39,6 +41,7 @@
     shards: dict
     unheard: list
     view: bytes = b""
+    refused: int = 0
 
 
 @message(21)
--- a/peridotcove/parts.py
+++ b/peridotcove/parts.py
@@ -129,10 +129,8 @@
     Raises
     ------
     ProtocolError
-        If the content has another digest or is no part.
+        If the content is no part.
     """
-    if digest(data) != published:
-        raise ProtocolError("does not match its digest")
     form = canonical(load(data))
     return Part(name, Pointer(revision, published, digest(form)), form)
 
--- a/peridotcove/platform/client.py
+++ b/peridotcove/platform/client.py
@@ -13,8 +13,8 @@
 from peridotcove.schema import build
 
 MS_PER_S = 1000
-CONNECT_S = 2.0
-ANSWER_S = 5.0
+CONNECT_S = 1.0
+ANSWER_S = 1.0
 MAX_CALLS = 4
 NO_CONTENT = 204
 NOT_FOUND = 404
--- a/peridotcove/platform/watch.py
+++ b/peridotcove/platform/watch.py
@@ -8,9 +8,9 @@
 
 MS_PER_S = 1000
 IDLE_S = 0.02
-LIST_WAIT_MS = 20_000
+LIST_WAIT_MS = 4_000
 FIRST_BACKOFF_MS = 250
-MAX_BACKOFF_MS = 15_000
+MAX_BACKOFF_MS = 4_000
 
 log = logging.getLogger("peridotcove.platform")
 
--- a/peridotcove/pulls.py
+++ b/peridotcove/pulls.py
@@ -115,20 +115,20 @@
         """
         self._answers.add(peer)
 
-    def tick(self, revision, known):
+    def tick(self, revision, wants):
         """Return the requests that are due.
 
         Parameters
         ----------
         revision : int
             Revision that this node has in force.
-        known : int
-            Highest revision that it has judged.
+        wants : callable
+            Whether a revision is later and not refused.
         """
         now = self.clock.now()
         outgoing = self._begin_start(now)
         seen = self._seen_by_peer
-        for peer in [peer for peer, held in seen.items() if held <= known]:
+        for peer in [peer for peer, held in seen.items() if not wants(held)]:
             del seen[peer]
         if not seen:
             self._due_ms = self._pull = None
--- a/peridotcove/reader.py
+++ b/peridotcove/reader.py
@@ -4,13 +4,13 @@
 
 from peridotcove.parts import digest
 
-WATCH_MS = 20_000
+WATCH_MS = 3_000
 MIN_GAP_MS = 100
 MAX_GAP_MS = 300
 MIN_PART_GAP_MS = 20
 MAX_PART_GAP_MS = 30
-FIRST_BACKOFF_MS = 500
-MAX_BACKOFF_MS = 30_000
+FIRST_BACKOFF_MS = 250
+MAX_BACKOFF_MS = 2_000
 MAX_MISMATCHES = 3
 FALLBACK_MS = 4_000
 FALLBACK_SPREAD_MS = 2_000
@@ -118,7 +118,9 @@
             self.reads_fail = False
             self._manifest = None
             return None
-        return ReadManifest(self.revisions.watch_after, WATCH_MS)
+        # A service in doubt is asked for an answer at once, so that no call hangs long.
+        wait_ms = 0 if self._failures else WATCH_MS
+        return ReadManifest(self.revisions.watch_after, wait_ms)
 
     def take_manifest(self, manifest):
         """Take the answer to `ReadManifest`; return the messages that follow.
@@ -166,15 +168,19 @@
     def fail(self):
         """Note that a call failed."""
         self._asked_once = True
-        self._failures += 1
         self.reads_fail = True
         self.revisions.confirm(ok=False)
+        self._back_off()
+
+    def _back_off(self):
+        self._failures += 1
         limit = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(self._failures, 10))
         self._due_ms = self.clock.now() + self._rng.randint(limit // 2, limit)
 
     def _succeed(self, low=MIN_GAP_MS, high=MAX_GAP_MS):
         self._asked_once = True
-        self._failures = 0
+        if not self.revisions.unreadable:
+            self._failures = 0
         self.reads_fail = False
         self.revisions.confirm()
         self._due_ms = self.clock.now() + self._rng.randint(low, high)
@@ -186,7 +192,10 @@
         manifest, self._manifest = self._manifest, None
         data_by_name, self._data_by_name = self._data_by_name, {}
         self._mismatches = 0
-        return self.revisions.accept(manifest, data_by_name)
+        outgoing = self.revisions.accept(manifest, data_by_name)
+        if manifest.revision > self.revisions.watch_after:
+            self._back_off()
+        return outgoing
 
 
 def _matches(pointer, data):
--- a/peridotcove/revisions.py
+++ b/peridotcove/revisions.py
@@ -14,6 +14,7 @@
 from peridotcove.nodes.configuration_messages import (
     AskConfiguration,
     AskPart,
+    AskRefused,
     Delta,
     Offer,
     PartData,
@@ -36,7 +37,7 @@
 HISTORY = 32
 MAX_FAULTS = 20
 MAX_FAULT_CHARS = 300
-TELL_REFUSED_MS = 30_000
+ASK_REFUSED_MS = 500
 
 log = logging.getLogger("peridotcove.configuration")
 
@@ -67,10 +68,13 @@
         The revision.
     faults : tuple of str
         Its faults, one line each.
+    final : bool
+        False if it could not be read as the manifest describes it, and may be yet.
     """
 
     revision: int
     faults: tuple
+    final: bool = True
 
 
 @frozen
@@ -109,7 +113,7 @@
         self._pulls = Pulls(clock, rng, ask_at_start)
         self._expected = 0
         self._confirmed_ms = None
-        self._told_ms = clock.now()
+        self._asked_refused_ms = None
         self._started_ms = clock.now()
 
     @property
@@ -120,7 +124,19 @@
     @property
     def watch_after(self):
         """The revision after which the service is to be watched."""
-        return max(self.revision, self.refused.revision if self.refused else 0)
+        if self.refused is None or self.unreadable:
+            return self.revision
+        return max(self.revision, self.refused.revision)
+
+    @property
+    def refused_revision(self):
+        """The refused revision; 0 if none is refused."""
+        return 0 if self.refused is None else self.refused.revision
+
+    @property
+    def unreadable(self):
+        """Whether the refused revision could not be read as its manifest says."""
+        return self.refused is not None and not self.refused.final
 
     def current(self):
         """Return the configuration in force."""
@@ -130,7 +146,7 @@
         """Return whether one is in force, and service and peers were asked."""
         if not self.revision or self.expects_more():
             return False
-        return self._pulls.started(self.watch_after)
+        return self._pulls.started(self.revision)
 
     def expect(self, revision):
         """Note the revision that the service had at this node's start.
@@ -210,17 +226,24 @@
             return []
         parts, faults = {}, []
         for name, pointer in manifest.pointer_by_name.items():
+            if self.holds(name, pointer):
+                parts[name] = self._state.part_by_name[name]
+                continue
+            data = data_by_name.get(name)
+            if not data:
+                faults.append(f"part {name} is missing")
+            elif digest(data) != pointer.published:
+                faults.append(f"part {name} does not match its digest")
+        if faults:
+            return self._refuse(manifest.revision, faults, final=False)
+        for name in data_by_name:
+            pointer = manifest.pointer_by_name[name]
             try:
-                if name in data_by_name:
-                    data = data_by_name[name]
-                    part = make_part(name, pointer.revision, pointer.published, data)
-                elif self.holds(name, pointer):
-                    part = self._state.part_by_name[name]
-                else:
-                    raise ProtocolError("is missing")
-                parts[name] = part
+                parts[name] = make_part(
+                    name, pointer.revision, pointer.published, data_by_name[name]
+                )
             except ProtocolError as error:
-                faults.append(f"part {name}: {error}")
+                faults.append(f"part {name} {error}")
         if faults:
             return self._refuse(manifest.revision, faults)
         return self._replace(manifest.revision, parts)
@@ -235,16 +258,31 @@
         revision : int
             Its revision.
         """
-        if revision > self.watch_after:
+        if self._wants(revision):
             self._pulls.notice(peer, revision)
 
+    def notice_refused(self, peer, revision):
+        """Note that a peer has refused a revision; return a request for the faults.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the peer.
+        revision : int
+            The revision; 0 for none.
+        """
+        if revision <= max(self.revision, self.refused_revision):
+            return []
+        now = self.clock.now()
+        asked_ms = self._asked_refused_ms
+        if asked_ms is not None and now - asked_ms < ASK_REFUSED_MS:
+            return []
+        self._asked_refused_ms = now
+        return [Outgoing(peer, AskRefused(revision))]
+
     def tick(self):
         """Return the messages that are due; called each 250 ms."""
-        outgoing = self._pulls.tick(self.revision, self.watch_after)
-        now = self.clock.now()
-        if self.refused and now - self._told_ms >= TELL_REFUSED_MS:
-            outgoing += self._tell_refused()
-        return outgoing
+        return self._pulls.tick(self.revision, self._wants)
 
     def receive(self, peer, message):
         """Take a message in and return the answers.
@@ -271,7 +309,7 @@
         return [Outgoing(peer, Offer(self.revision, parts))]
 
     def _receive_delta(self, peer, message):
-        if message.revision <= self.watch_after:
+        if not self._wants(message.revision):
             return []
         if message.base != self.revision:
             self._pulls.notice(peer, message.revision)
@@ -299,7 +337,7 @@
 
     def _receive_offer(self, peer, message):
         self._pulls.answered(peer)
-        if message.revision <= self.watch_after:
+        if not self._wants(message.revision):
             return []
         pointers = {name: Pointer(*rest) for name, *rest in message.parts}
         held = {
@@ -322,17 +360,27 @@
 
     def _finish_pull(self):
         pulled = self._pulls.finish()
-        if pulled is None or pulled.revision <= self.watch_after:
+        if pulled is None or not self._wants(pulled.revision):
             return []
         return self._replace(pulled.revision, pulled.part_by_name)
 
     def _receive_refused(self, peer, message):
-        if message.revision > self.watch_after:
+        if message.revision > max(self.revision, self.refused_revision):
             faults = tuple(str(line) for line in message.faults[:MAX_FAULTS])
-            self.refused = Refused(message.revision, faults)
-            self._told_ms = self.clock.now()
+            self.refused = Refused(message.revision, faults, message.final)
         return []
 
+    def _receive_ask_refused(self, peer, message):
+        if self.refused_revision != message.revision:
+            return []
+        return [Outgoing(peer, self._make_refusal())]
+
+    def _wants(self, revision):
+        # A refused revision is not wanted, but an earlier one may be.
+        if self.refused is not None and revision == self.refused.revision:
+            return self.unreadable
+        return revision > self.revision
+
     _HANDLERS = {
         AskConfiguration: _receive_ask,
         Delta: _receive_delta,
@@ -340,6 +388,7 @@
         AskPart: _receive_ask_part,
         PartData: _receive_part,
         RevisionRefused: _receive_refused,
+        AskRefused: _receive_ask_refused,
     }
 
     def _replace(self, revision, parts):
@@ -361,17 +410,19 @@
         peers = self._push_to() if old.revision else ()
         return [Outgoing(peer, delta) for peer in peers]
 
-    def _refuse(self, revision, faults):
+    def _refuse(self, revision, faults, final=True):
         faults = tuple(line[:MAX_FAULT_CHARS] for line in faults[:MAX_FAULTS])
-        self.refused = Refused(revision, faults)
+        self.refused = Refused(revision, faults, final)
         for line in faults:
             log.error("configuration: revision %d refused: %s", revision, line)
         return self._tell_refused()
 
     def _tell_refused(self):
-        self._told_ms = self.clock.now()
-        notice = RevisionRefused(self.refused.revision, list(self.refused.faults))
-        return [Outgoing(peer, notice) for peer in self._push_to()]
+        return [Outgoing(peer, self._make_refusal()) for peer in self._push_to()]
+
+    def _make_refusal(self):
+        refused = self.refused
+        return RevisionRefused(refused.revision, list(refused.faults), refused.final)
 
     def _deltas_after(self, base):
         deltas = list(self._history)
