--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -87,6 +87,11 @@
         self._sequence_at_wake = {}
         self._update_live(clock.now())
 
+    @property
+    def peer_by_name(self):
+        """Heartbeat state of other nodes by name."""
+        return self.heartbeats.peer_by_name
+
     # What other parts tell.
 
     def set_listed(self, instances, asked_ms=None):
