--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -259,7 +259,7 @@
             Time in ms at which it was asked for.
         """
         self.control.membership.set_listed(instances, asked_ms)
-        self.links.set_peers([item for item in instances if item.kind == "node"])
+        self.links.set_peers(self.control.membership.known())
         peers = self.peers()
         self.send_all(self.leaving_news.set_instances(instances, asked_ms, peers))
         self.follow_endpoints()
