Pass the check right before sending to the scripted engines

Cause: the engine client takes a check. Change: the scripted engines call it. Measured: the router's tests pass. Conclusion: as strict as before.

--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -38,8 +38,9 @@
         """Return whether the next try meets an outcome."""
         return bool(self.script) and self.script[0] == outcome
 
-    async def run(self, engine, body, name, sink):
+    async def run(self, engine, body, name, sink, check):
         """Run one try."""
+        check()
         self.tries += 1
         outcome = self.script.pop(0) if self.script else "ok"
         if outcome == "unreachable":
