Pick among a model's shards by the loads that their owners tell

Cause: an entry asked the first shard of a model only. Change: the shard picker is wired to the loads in heartbeats, and owners count the load of the other shards in their mean.

--- a/peridotcove/fleet.py
+++ b/peridotcove/fleet.py
@@ -4,6 +4,7 @@
 
 from peridotcove.models import Configuration, Status
 from peridotcove.ownership import owner_rank, shards_of
+from peridotcove.shares import ShardLoad, ShardPicker
 
 
 class Fleet:
@@ -32,6 +33,8 @@
         self._zone_by_node = {}
         self.shard_by_name = {}
         self.shards_by_model = {}
+        self._picker_by_model = {}
+        self._total_by_shard = {}
         self._customer_by_digest = {}
         self._rank_by_shard = {}
 
@@ -50,6 +53,10 @@
         self.shards_by_model = {}
         for shard in shards:
             self.shards_by_model.setdefault(shard.model, []).append(shard)
+        self._picker_by_model = {
+            model: ShardPicker(shards, self._weigh(shards))
+            for model, shards in self.shards_by_model.items()
+        }
         self._customer_by_digest = {
             digest: customer
             for customer in configuration.customer_by_name.values()
@@ -57,6 +64,62 @@
         }
         self._rank_by_shard = {}
 
+    def _weigh(self, shards):
+        engine_by_name = self.configuration.engine_by_name
+        return {
+            shard.name: sum(
+                engine_by_name[name].weight
+                for name in shard.engines
+                if engine_by_name[name].status is Status.IN_SERVICE
+            )
+            for shard in shards
+        }
+
+    def set_loads(self, total_by_shard):
+        """Learn the loads of shards that their owners told.
+
+        Parameters
+        ----------
+        total_by_shard : dict of str to int
+            Requests in progress by shard.
+        """
+        self._total_by_shard = total_by_shard
+
+    def loads_of(self, model):
+        """Return the `ShardLoad` of each shard of a model whose owner told it.
+
+        Parameters
+        ----------
+        model : str
+            Name of the model.
+        """
+        shards = self.shards_by_model.get(model, ())
+        weight_by_shard = self._weigh(shards)
+        return {
+            shard.name: ShardLoad(
+                self._total_by_shard[shard.name], weight_by_shard[shard.name]
+            )
+            for shard in shards
+            if shard.name in self._total_by_shard
+        }
+
+    def pick_shard(self, model, chat_key, hint):
+        """Return the name of the shard for a chat, or an empty name.
+
+        Parameters
+        ----------
+        model : str
+            Model without adapter.
+        chat_key : int
+            Key of the chat.
+        hint : str
+            Engine of the chat's last turn, or empty.
+        """
+        shards = self.shards_by_model.get(model, ())
+        if len(shards) < 2:
+            return shards[0].name if shards else ""
+        return self._picker_by_model[model].pick(chat_key, hint, self.loads_of(model))
+
     def set_leaving(self, names):
         """Learn which engines and endpoints are leaving; return whether that is new.
 
--- a/peridotcove/leases.py
+++ b/peridotcove/leases.py
@@ -333,6 +333,14 @@
         dispatchers = self.dispatcher_by_shard
         return {name: int(item.load) for name, item in dispatchers.items()}
 
+    def set_loads(self):
+        """Let each shard here know the load of its model's other shards."""
+        for name, dispatcher in self.dispatcher_by_shard.items():
+            loads = self._fleet.loads_of(dispatcher.shard.model)
+            others = [load for shard, load in loads.items() if shard != name]
+            total = sum(load.total for load in others)
+            dispatcher.set_others(total, sum(load.weight for load in others))
+
     @property
     def waiting(self):
         """Requests that wait for an engine here."""
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -121,7 +121,10 @@
         self._timeline.record("request-retried", request_id=request_id, detail=detail)
 
     async def _try_chat(self, chat, request_id, hint, sink, end_ms):
-        shard = self._pick_shard(chat)
+        shard = self._fleet.pick_shard(chat.base, chat.key, hint)
+        if not shard:
+            text = f"no engine of this region serves {chat.base!r}"
+            raise RequestRefused("no-engine", text, 503, 5000)
         left = max(1, end_ms - self._clock.now())
         request = LeaseRequest(
             request_id,
@@ -202,10 +205,3 @@
             The request.
         """
         return ""
-
-    def _pick_shard(self, chat):
-        shards = self._fleet.shards_by_model.get(chat.base)
-        if not shards:
-            text = f"no engine of this region serves {chat.base!r}"
-            raise RequestRefused("no-engine", text, 503, 5000)
-        return shards[0].name
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -108,7 +108,10 @@
         The node.
     """
     control = node.control
-    control.membership.publish(node.lease_server.loads())
+    own = node.lease_server.loads()
+    control.membership.publish(own)
+    node.fleet.set_loads({**control.membership.shards(), **own})
+    node.lease_server.set_loads()
     node.send_all(control.tick())
     node.follow_configuration()
     for event in control.membership.events():
