Record what owners do with leases on the time line

Cause: the time line showed the entry's side only. Change: owners record queued, granted, refused and released; a pause is an event. Conclusion: one request can be followed over both nodes.

--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -52,6 +52,8 @@
         Links to the other nodes.
     clock : Clock
         Source of time.
+    timeline : Timeline
+        The node's events.
 
     Attributes
     ----------
@@ -63,11 +65,12 @@
         Set when a request begins to wait here.
     """
 
-    def __init__(self, node, fleet, network, clock):
+    def __init__(self, node, fleet, network, clock, timeline):
         self._node = node
         self._fleet = fleet
         self._network = network
         self._clock = clock
+        self._timeline = timeline
         self._owed_by_id = {}
         self._health = EngineHealth(clock)
         self._aside_by_shard = {}
@@ -103,6 +106,7 @@
         decisions = self._dispatcher(message.shard).ask(request)
         self._tell(decisions)
         if not any(item.request_id == message.request_id for item in decisions):
+            self._record("lease-queued", message.request_id, peer)
             self._answer(peer, QueueLease(message.request_id))
             self.queued.set()
 
@@ -125,6 +129,8 @@
 
     def _release(self, message):
         owed = self._owed_by_id.pop(message.request_id, None)
+        if owed is not None:
+            self._record("release-received", message.request_id, owed.entry)
         shard = owed.shard if owed else None
         if owed and owed.engine and message.outcome != "cancelled":
             self._health.note(owed.engine, message.outcome == "failed")
@@ -236,8 +242,15 @@
                     decision.request_id, decision.code, decision.retry_after_ms
                 )
             if owed is not None:
+                given = isinstance(decision, Grant)
+                kind = "lease-granted" if given else "lease-refused"
+                detail = decision.engine if given else decision.code
+                self._record(kind, decision.request_id, owed.entry, detail)
                 self._answer(owed.entry, message)
 
+    def _record(self, kind, request_id, peer, detail=""):
+        self._timeline.record(kind, request_id=request_id, peer=peer, detail=detail)
+
     def _answer(self, entry, message):
         if entry == self._node:
             self.client.receive(self._node, message)
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -117,7 +117,7 @@
 
     def _wire_leases(self):
         fleet, links, clock = self.fleet, self.links, self.clock
-        self.lease_server = LeaseServer(self.name, fleet, links, clock)
+        self.lease_server = LeaseServer(self.name, fleet, links, clock, self.timeline)
         self.lease_client = LeaseClient(
             self.name, fleet, links, self.lease_server, clock
         )
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -9,7 +9,7 @@
 from peridotcove.drain import Stage
 from peridotcove.limits import REPORT_MS
 from peridotcove.logs import get_logger, start_logs
-from peridotcove.membership_events import LinkSilent, NodeJoined, NodeLost
+from peridotcove.membership_events import LinkSilent, NodeJoined, NodeLost, Woke
 from peridotcove.node import Node
 from peridotcove.platform.watch import watch_configuration, watch_instances
 
@@ -120,6 +120,9 @@
         elif isinstance(event, NodeLost):
             node.lease_server.drop_entry(event.node)
             node.timeline.record("peer-down", peer=event.node)
+        elif isinstance(event, Woke):
+            node.timeline.record("node-paused", detail=f"{event.paused_ms} ms")
+            log.warning("the process was paused for %d ms", event.paused_ms)
         elif isinstance(event, NodeJoined):
             node.timeline.record("peer-up", peer=event.node)
             node.send_all(node.delivery.greet(event.node))
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -18,6 +18,7 @@
     ReleaseLease,
 )
 from peridotcove.nodes.network import Network
+from peridotcove.timeline import Timeline
 from tests.virtual import LoopClock, run
 
 NAMES = ("n1", "n2", "n3")
@@ -77,7 +78,7 @@
         fleet.set_configuration(parse_configuration(RAW))
         fleet.set_nodes(tuple(Instance(n, "node", "", 1, "a") for n in NAMES))
         clock = LoopClock()
-        server = LeaseServer(name, fleet, network, clock)
+        server = LeaseServer(name, fleet, network, clock, Timeline(clock, name))
         client = LeaseClient(name, fleet, network, server, clock)
         server.client = client
 
