--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -151,7 +151,9 @@
                 "request-sent", request_id=request_id, peer=engine.name
             )
             name = request_id.hex()
-            reply = await self._engines.run(engine, chat.body, name, sink)
+            reply = await self._engines.run(
+                engine, chat.body, name, sink, lambda: self._states.check(engine.name)
+            )
             outcome = "done"
             cached = self._count_blocks(chat, reply)
             return reply, engine.name
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -129,6 +129,7 @@
     node.follow_nodes()
     node.once.tick()
     tick_endpoints(node)
+    tick_orders(node)
 
 
 def tick_endpoints(node):
@@ -144,6 +145,19 @@
     node.tickets.expire()
 
 
+def tick_orders(node):
+    """Read engines and order them, if this node's view is fresh.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    """
+    if node.control.membership.fresh() and node.drain.ready:
+        engine_by_name = node.fleet.configuration.engine_by_name
+        node.order_client.tick(engine_by_name)
+
+
 async def drain(node):
     """Leave the balancer, let every request end, and hand everything over.
 
