Derive a key for each purpose from the shared secret

Cause: proofs on links and signatures of tickets used one key. Change: one derived key for each purpose. Measured: tests pass. Conclusion: a signature of one kind can't stand for another.

--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -16,6 +16,7 @@
 from peridotcove.endpoints.services import ServiceClient
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet import Fleet
+from peridotcove.keys import LINKS, TICKETS, derive_key
 from peridotcove.lease_client import LeaseClient
 from peridotcove.lease_server import LeaseServer
 from peridotcove.leaving_news import LeavingNews
@@ -99,7 +100,7 @@
     def _wire_links(self):
         settings = self.settings
         identity = Identity(self.name, settings.zone, self.incarnation)
-        secret = settings.secret.read("secret")
+        secret = derive_key(settings.secret.read("secret"), LINKS)
         count = self.metrics.control_bytes
         self.links = Links(
             identity,
@@ -140,7 +141,7 @@
         }
 
     def _wire_tickets(self):
-        secret = self.settings.secret.read("secret")
+        secret = derive_key(self.settings.secret.read("secret"), TICKETS)
         self.tickets = Tickets(self.name, self.incarnation, secret, self.clock)
         self.delivery = Delivery(self.tickets, self.clock)
         self.once = Once(self.delivery, self.links, self._run_ticketed)
