Put moved calls on the time line, and close the curl client's timer

Cause: calls with tickets left no events; closing the curl client could leave a timer that fired into nothing. Change: OnceEvents records both ends of a move; the timer is removed on close.

--- a/peridotcove/endpoints/client.py
+++ b/peridotcove/endpoints/client.py
@@ -24,6 +24,12 @@
 class CurlClient(CurlAsyncHTTPClient):
     """The curl client with a way to end one transfer."""
 
+    def close(self):
+        """Close every connection, and the timer that closing them may set."""
+        super().close()
+        if self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
+
     def cancel(self, curl):
         """End a transfer and close its connection.
 
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -45,6 +45,7 @@
     TicketsTaken,
 )
 from peridotcove.once import Once
+from peridotcove.once_events import OnceEvents
 from peridotcove.operators.desk import OperatorDesk
 from peridotcove.operators.server import make_server as make_operator_server
 from peridotcove.orders import OrderIssuer
@@ -144,7 +145,8 @@
         secret = derive_key(self.settings.secret.read("secret"), TICKETS)
         self.tickets = Tickets(self.name, self.incarnation, secret, self.clock)
         self.delivery = Delivery(self.tickets, self.clock)
-        self.once = Once(self.delivery, self.links, self._run_ticketed)
+        events = OnceEvents(self.timeline)
+        self.once = Once(self.delivery, self.links, self._run_ticketed, events)
         for kind in ONCE_MESSAGES:
             self._receiver_by_type[kind] = self.once.receive
         for kind in (AskLeaving, EndpointsLeaving):
--- a/peridotcove/once.py
+++ b/peridotcove/once.py
@@ -29,12 +29,15 @@
     run : callable
         Coroutine function that sends a `TicketedCall` to an endpoint, once, and
         returns an `Answer` or raises `RequestError`.
+    events : OnceEvents
+        Takes what happens to calls.
     """
 
-    def __init__(self, delivery, network, run):
+    def __init__(self, delivery, network, run, events):
         self.delivery = delivery
         self._network = network
         self._run = run
+        self._events = events
         self._future_by_call_id = {}
         self._tasks = set()
 
@@ -67,6 +70,7 @@
         message : object
             A message of `peridotcove.nodes.once_messages`.
         """
+        self._events.receive(peer, message)
         self.perform(self.delivery.receive(peer, message))
 
     def tick(self):
@@ -83,9 +87,11 @@
         """
         for action in actions:
             if isinstance(action, Outgoing):
+                self._events.send(action.peer, action.message)
                 with contextlib.suppress(LinkDown):
                     self._network.send(action.peer, action.message)
             elif isinstance(action, Start):
+                self._events.start(action.call)
                 task = asyncio.create_task(self._start(action.call))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
