--- /dev/null
+++ b/peridotcove/bench/capacity_configuration.py
@@ -0,0 +1,205 @@
+"""Slopes of what the configuration costs a node: holding it, and each change."""
+
+import functools
+import random
+
+from peridotcove.bench import target
+from peridotcove.bench.samples import sample_configuration
+from peridotcove.bench.slopes import held_bytes, probe, time_us
+from peridotcove.clock import FakeClock
+from peridotcove.fleet import Fleet
+from peridotcove.fragments import compact, cut
+from peridotcove.nodes.messages import decode, encode
+from peridotcove.parts import Pointer, digest
+from peridotcove.revisions import Manifest, Revisions
+
+CUSTOMERS = (10, 100, 1_000, 11_000)
+ENGINES = (6, 60, 400, 1_600)
+FEW_CUSTOMERS = 10
+FEW_ENGINES = 6
+CHANGES = 4
+REGION = "region-0"
+WORDS_BY_KIND = {"customers": "customer-0", "engines": "engine-0"}
+
+
+def _publish(raw, revision, before=None):
+    """Return the manifest of a configuration and the content of its parts."""
+    data_by_name = {name: compact(part).encode() for name, part in cut(raw).items()}
+    pointers = {}
+    for name, data in data_by_name.items():
+        pointer = Pointer(revision, digest(data))
+        old = before.pointer_by_name.get(name) if before else None
+        same = old is not None and old.published == pointer.published
+        pointers[name] = old if same else pointer
+    return Manifest(revision, pointers), data_by_name
+
+
+class _Node:
+    """What one node holds of the configuration."""
+
+    def __init__(self, push_to=tuple):
+        self.revisions = Revisions(FakeClock(), random.Random(1), push_to)
+        self.fleet = Fleet(REGION)
+
+    def load(self, manifest, data_by_name):
+        outgoing = self.revisions.accept(manifest, data_by_name)
+        self.fleet.set_configuration(self.revisions.current())
+        return [item.message for item in outgoing]
+
+    def take(self, frame):
+        message, _ = decode(frame)
+        self.revisions.receive("reader", message)
+        self.fleet.set_configuration(self.revisions.current())
+
+
+@functools.lru_cache(maxsize=1)
+def _make_changes(customers, engines, kind):
+    """Return a first revision and the frames of the changes that follow."""
+    raw = sample_configuration(customers, engines)
+    reader = _Node(lambda: ("node-1",))
+    first = _publish(raw, 1)
+    reader.load(*first)
+    manifest = first[0]
+    frames = []
+    for revision in range(2, 2 + CHANGES * 3):
+        field = "weight"
+        raw[kind][WORDS_BY_KIND[kind]][field] = 1.0 + revision / 100
+        manifest, data_by_name = _publish(raw, revision, manifest)
+        frames += [encode(item, revision) for item in reader.load(manifest, data_by_name)]
+    return first, frames
+
+
+def _hold(customers, engines):
+    raw = sample_configuration(customers, engines)
+    manifest, data_by_name = _publish(raw, 1)
+
+    def load():
+        node = _Node()
+        node.load(manifest, dict(data_by_name))
+        return node
+
+    return held_bytes(load)
+
+
+def _time_change(customers, engines, kind):
+    first, frames = _make_changes(customers, engines, kind)
+    node = _Node()
+    node.load(*first)
+    return time_us(lambda number: node.take(frames[number]), CHANGES)
+
+
+@probe(
+    "configuration: memory, by customers",
+    "every node",
+    "bytes",
+    "customers",
+    CUSTOMERS,
+    target.CUSTOMERS,
+)
+def hold_customers(size):
+    """Return the bytes that parts, objects and indexes of a revision take."""
+    return _hold(size, FEW_ENGINES)
+
+
+@probe(
+    "configuration: memory, by engines",
+    "every node",
+    "bytes",
+    "engines",
+    ENGINES,
+    target.ENGINES,
+)
+def hold_engines(size):
+    """Return the bytes that parts, objects and indexes of a revision take."""
+    return _hold(FEW_CUSTOMERS, size)
+
+
+@probe(
+    "a change of one customer: put in force",
+    "every node",
+    "us",
+    "customers",
+    CUSTOMERS,
+    target.CUSTOMERS,
+)
+def time_customer_change(size):
+    """Return the time in microseconds to take a change from the zone's reader."""
+    return _time_change(size, FEW_ENGINES, "customers")
+
+
+@probe(
+    "a change of one engine: put in force",
+    "every node",
+    "us",
+    "engines",
+    ENGINES,
+    target.ENGINES,
+)
+def time_engine_change(size):
+    """Return the time in microseconds to take a change from the zone's reader."""
+    return _time_change(FEW_CUSTOMERS, size, "engines")
+
+
+@probe(
+    "a change of one customer: frame",
+    "every node",
+    "bytes",
+    "customers",
+    CUSTOMERS,
+    target.CUSTOMERS,
+)
+def count_change_bytes(size):
+    """Return the bytes of the frame that carries a change."""
+    return len(_make_changes(size, FEW_ENGINES, "customers")[1][0])
+
+
+@probe(
+    "a change of one customer: read from the service",
+    "reader of the configuration",
+    "bytes",
+    "customers",
+    CUSTOMERS,
+    target.CUSTOMERS,
+)
+def count_read_bytes(size):
+    """Return the bytes of the manifest as JSON and of the part that changed."""
+    raw = sample_configuration(size, FEW_ENGINES)
+    manifest, data_by_name = _publish(raw, 1)
+    parts = {
+        name: {"revision": pointer.revision, "digest": pointer.published.hex()}
+        for name, pointer in manifest.pointer_by_name.items()
+    }
+    changed = next(
+        data
+        for name, data in data_by_name.items()
+        if name.startswith("customers") and b'"customer-0":' in data
+    )
+    return len(compact({"revision": 1, "parts": parts})) + len(changed)
+
+
+@probe(
+    "the first revision: put in force",
+    "every node at its start",
+    "us",
+    "customers",
+    CUSTOMERS,
+    target.CUSTOMERS,
+)
+def time_first(size):
+    """Return the time in microseconds to take a whole configuration."""
+    published = _publish(sample_configuration(size, target.ENGINES), 1)
+    return time_us(lambda _: _Node().load(*published), 1)
+
+
+@probe(
+    "the first revision: bytes",
+    "every node at its start",
+    "bytes",
+    "customers",
+    CUSTOMERS,
+    target.CUSTOMERS,
+)
+def count_first_bytes(size):
+    """Return the bytes of all parts."""
+    _, data_by_name = _publish(sample_configuration(size, target.ENGINES), 1)
+    return sum(len(data) for data in data_by_name.values())
--- /dev/null
+++ b/peridotcove/bench/capacity_requests.py
@@ -0,0 +1,334 @@
+"""Slopes of what requests cost a node: messages, leases, cache index, limits, tickets."""
+
+import collections
+import copy
+import functools
+import random
+
+from peridotcove.bench import target
+from peridotcove.bench.samples import sample_configuration
+from peridotcove.bench.slopes import held_bytes, probe, time_us
+from peridotcove.cache_index import CacheIndex
+from peridotcove.compact_table import SLOT_BYTES
+from peridotcove.clock import Clock, FakeClock
+from peridotcove.configuration import parse_configuration
+from peridotcove.dispatch import Dispatcher
+from peridotcove.limits import EntryLimits, HomeLimits
+from peridotcove.models import Customer, LeaseRequest
+from peridotcove.nodes.messages import AskLease, decode, encode
+from peridotcove.ownership import Shard
+from peridotcove.prefixes import select_depths
+from peridotcove.tickets import Tickets
+from peridotcove.timeline import DEFAULT_CAPACITY, Timeline
+
+KEY_BITS = 64
+CHAT_BLOCKS = 48
+SHARD = "region-0/model-0/0"
+LEASES_AN_ENGINE = 15
+SECRET = b"a secret of the bench"
+CALL_DIGEST = b"\x00" * 16
+CALLS = 2_000
+CHATS = (1_000, 10_000, 100_000, 1_000_000)
+CUSTOMERS = (10, 100, 1_000, 11_000)
+
+
+def make_prefixes(rng, blocks):
+    """Return random prefix hashes as they travel for a chat of some blocks.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the hashes.
+    blocks : int
+        Whole blocks of the chat.
+    """
+    return tuple(rng.getrandbits(KEY_BITS) for _ in select_depths(blocks))
+
+
+def make_ask(rng, blocks):
+    """Return a request for a lease, as it travels.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of ids and hashes.
+    blocks : int
+        Whole blocks of the chat.
+    """
+    values = {
+        "request_id": rng.randbytes(8),
+        "shard": SHARD,
+        "customer": "customer-1",
+        "model": "model-0",
+        "prefixes": list(make_prefixes(rng, blocks)),
+        "hint": "engine-1",
+        "zone": "zone-1",
+        "deadline_ms": 10_000,
+        "priority": 1,
+        "blocks": blocks,
+        "chat": rng.getrandbits(KEY_BITS),
+    }
+    known = AskLease.__attrs_attrs__
+    return AskLease(**{spec.name: values[spec.name] for spec in known})
+
+
+@probe(
+    "ask for a lease: frame", "entry and owner", "bytes", "blocks", (4, 16, 48, 96), 48
+)
+def count_ask_bytes(size):
+    """Return the bytes of the frame that asks for a lease."""
+    return len(encode(make_ask(random.Random(1), size), 1))
+
+
+@probe(
+    "ask for a lease: encode and decode",
+    "entry and owner",
+    "us",
+    "blocks",
+    (4, 16, 48, 96),
+    48,
+)
+def time_ask_codec(size):
+    """Return the time in microseconds to encode and decode one."""
+    ask = make_ask(random.Random(1), size)
+    return time_us(lambda _: decode(encode(ask, 1)), CALLS)
+
+
+def _make_dispatcher(engines, clock):
+    raw = sample_configuration(10, engines, zones=1, models=1)
+    configuration = parse_configuration(raw)
+    names = tuple(sorted(configuration.engine_by_name))
+    shard = Shard("region-0/model-0/0", "model-0", "region-0", names)
+    return Dispatcher(shard, configuration, clock)
+
+
+def _make_request(rng, number):
+    return LeaseRequest(
+        number.to_bytes(8, "big"),
+        "node-1",
+        f"customer-{number % 10}",
+        "model-0",
+        make_prefixes(rng, CHAT_BLOCKS),
+    )
+
+
+@probe(
+    "lease: ask, grant and release",
+    "owner",
+    "us",
+    "engines of a shard",
+    (6, 9, 12, 27, 64, 267),
+    target.ENGINES_A_SHARD,
+)
+def time_lease(size):
+    """Return the time in microseconds, with 15 requests on each engine."""
+    rng = random.Random(1)
+    dispatcher = _make_dispatcher(size, Clock())
+    busy = size * LEASES_AN_ENGINE
+    requests = [_make_request(rng, number) for number in range(busy + 3 * CALLS)]
+    held = collections.deque()
+
+    def turn(number):
+        for grant in dispatcher.ask(requests[number]):
+            held.append(grant.request_id)
+        if len(held) > busy:
+            dispatcher.release(held.popleft(), "done", CHAT_BLOCKS // 2)
+
+    for number in range(busy):
+        turn(number)
+    return time_us(lambda number: turn(busy + number), CALLS)
+
+
+@probe(
+    "leases in progress: memory",
+    "owner",
+    "bytes",
+    "leases",
+    (100, 400, 1_600),
+    target.ENGINES_A_SHARD * LEASES_AN_ENGINE,
+)
+def hold_leases(size):
+    """Return the bytes held for leases, without the cache index."""
+    engines = -(-size // LEASES_AN_ENGINE)
+    dispatcher = _make_dispatcher(engines, FakeClock())
+    names = dispatcher.shard.engines
+    leases = [
+        (number.to_bytes(8, "big"), names[number % engines], f"customer-{number % 10}")
+        for number in range(size)
+    ]
+    return held_bytes(lambda: dispatcher.hold("node-1", leases))
+
+
+@functools.lru_cache(maxsize=len(CHATS))
+def _fill_index(size, cache_tokens=1 << 30):
+    rng = random.Random(1)
+    index = CacheIndex(256)
+    raw = sample_configuration(0, target.ENGINES_A_SHARD, zones=1, models=1)
+    for engine in raw["engines"].values():
+        engine["cache_tokens"] = cache_tokens
+    engines = list(parse_configuration(raw).engine_by_name.values())
+    index.set_engines(engines)
+    for number in range(size):
+        lookup = index.look(make_prefixes(rng, CHAT_BLOCKS), CHAT_BLOCKS)
+        index.record(lookup, engines[number % len(engines)].name, number)
+    return index
+
+
+@probe(
+    "cache index: memory", "owner", "bytes", "chats", CHATS, target.CHATS_A_SHARD
+)
+def hold_index(size):
+    """Return the bytes allotted for a shard after that many chats, by its slots."""
+    return _fill_index(size).slots * SLOT_BYTES
+
+
+@probe(
+    "cache index: memory, engines with the default cache",
+    "owner",
+    "bytes",
+    "chats",
+    CHATS[:3],
+    target.CHATS_A_SHARD,
+)
+def hold_small_index(size):
+    """Return the bytes allotted when the caches hold fewer chats, by the slots."""
+    return _fill_index(size, 1_000_000).slots * SLOT_BYTES
+
+
+@probe(
+    "cache index: look and record", "owner", "us", "chats", CHATS, target.CHATS_A_SHARD
+)
+def time_index(size):
+    """Return the time in microseconds of one chat's turn."""
+    rng = random.Random(2)
+    index = copy.deepcopy(_fill_index(size))
+    chats = [make_prefixes(rng, CHAT_BLOCKS) for _ in range(3 * CALLS)]
+
+    def turn(number):
+        lookup = index.look(chats[number], CHAT_BLOCKS)
+        index.record(lookup, "engine-1", size + number)
+
+    return time_us(turn, CALLS)
+
+
+@probe(
+    "limits at the entry: memory",
+    "entry",
+    "bytes",
+    "customers of the last 10 s",
+    CUSTOMERS,
+    52,
+)
+def hold_entry_limits(size):
+    """Return the bytes of the buckets of customers that called of late."""
+    customers = [Customer(f"customer-{number}") for number in range(size)]
+
+    def fill():
+        limits = EntryLimits(FakeClock())
+        for customer in customers:
+            limits.admit(customer)
+        return limits
+
+    return held_bytes(fill)
+
+
+@probe("limits at the entry: admit", "entry", "us", "customers", CUSTOMERS, 52)
+def time_admit(size):
+    """Return the time in microseconds to admit one request."""
+    customers = [Customer(f"c-{n}", requests_per_second=1e6) for n in range(size)]
+    limits = EntryLimits(Clock())
+    return time_us(lambda number: limits.admit(customers[number % size]), CALLS)
+
+
+@probe(
+    "limits at the home: memory",
+    "home of customers",
+    "bytes",
+    "customers with 5 entries each",
+    CUSTOMERS,
+    target.CUSTOMERS // target.NODES_A_REGION,
+)
+def hold_home_limits(size):
+    """Return the bytes of the demand that entries reported."""
+    customers = [Customer(f"customer-{number}") for number in range(size)]
+
+    def fill():
+        limits = HomeLimits(FakeClock())
+        for customer in customers:
+            for entry in range(5):
+                limits.receive(f"node-{entry}", customer, 3)
+        return limits
+
+    return held_bytes(fill)
+
+
+@probe(
+    "limits at the home: a report",
+    "home of customers",
+    "us",
+    "entries of a customer",
+    (3, 9, 27, 55),
+    target.NODES_A_REGION,
+)
+def time_report(size):
+    """Return the time in microseconds of one report of a customer over its rate."""
+    limits = HomeLimits(FakeClock())
+    customer = Customer("customer-1", requests_per_second=1.0)
+
+    def receive(number):
+        limits.receive(f"node-{number % size}", customer, 3)
+
+    return time_us(receive, CALLS)
+
+
+def _use_tickets(size):
+    tickets = Tickets("node-1", 1, SECRET, FakeClock(), b"salt")
+    for _ in range(size):
+        tickets.begin(tickets.mint("customer-1"), "customer-1", CALL_DIGEST)
+    return tickets
+
+
+@probe("tickets: memory", "minter", "bytes", "tickets used", CUSTOMERS, 3_600)
+def hold_tickets(size):
+    """Return the bytes of used tickets."""
+    return held_bytes(lambda: _use_tickets(size))
+
+
+@probe("tickets: mint and begin", "minter", "us", "tickets used", CUSTOMERS, 3_600)
+def time_ticket(size):
+    """Return the time in microseconds of one ticket."""
+    tickets = _use_tickets(size)
+
+    def turn(_):
+        text = tickets.mint("customer-1")
+        tickets.begin(text, "customer-1", CALL_DIGEST)
+
+    return time_us(turn, CALLS)
+
+
+EVENTS = (100, 1_000, 10_000, 100_000)
+
+
+def _fill_ring(size):
+    ring = Timeline(FakeClock(), "node-1", size)
+    for number in range(size):
+        request_id = number.to_bytes(8, "big")
+        ring.record("lease-asked", request_id=request_id, peer="node-2")
+    return ring
+
+
+@probe("time line: memory", "every node", "bytes", "events", EVENTS, DEFAULT_CAPACITY)
+def hold_ring(size):
+    """Return the bytes of the ring."""
+    return held_bytes(lambda: _fill_ring(size))
+
+
+@probe("time line: record", "every node", "us", "events", EVENTS, DEFAULT_CAPACITY)
+def time_record(size):
+    """Return the time in microseconds to record an event."""
+    ring = _fill_ring(size)
+    request_id = b"\x01" * 8
+    return time_us(
+        lambda _: ring.record("first-byte", request_id=request_id, peer="engine-1"),
+        CALLS,
+    )
