--- /dev/null
+++ b/peridotcove/bench/capacity.py
@@ -0,0 +1,99 @@
+"""Measures what a node's roles cost: ``peridotcove bench capacity``."""
+
+import json
+import resource
+
+from attrs import asdict
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from peridotcove.bench import (
+    capacity_configuration,
+    capacity_fleet,
+    capacity_links,
+    capacity_requests,
+)
+from peridotcove.bench.slopes import probes, run_probe
+
+GROUPS = {
+    "requests": capacity_requests,
+    "configuration": capacity_configuration,
+    "links": capacity_links,
+    "fleet": capacity_fleet,
+}
+BYTES_A_KILOBYTE = 1024
+
+
+def choose_probes(groups):
+    """Return the probes of groups, in the order in which they were registered.
+
+    Parameters
+    ----------
+    groups : collection of str
+        Names of `GROUPS`.
+    """
+    modules = {GROUPS[name].__name__ for name in groups}
+    known = probes.by_name.values()
+    return [item for item in known if item.measure.__module__ in modules]
+
+
+class BenchCapacityCommand(Command):
+    """``peridotcove bench capacity``."""
+
+    name = "bench capacity"
+    description = "Measure the slopes that the capacity page is worked out from."
+    options = [
+        option("json", None, "Print JSON.", flag=True),
+        option("only", None, "Groups, separated by commas.", flag=False),
+        option("largest", None, "Leave out sizes above it.", flag=False),
+        option("no-scenes", None, "Leave out the scenes of 330 nodes.", flag=True),
+    ]
+    help = (
+        "Groups: requests, configuration, links, fleet (with the scenes). Exit codes: "
+        "0 measured, 2 wrong usage."
+    )
+
+    def handle(self):
+        """Measure and print."""
+        groups = (self.option("only") or ",".join(GROUPS)).split(",")
+        unknown = [name for name in groups if name not in GROUPS]
+        if unknown:
+            self.line_error(
+                f"no group {', '.join(unknown)}; known: {', '.join(GROUPS)}"
+            )
+            return 2
+        largest = self.option("largest")
+        largest = None if largest is None else int(largest)
+        base_bytes = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        slopes = []
+        for item in choose_probes(groups):
+            slopes.append(run_probe(item, largest))
+            self._print_slope(slopes[-1])
+        scenes = []
+        if "fleet" in groups and not self.option("no-scenes"):
+            for name, spent, found in capacity_fleet.run_scenes():
+                scenes.append({"scene": name, **asdict(spent), **found})
+                self._print_scene(scenes[-1])
+        if self.option("json"):
+            shown = {
+                "resident_bytes_at_start": base_bytes * BYTES_A_KILOBYTE,
+                "slopes": [asdict(slope) for slope in slopes],
+                "scenes": scenes,
+            }
+            self.line(json.dumps(shown, indent=1))
+        return 0
+
+    def _print_slope(self, slope):
+        if self.option("json"):
+            return
+        points = "  ".join(f"{size}: {value:g}" for size, value in slope.points)
+        self.line(f"{slope.name} [{slope.unit} by {slope.by}]")
+        self.line(f"    {points}")
+        self.line(
+            f"    {slope.slope:g} each, base {slope.base:g}; "
+            f"at {slope.target}: {slope.at_target:g}"
+        )
+
+    def _print_scene(self, scene):
+        if not self.option("json"):
+            self.line(", ".join(f"{name}: {value}" for name, value in scene.items()))
--- a/peridotcove/bench/capacity_configuration.py
+++ b/peridotcove/bench/capacity_configuration.py
@@ -65,7 +65,9 @@
         field = "weight"
         raw[kind][WORDS_BY_KIND[kind]][field] = 1.0 + revision / 100
         manifest, data_by_name = _publish(raw, revision, manifest)
-        frames += [encode(item, revision) for item in reader.load(manifest, data_by_name)]
+        frames += [
+            encode(item, revision) for item in reader.load(manifest, data_by_name)
+        ]
     return first, frames
 
 
--- a/peridotcove/bench/capacity_requests.py
+++ b/peridotcove/bench/capacity_requests.py
@@ -1,4 +1,4 @@
-"""Slopes of what requests cost a node: messages, leases, cache index, limits, tickets."""
+"""Slopes of what requests cost a node: leases, cache index, limits and tickets."""
 
 import collections
 import copy
@@ -9,8 +9,8 @@
 from peridotcove.bench.samples import sample_configuration
 from peridotcove.bench.slopes import held_bytes, probe, time_us
 from peridotcove.cache_index import CacheIndex
-from peridotcove.compact_table import SLOT_BYTES
 from peridotcove.clock import Clock, FakeClock
+from peridotcove.compact_table import SLOT_BYTES
 from peridotcove.configuration import parse_configuration
 from peridotcove.dispatch import Dispatcher
 from peridotcove.limits import EntryLimits, HomeLimits
@@ -174,9 +174,7 @@
     return index
 
 
-@probe(
-    "cache index: memory", "owner", "bytes", "chats", CHATS, target.CHATS_A_SHARD
-)
+@probe("cache index: memory", "owner", "bytes", "chats", CHATS, target.CHATS_A_SHARD)
 def hold_index(size):
     """Return the bytes allotted for a shard after that many chats, by its slots."""
     return _fill_index(size).slots * SLOT_BYTES
