--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -2,6 +2,9 @@
 
 Tests named in ``KNOWN-RED.txt`` (lines that begin with ``test:``) run too; their
 failure is printed and does not fail the run, their success does.
+
+The environment variable ``EXAMPLES`` sets the number of generated cases of a property,
+``SEED`` the seed of a longer run; without a seed every run generates the same cases.
 """
 
 import os
@@ -9,14 +12,15 @@
 import sys
 import unittest
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, core, settings
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 CI_EXAMPLES = 50
+SEED = os.environ.get("SEED")
 
 settings.register_profile(
     "ci",
-    derandomize=True,
+    derandomize=SEED is None,
     database=None,
     deadline=None,
     max_examples=int(os.environ.get("EXAMPLES", CI_EXAMPLES)),
@@ -42,6 +46,8 @@
         Dotted names of tests; all tests when empty.
     """
     settings.load_profile("ci")
+    if SEED is not None:
+        core.global_force_seed = int(SEED)
     loader = unittest.defaultTestLoader
     if names:
         suite = loader.loadTestsFromNames(names)
