Measure what each role costs at several sizes

Cause: the capacity page has to be worked out from measured slopes. Conclusion: figures of the page follow from a run of the command.

--- a/peridotcove/bench/capacity_links.py
+++ b/peridotcove/bench/capacity_links.py
@@ -5,7 +5,7 @@
 import time
 
 from peridotcove.bench import target
-from peridotcove.bench.capacity_requests import CHAT_BLOCKS, SHARD, make_ask
+from peridotcove.bench.capacity_requests import CHAT_BLOCKS, make_ask
 from peridotcove.bench.slopes import US_PER_S, probe
 from peridotcove.clock import Clock
 from peridotcove.models import Instance
@@ -31,7 +31,7 @@
     second.on_message = lambda *_: arrived.set()
     port = await second.listen(HOST, 0)
     first.set_peers([Instance("second", "node", HOST, port, "zone")])
-    message = ReleaseLease(b"\x01" * LEASE_BYTES, "s" * size, "done")
+    message = ReleaseLease(b"\x01" * LEASE_BYTES, "s" * size)
     started = 0
     for number in range(FRAMES + 1):
         arrived.clear()
@@ -72,7 +72,7 @@
     messages = (
         make_ask(random.Random(1), CHAT_BLOCKS),
         GiveLease(request_id, "engine-1234", CHAT_BLOCKS),
-        ReleaseLease(request_id, SHARD, "done", CHAT_BLOCKS),
+        ReleaseLease(request_id, "done", CHAT_BLOCKS),
     )
     return size * sum(count_wire_bytes(len(encode(one, 1))) for one in messages)
 
--- a/peridotcove/bench/capacity_requests.py
+++ b/peridotcove/bench/capacity_requests.py
@@ -15,7 +15,7 @@
 from peridotcove.dispatch import Dispatcher
 from peridotcove.limits import EntryLimits, HomeLimits
 from peridotcove.models import Customer, LeaseRequest
-from peridotcove.nodes.messages import AskLease, decode, encode
+from peridotcove.nodes.messages import AskLease, decode, encode, pack
 from peridotcove.ownership import Shard
 from peridotcove.prefixes import select_depths
 from peridotcove.tickets import Tickets
@@ -55,21 +55,17 @@
     blocks : int
         Whole blocks of the chat.
     """
-    values = {
-        "request_id": rng.randbytes(8),
-        "shard": SHARD,
-        "customer": "customer-1",
-        "model": "model-0",
-        "prefixes": list(make_prefixes(rng, blocks)),
-        "hint": "engine-1",
-        "zone": "zone-1",
-        "deadline_ms": 10_000,
-        "priority": 1,
-        "blocks": blocks,
-        "chat": rng.getrandbits(KEY_BITS),
-    }
-    known = AskLease.__attrs_attrs__
-    return AskLease(**{spec.name: values[spec.name] for spec in known})
+    return AskLease(
+        request_id=rng.randbytes(8),
+        shard=SHARD,
+        customer="customer-1234",
+        model="",
+        prefixes=pack(make_prefixes(rng, blocks)),
+        blocks=blocks,
+        hint="engine-1234",
+        deadline_ms=10_000,
+        chat_key=rng.getrandbits(KEY_BITS),
+    )
 
 
 @probe(
--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -16,6 +16,7 @@
 EXIT_USAGE = 2
 
 COMMANDS = {
+    "bench capacity": "peridotcove.bench.capacity:BenchCapacityCommand",
     "bench operators": "peridotcove.bench.operators:BenchOperatorsCommand",
     "check": "peridotcove.operators.commands:CheckCommand",
     "timeline": "peridotcove.operators.commands:TimelineCommand",
