Ask engines for their own view of their load

Cause: reports of load were understood by the owner's decisions and read by nobody. Change: an owner asks its engines each 8 s, and each second those that show work which it did not grant or while it is fresh; after a pause an entry tells its leases again.

--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -115,6 +115,23 @@
         """Return the requests in progress by engine."""
         return {name: load.total for name, load in self._loads.by_engine.items()}
 
+    def engines(self):
+        """Return the engines of the shard, as configured."""
+        engine_by_name = self._configuration.engine_by_name
+        names = self.shard.engines
+        return [engine_by_name[name] for name in names if name in engine_by_name]
+
+    def foreign(self, engine):
+        """Return the load on an engine that its own report shows beyond the leases.
+
+        Parameters
+        ----------
+        engine : str
+            Name of the engine.
+        """
+        load = self._loads.by_engine.get(engine)
+        return load.foreign if load is not None else 0
+
     def ask(self, request):
         """Ask for a lease.
 
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -213,6 +213,18 @@
         ]
         self._tell(dispatcher.set_engines(engines))
 
+    def report(self, dispatcher, report):
+        """Take an engine's report of its load.
+
+        Parameters
+        ----------
+        dispatcher : Dispatcher
+            Decisions for the engine's shard.
+        report : LoadReport
+            The report.
+        """
+        self._tell(dispatcher.report(report))
+
     def drop_entry(self, entry):
         """Free what a dead entry node held.
 
--- a/peridotcove/loads.py
+++ b/peridotcove/loads.py
@@ -91,6 +91,11 @@
         self._set_foreign(max(0, seen - self._most_leases(report.at_ms)))
         self._foreign_until_ms = wall_ms + REPORT_LIFE_MS
 
+    @property
+    def foreign(self):
+        """Requests beyond the leases that the last report showed."""
+        return self._foreign
+
     def _set_foreign(self, foreign):
         self.total += foreign - self._foreign
         self._foreign = foreign
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -14,6 +14,7 @@
 from peridotcove.endpoints.engines import EngineClient
 from peridotcove.endpoints.orders import OrderClient
 from peridotcove.endpoints.services import ServiceClient
+from peridotcove.engine_reports import EngineReports
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet import Fleet
 from peridotcove.keys import LINKS, TICKETS, derive_key
@@ -102,15 +103,17 @@
         settings = self.settings
         identity = Identity(self.name, settings.zone, self.incarnation)
         secret = derive_key(settings.secret.read("secret"), LINKS)
-        count = self.metrics.control_bytes
         self.links = Links(
             identity,
             secret,
             self.clock,
-            traffic=lambda way, kind, size: count.labels(way, kind).inc(size),
+            traffic=self._count_bytes,
         )
         self.links.on_message = self._receive
 
+    def _count_bytes(self, way, kind, size):
+        self.metrics.control_bytes.labels(way, kind).inc(size)
+
     def _wire_control(self):
         settings = self.settings
         host, port = settings.nodes.host, settings.nodes.port
@@ -163,6 +166,9 @@
         settings = self.settings
         self.endpoint_client = EndpointClient(self.clock)
         self.service_client = ServiceClient()
+        self.engine_reports = EngineReports(
+            self.clock, self.service_client, self.lease_server, self._count_bytes
+        )
         engines = EngineClient(self.endpoint_client, settings.limits)
         self.router = Router(
             self.name,
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -64,6 +64,7 @@
         _every(CONTROL_MS, lambda: tick_control(node)),
         _tick_leases(node.lease_server),
         _report_usage(node),
+        _ask_engines(node.engine_reports),
         _every(ANNOUNCE_MS, node.lease_client.announce),
         watch_configuration(
             node.platform, reader, lambda item: _send_and_follow(node, item)
@@ -91,6 +92,13 @@
             node.usage.tick(urgent_only=True)
 
 
+async def _ask_engines(reports):
+    while True:
+        asked = [reports.ask(*pair) for pair in reports.due()]
+        await asyncio.gather(*asked, return_exceptions=True)
+        await asyncio.sleep(CONTROL_MS / 1000)
+
+
 async def _tick_leases(server):
     while True:
         server.tick()
@@ -134,6 +142,7 @@
             node.timeline.record("peer-down", peer=event.node)
         elif isinstance(event, Woke):
             node.timeline.record("node-paused", detail=f"{event.paused_ms} ms")
+            node.lease_client.announce()
             log.warning("the process was paused for %d ms", event.paused_ms)
         elif isinstance(event, NodeJoined):
             node.timeline.record("peer-up", peer=event.node)
