Say not run for a call with a ticket only where its process said so

Cause: an entry refused a resend for the customer's rate with the verdict not run, though the first send had run; a caller that believes it books twice. Ruled out: endpoints (no failed call) and moves between nodes (no lost answer). Change: a call with a ticket does not count against the rate again, and any refusal that does not come from the ticket's own process has the verdict may have run. The new test fails on the code before (429 and 404 with not-run). Conclusion: the verdict of a ticket has one source.

--- a/peridotcove/callers/answers.py
+++ b/peridotcove/callers/answers.py
@@ -3,6 +3,7 @@
 import json
 import math
 
+from peridotcove.exceptions import TicketRefused
 from peridotcove.verdict import Verdict
 
 VERDICT = "Peridotcove-Verdict"
@@ -58,9 +59,8 @@
     handler.set_header("Content-Type", "application/json")
     handler.set_header(REQUEST_ID, request_id)
     handler.set_header(VERDICT, error.verdict.value)
-    ticket = getattr(error, "ticket", "")
-    if ticket:
-        handler.set_header(TICKET, ticket)
+    if isinstance(error, TicketRefused) and error.ticket:
+        handler.set_header(TICKET, error.ticket)
     wait_ms = error.retry_after_ms
     if wait_ms is None and error.verdict is Verdict.NOT_RUN and error.status >= 500:
         wait_ms = 1000
--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -15,7 +15,12 @@
 )
 from peridotcove.callers.chats import find_customer, read_chat
 from peridotcove.callers.sink import Sink
-from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
+from peridotcove.exceptions import (
+    EndpointFailed,
+    RequestError,
+    RequestRefused,
+    TicketRefused,
+)
 from peridotcove.logs import get_logger
 from peridotcove.verdict import Verdict
 
@@ -62,8 +67,11 @@
         Parameters
         ----------
         error : RequestError
-            The error and its verdict.
+            The error and its verdict. Where the caller sent a ticket, an earlier send
+            may have run, and only the ticket's own process can say that none did.
         """
+        if TICKET in self.request.headers and not isinstance(error, TicketRefused):
+            error.verdict = Verdict.MAY_HAVE_RUN
         if self._may_have_run_before(error):
             error.verdict = Verdict.MAY_HAVE_RUN
         self.desk.count(self._span, error.code, error.verdict)
--- a/peridotcove/calls.py
+++ b/peridotcove/calls.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from peridotcove.endpoints.services import Call
-from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
+from peridotcove.exceptions import RequestError, RequestRefused, TicketRefused
 from peridotcove.models import Status
 from peridotcove.retries import RetryBudget, backoff, may_repeat
 from peridotcove.ticketed_calls import TicketedCall
@@ -126,7 +126,9 @@
             If there is no answer, with the verdict.
         """
         service = self._find(name)
-        self._entry_limits.admit(customer)
+        ticket = request.headers.get(TICKET, "")
+        if not ticket:
+            self._entry_limits.admit(customer)
         path = path or "/"
         target = f"{path}?{request.query}" if request.query else path
         headers = _keep(request.headers.get_all(), KEPT_FROM_ENDPOINT)
@@ -135,7 +137,6 @@
             call = Call(request.method, target, headers, request.body)
             answer = await self._send_somewhere(service, call, True)
         else:
-            ticket = request.headers.get(TICKET, "")
             answer = await self._run_once(
                 TicketedCall(
                     ticket,
@@ -179,11 +180,10 @@
         if not reply.code:
             return reply.answer
         text = SENTENCES.get(reply.code, "the call was not answered")
-        error = EndpointFailed(
-            reply.code, text, reply.answer.verdict, reply.answer.status
+        answer = reply.answer
+        raise TicketRefused(
+            reply.code, text, answer.status, answer.verdict, reply.ticket
         )
-        error.ticket = reply.ticket
-        raise error
 
     async def _send_somewhere(self, service, call, repeatable):
         self._budget.share = self._fleet.configuration.bounds.retry_share
--- a/peridotcove/exceptions.py
+++ b/peridotcove/exceptions.py
@@ -105,3 +105,23 @@
 
     def __init__(self, code, message, verdict, status=502):
         super().__init__(code, message, status, verdict)
+
+
+class TicketRefused(RequestError):
+    """The process that decides about a ticket did not run the request, or can't tell.
+
+    Parameters
+    ----------
+    code, message : str
+        As of `RequestError`.
+    status : int
+        HTTP status towards the caller.
+    verdict : Verdict
+        Whether the request may have run.
+    ticket : str
+        Ticket for another try, or empty.
+    """
+
+    def __init__(self, code, message, status, verdict, ticket=""):
+        super().__init__(code, message, status, verdict)
+        self.ticket = ticket
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -259,3 +259,30 @@
         orders = lambda: [engine.orders for engine in self.engines]
         await self.wait_for(lambda: all(o.model == "other" for o in orders()))
         self.assertEqual([item.fence for item in orders()], [2, 2])
+
+    async def test_refusal_on_the_way_to_the_ticket_proves_nothing(self):
+        url = f"http://{HOST}:{self.ports['n1'][0]}{PATH}"
+        keyed = {"Authorization": f"Bearer {KEY}"}
+        node = self.node_by_name["n1"]
+        first = await self.http.fetch(
+            url, method="POST", body=b"{}", headers=keyed, raise_error=False
+        )
+        self.assertEqual((first.code, first.headers[VERDICT]), (428, "not-run"))
+        ticket = {TICKET: first.headers[TICKET]}
+        cases = {
+            "unknown service": (url.replace("stock", "no"), keyed | ticket),
+            "unknown customer": (url, ticket),
+        }
+        for name, (place, headers) in cases.items():
+            with self.subTest(refused=name):
+                answer = await self.http.fetch(
+                    place, method="POST", body=b"{}", headers=headers, raise_error=False
+                )
+                self.assertGreaterEqual(answer.code, 400)
+                self.assertEqual(answer.headers[VERDICT], "may-have-run")
+        bucket = node.entry_limits.bucket_by_customer["bakery"]
+        bucket.tokens, bucket.share, bucket.share_until_ms = 0, 0.001, 1 << 60
+        answer = await self.http.fetch(
+            url, method="POST", body=b"{}", headers=keyed | ticket, raise_error=False
+        )
+        self.assertEqual((answer.code, answer.headers[VERDICT]), (200, "ran"))
