--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -14,9 +14,12 @@
 from peridotcove.endpoints.engines import EngineClient
 from peridotcove.endpoints.orders import OrderClient
 from peridotcove.endpoints.services import ServiceClient
+from peridotcove.engine_reports import EngineReports
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet import Fleet
-from peridotcove.leases import LeaseClient, LeaseServer
+from peridotcove.keys import LINKS, TICKETS, derive_key
+from peridotcove.lease_client import LeaseClient
+from peridotcove.lease_server import LeaseServer
 from peridotcove.leaving_news import LeavingNews
 from peridotcove.limits import EntryLimits, HomeLimits
 from peridotcove.logs import get_logger
@@ -43,6 +46,7 @@
     TicketsTaken,
 )
 from peridotcove.once import Once
+from peridotcove.once_events import OnceEvents
 from peridotcove.operators.desk import OperatorDesk
 from peridotcove.operators.server import make_server as make_operator_server
 from peridotcove.orders import OrderIssuer
@@ -98,16 +102,18 @@
     def _wire_links(self):
         settings = self.settings
         identity = Identity(self.name, settings.zone, self.incarnation)
-        secret = settings.secret.read("secret")
-        count = self.metrics.control_bytes
+        secret = derive_key(settings.secret.read("secret"), LINKS)
         self.links = Links(
             identity,
             secret,
             self.clock,
-            traffic=lambda way, kind, size: count.labels(way, kind).inc(size),
+            traffic=self._count_bytes,
         )
         self.links.on_message = self._receive
 
+    def _count_bytes(self, way, kind, size):
+        self.metrics.control_bytes.labels(way, kind).inc(size)
+
     def _wire_control(self):
         settings = self.settings
         host, port = settings.nodes.host, settings.nodes.port
@@ -119,7 +125,7 @@
 
     def _wire_leases(self):
         fleet, links, clock = self.fleet, self.links, self.clock
-        self.lease_server = LeaseServer(self.name, fleet, links, clock)
+        self.lease_server = LeaseServer(self.name, fleet, links, clock, self.timeline)
         self.lease_client = LeaseClient(
             self.name, fleet, links, self.lease_server, clock
         )
@@ -139,10 +145,11 @@
         }
 
     def _wire_tickets(self):
-        secret = self.settings.secret.read("secret")
+        secret = derive_key(self.settings.secret.read("secret"), TICKETS)
         self.tickets = Tickets(self.name, self.incarnation, secret, self.clock)
         self.delivery = Delivery(self.tickets, self.clock)
-        self.once = Once(self.delivery, self.links, self._run_ticketed)
+        events = OnceEvents(self.timeline)
+        self.once = Once(self.delivery, self.links, self._run_ticketed, events)
         for kind in ONCE_MESSAGES:
             self._receiver_by_type[kind] = self.once.receive
         for kind in (AskLeaving, EndpointsLeaving):
@@ -159,6 +166,9 @@
         settings = self.settings
         self.endpoint_client = EndpointClient(self.clock)
         self.service_client = ServiceClient()
+        self.engine_reports = EngineReports(
+            self.clock, self.service_client, self.lease_server, self._count_bytes
+        )
         engines = EngineClient(self.endpoint_client, settings.limits)
         self.router = Router(
             self.name,
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -7,9 +7,9 @@
 from peridotcove.callers.server import listen
 from peridotcove.clock import Clock
 from peridotcove.drain import Stage
-from peridotcove.limits import REPORT_MS
+from peridotcove.limits import REPORT_MS, URGENT_MS
 from peridotcove.logs import get_logger, start_logs
-from peridotcove.membership_events import LinkSilent, NodeJoined, NodeLost
+from peridotcove.membership_events import LinkSilent, NodeJoined, NodeLost, Woke
 from peridotcove.node import Node
 from peridotcove.platform.watch import watch_configuration, watch_instances
 
@@ -63,7 +63,8 @@
     jobs = [
         _every(CONTROL_MS, lambda: tick_control(node)),
         _tick_leases(node.lease_server),
-        _every(REPORT_MS, node.usage.tick),
+        _report_usage(node),
+        _ask_engines(node.engine_reports),
         _every(ANNOUNCE_MS, node.lease_client.announce),
         watch_configuration(
             node.platform, reader, lambda item: _send_and_follow(node, item)
@@ -79,6 +80,25 @@
     node.follow_configuration()
 
 
+async def _report_usage(node):
+    elapsed_ms = 0
+    while True:
+        await asyncio.sleep(URGENT_MS / 1000)
+        elapsed_ms += URGENT_MS
+        if elapsed_ms >= REPORT_MS:
+            node.usage.tick()
+            elapsed_ms = 0
+        elif node.entry_limits.urgent:
+            node.usage.tick(urgent_only=True)
+
+
+async def _ask_engines(reports):
+    while True:
+        asked = [reports.ask(*pair) for pair in reports.due()]
+        await asyncio.gather(*asked, return_exceptions=True)
+        await asyncio.sleep(CONTROL_MS / 1000)
+
+
 async def _tick_leases(server):
     while True:
         server.tick()
@@ -120,6 +140,10 @@
         elif isinstance(event, NodeLost):
             node.lease_server.drop_entry(event.node)
             node.timeline.record("peer-down", peer=event.node)
+        elif isinstance(event, Woke):
+            node.timeline.record("node-paused", detail=f"{event.paused_ms} ms")
+            node.lease_client.announce()
+            log.warning("the process was paused for %d ms", event.paused_ms)
         elif isinstance(event, NodeJoined):
             node.timeline.record("peer-up", peer=event.node)
             node.send_all(node.delivery.greet(event.node))
