--- a/peridotcove/ledger.py
+++ b/peridotcove/ledger.py
@@ -224,13 +224,13 @@
         if entry is None or entry.outcome is not Outcome.RUNNING:
             return
         entry.outcome = OUTCOME_BY_VERDICT[answer.verdict]
-        if entry.outcome is Outcome.RAN and len(answer.body) <= MAX_ANSWER_BYTES:
+        if entry.outcome is Outcome.RAN and _size(answer) <= MAX_ANSWER_BYTES:
             self._keep_answer(sequence, entry, answer)
 
     def _keep_answer(self, sequence, entry, answer):
         entry.answer = answer
         self._answered[sequence] = self.clock.now() + KEEP_MS
-        self._answer_bytes += len(answer.body)
+        self._answer_bytes += _size(answer)
         while self._answer_bytes > MAX_ANSWERS_BYTES:
             self._drop_answer(next(iter(self._answered)))
 
@@ -238,7 +238,7 @@
         if self._answered.pop(sequence, None) is None:
             return
         entry = self.entry_by_sequence[sequence]
-        self._answer_bytes -= len(entry.answer.body)
+        self._answer_bytes -= _size(entry.answer)
         entry.answer = None
 
     def expire(self):
@@ -289,6 +289,11 @@
                 self._keep_answer(sequence, entry, kept)
 
 
+def _size(answer):
+    headers = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + headers
+
+
 def _dump_entry(sequence, entry):
     outcome = entry.outcome
     if outcome is Outcome.RUNNING:
