--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -72,16 +72,9 @@
         """
         if TICKET in self.request.headers and not isinstance(error, TicketRefused):
             error.verdict = Verdict.MAY_HAVE_RUN
-        if self._may_have_run_before(error):
-            error.verdict = Verdict.MAY_HAVE_RUN
         self.desk.count(self._span, error.code, error.verdict)
         set_error(self, error, self.request_id.hex())
 
-    def _may_have_run_before(self, error):
-        # Only who decides about a ticket knows what became of its earlier calls.
-        known = hasattr(error, "ticket") or error.verdict is not Verdict.NOT_RUN
-        return TICKET in self.request.headers and not known
-
     def write_error(self, status_code, **kwargs):
         """Answer a fault that no handler foresaw.
 
