--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 SEED ?= 1
 HISTORIES ?= 20000
 # Modules whose properties are generated histories.
-SOAK = tests.test_control_histories
+SOAK = tests.test_control_histories tests.test_delivery tests.test_drain \
+    tests.test_orders tests.test_endpoint_states tests.test_whole
 
 .PHONY: test soak lint format env demo
 
--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -70,7 +70,8 @@
             The error and its verdict. Where the caller sent a ticket, an earlier send
             may have run, and only the ticket's own process can say that none did.
         """
-        if TICKET in self.request.headers and not isinstance(error, TicketRefused):
+        shown = self.request.headers.get(TICKET)
+        if shown and not isinstance(error, TicketRefused):
             error.verdict = Verdict.MAY_HAVE_RUN
         self.desk.count(self._span, error.code, error.verdict)
         set_error(self, error, self.request_id.hex())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -191,7 +191,7 @@
     async def test_example_for_callers(self):
         page = pathlib.Path(__file__).parent.parent / "docs" / "callers.md"
         code = page.read_text(encoding="utf-8").split("```python\n")[1].split("```")[0]
-        self.assertLessEqual(len(code[code.index("def ") :].splitlines()), 22)
+        self.assertLessEqual(len(code[code.index("def ") :].splitlines()), 20)
         names = {}
         exec(code, names)  # noqa: S102
         url = f"http://{HOST}:{self.ports['n1'][0]}{PATH}"
