Test membership, spreading of the configuration and the platform client

Cause: only whole histories were tested. Mended what they found: the standby reader was never chosen, a node was not ready while a part was unreadable, a flapping node was admitted while already silent.

--- a/peridotcove/heartbeats.py
+++ b/peridotcove/heartbeats.py
@@ -202,7 +202,7 @@
             peer.live = False
             self._flaps.lose(peer.name)
             log.info("membership: lost %s", peer.name)
-        elif peer.heard(now):
+        elif peer.heard(now) and not peer.suspect(now):
             peer.live = now - peer.since_ms >= self._flaps.hold_ms(peer.name)
 
     def _vouched(self, peer, now):
--- a/peridotcove/platform/client.py
+++ b/peridotcove/platform/client.py
@@ -1,8 +1,9 @@
 """Calls to the configuration service and the list of instances."""
 
 import json
+import logging
 
-from attrs import frozen
+from attrs import fields, frozen
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError
 
@@ -18,6 +19,9 @@
 MAX_CALLS = 4
 NO_CONTENT = 204
 NOT_FOUND = 404
+INSTANCE_FIELDS = tuple(spec.name for spec in fields(Instance))
+
+log = logging.getLogger("peridotcove.platform")
 
 
 @frozen
@@ -33,7 +37,7 @@
     """
 
     version: int
-    instances: tuple[Instance, ...] = ()
+    instances: tuple = ()
 
 
 class PlatformClient:
@@ -115,12 +119,7 @@
         """
         query = f"?after={after}&wait_ms={wait_ms}"
         body = await self._get(f"{self._instances_url}/instances{query}", wait_ms)
-        if body is None:
-            return None
-        try:
-            return build(InstanceList, json.loads(body), "instances")
-        except (ValueError, InvalidSettings) as error:
-            raise PlatformDown(f"a list of instances can't be read: {error}") from None
+        return None if body is None else parse_instances(body)
 
     async def _get(self, url, wait_ms=0):
         self.calls += 1
@@ -164,3 +163,34 @@
         return Manifest(int(raw["revision"]), pointers)
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise PlatformDown(f"a manifest can't be read: {error!r}") from None
+
+
+def parse_instances(body):
+    """Return the list that the platform's answer describes.
+
+    Further fields are ignored; an instance that can't be
+    read is left out.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON.
+
+    Raises
+    ------
+    PlatformDown
+        If it is no list of instances.
+    """
+    try:
+        raw = json.loads(body)
+        version, rows = int(raw["version"]), list(raw["instances"])
+    except (ValueError, KeyError, TypeError) as error:
+        raise PlatformDown(f"a list of instances can't be read: {error!r}") from None
+    instances = []
+    for index, row in enumerate(rows):
+        try:
+            known = {name: row[name] for name in INSTANCE_FIELDS if name in row}
+            instances.append(build(Instance, known, f"instances[{index}]"))
+        except (InvalidSettings, TypeError) as error:
+            log.warning("platform: an instance is left out: %s", error)
+    return InstanceList(version, tuple(instances))
--- a/peridotcove/platform/watch.py
+++ b/peridotcove/platform/watch.py
@@ -67,7 +67,8 @@
         try:
             found = await client.read_instances(version, LIST_WAIT_MS)
         except PlatformDown as error:
-            failures += 1
+            # A service that has come back may count from a lower version.
+            version, failures = 0, failures + 1
             log.warning("platform: list of instances not read: %s", error)
             limit = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(failures, 10))
             await asyncio.sleep(rng.randint(limit // 2, limit) / MS_PER_S)
--- a/peridotcove/reader.py
+++ b/peridotcove/reader.py
@@ -102,7 +102,7 @@
         ranked = self._reader_rank()
         if ranked[0] == self.node:
             return True
-        return ranked[1:2] == [self.node] and self._failing(ranked[0])
+        return self.node in ranked[1:2] and self._failing(ranked[0])
 
     def next_call(self):
         """Return the call to make now, or None."""
--- a/peridotcove/revisions.py
+++ b/peridotcove/revisions.py
@@ -160,7 +160,7 @@
 
     def expects_more(self):
         """Return whether the service had a later revision than this node has judged."""
-        return self._expected > self.watch_after
+        return self._expected > max(self.revision, self.refused_revision)
 
     def age_ms(self):
         """Return the time in ms since the service last answered a reader."""
@@ -295,7 +295,13 @@
             A message; those of other parts are ignored.
         """
         handler = self._HANDLERS.get(type(message))
-        return [] if handler is None else handler(self, peer, message)
+        if handler is None:
+            return []
+        try:
+            return handler(self, peer, message)
+        except (ProtocolError, ValueError, TypeError, AttributeError) as error:
+            log.warning("configuration: message from %s left out: %s", peer, error)
+            return []
 
     def _receive_ask(self, peer, message):
         if 0 < message.base < self.revision:
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is read from the platform."""
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,203 @@
+"""Tests of membership over faulty links in memory."""
+
+import unittest
+
+from attrs import evolve
+
+from peridotcove.membership_events import LinkSilent, NodeJoined, NodeLost, Woke
+from peridotcove.models import State
+from tests.test_control import TODAY, start_fleet
+
+ZONE = {"r": {"a": 15}}
+TWO_REGIONS = {"r1": {"a": 9, "b": 9, "c": 3}, "r2": {"d": 3}}
+LOSS = 0.02
+
+
+def noted(fleet, kind):
+    """Return time, observer and event of all events of a type."""
+    return [entry for entry in fleet.noted if isinstance(entry[2], kind)]
+
+
+def observers_of_loss(fleet, name):
+    """Return the nodes that have lost a node."""
+    return {one for _, one, event in noted(fleet, NodeLost) if event.node == name}
+
+
+class FailureDetectionTest(unittest.TestCase):
+    """Dead nodes are noticed, live ones are not called dead."""
+
+    def test_no_false_alarm_in_10_000_heartbeats_at_2_percent_loss(self):
+        fleet = start_fleet(ZONE, drop=LOSS)
+        before = sum(node.host.frames_out for node in fleet.up())
+        fleet.noted.clear()
+        fleet.links.run(50_000)
+        sent = sum(node.host.frames_out for node in fleet.up()) - before
+        self.assertGreater(sent, 10_000)
+        self.assertEqual(noted(fleet, NodeLost), [])
+
+    def test_a_dead_node_is_lost_by_its_zone_within_3_s(self):
+        for seed in range(10):
+            for loss in (0.0, LOSS):
+                with self.subTest(seed=seed, loss=loss):
+                    fleet = start_fleet(ZONE, seed, drop=loss)
+                    fleet.stop("a-7")
+                    fleet.links.run(3_000)
+                    others = {node.name for node in fleet.up()}
+                    self.assertEqual(observers_of_loss(fleet, "a-7"), others)
+
+    def test_faults_of_links_that_must_not_look_like_a_death(self):
+        def cut(fleet, *pairs):
+            fleet.links.set_faults(pairs, drop=1.0)
+
+        cases = {
+            "silent both ways": lambda fleet: fleet.links.silence("a-0", "a-1"),
+            "silent one way": lambda fleet: fleet.links.silence("a-0", "a-1", False),
+            "cut for good": lambda fleet: cut(fleet, ("a-0", "a-1"), ("a-1", "a-0")),
+            "cut one way": lambda fleet: cut(fleet, ("a-0", "a-1")),
+            "all of one silent": lambda fleet: [
+                fleet.links.silence("a-0", f"a-{number}") for number in range(1, 15)
+            ],
+            "duplicates": lambda fleet: fleet.links.set_faults(
+                [("a-0", "a-1")], duplicate=1.0, delay_ms=(1, 900)
+            ),
+        }
+        for name, fault in cases.items():
+            for zones in (ZONE, {"r": {"a": 3}}):
+                with self.subTest(fault=name, zones=zones):
+                    fleet = start_fleet(zones)
+                    fault(fleet)
+                    fleet.links.run(10_000)
+                    self.assertEqual(noted(fleet, NodeLost), [])
+                    self.assertLess(len(noted(fleet, LinkSilent)), 100)
+
+    def test_a_node_kept_by_the_word_of_others_is_lost_when_it_dies(self):
+        fleet = start_fleet(ZONE)
+        fleet.links.set_faults([("a-0", "a-1"), ("a-1", "a-0")], drop=1.0)
+        fleet.links.run(40_000)
+        membership = fleet.node_by_name["a-0"].control.membership
+        self.assertFalse(membership.reaches("a-1"))
+        self.assertIn("a-1", fleet.node_by_name["a-0"].live())
+        fleet.stop("a-1")
+        fleet.links.run(3_250)
+        others = {node.name for node in fleet.up()}
+        self.assertEqual(observers_of_loss(fleet, "a-1"), others)
+
+    def test_a_restart_is_seen_as_a_loss_and_a_join(self):
+        fleet = start_fleet()
+        fleet.noted.clear()
+        fleet.start("a-1")
+        fleet.links.run(3_000)
+        joined = {one for _, one, event in noted(fleet, NodeJoined) if one != "a-1"}
+        self.assertEqual(observers_of_loss(fleet, "a-1"), joined)
+        self.assertEqual(len(joined), 8)
+
+    def test_flapping_is_damped_and_ends(self):
+        fleet = start_fleet()
+        fleet.noted.clear()
+        for _ in range(6):
+            fleet.links.pause("b-0")
+            fleet.links.run(3_000)
+            fleet.links.resume("b-0")
+            fleet.links.run(3_000)
+        losses = [one for one in noted(fleet, NodeLost) if one[1] == "a-0"]
+        # Holds of 0, 2 and 4 s end while it runs or is not yet overdue; 8 s does not.
+        self.assertEqual(len(losses), 4)
+        fleet.links.run(35_000)
+        self.assertEqual(len(fleet.node_by_name["a-0"].live()), 9)
+
+
+class BeliefTest(unittest.TestCase):
+    """Listed, live and leaving are kept apart; pauses put all in doubt."""
+
+    def test_partition_and_healing(self):
+        fleet = start_fleet()
+        sides = [["a-0", "a-1", "a-2", "b-0"], ["b-1", "b-2", "c-0", "c-1", "c-2"]]
+        fleet.links.partition(sides[0])
+        fleet.links.run(4_000)
+        for side in sides:
+            for name in side:
+                self.assertEqual(fleet.node_by_name[name].live(), side)
+                listed = fleet.node_by_name[name].control.membership.listed()
+                self.assertEqual(len(listed), 8)
+        fleet.links.heal()
+        fleet.links.run(6_000)
+        self.assertEqual([len(node.live()) for node in fleet.up()], [9] * 9)
+
+    def test_lists_that_differ(self):
+        fleet = start_fleet()
+        one = fleet.node_by_name["a-0"].control.membership
+        instances = list(fleet.instance_by_name.values())
+        one.set_listed(item for item in instances if item.name != "b-0")
+        fleet.links.run(5_000)
+        self.assertIn("b-0", fleet.node_by_name["a-0"].live())
+        self.assertNotIn("b-0", one.listed())
+        fleet.stop("b-0")
+        fleet.links.run(70_000)
+        self.assertNotIn("b-0", one.layout.instance_by_name)
+
+    def test_leaving_by_word_or_list_is_live_no_more_within_a_second(self):
+        fleet = start_fleet()
+        one = fleet.node_by_name["a-0"]
+        one.send(one.control.membership.leave())
+        fleet.links.run(250)
+        for node in fleet.up():
+            self.assertNotIn("a-0", node.live())
+        self.assertEqual(noted(fleet, NodeLost), [])
+        leaving = evolve(fleet.instance_by_name["b-0"], state=State.LEAVING)
+        fleet.instance_by_name["b-0"] = leaving
+        fleet.list_all("c-0", "b-0")
+        self.assertNotIn("b-0", fleet.node_by_name["c-0"].live())
+        fleet.links.run(1_250)
+        for node in fleet.up():
+            self.assertNotIn("b-0", node.live())
+
+    def test_after_a_pause_nothing_is_fresh_until_list_or_most_neighbours(self):
+        fleet = start_fleet()
+        node = fleet.node_by_name["a-0"]
+        fleet.links.pause("a-0")
+        fleet.links.run(60_000)
+        asked_before_ms = fleet.links.clock.now() - 30_000
+        membership = node.control.membership
+        self.assertFalse(membership.fresh())
+        instances = fleet.instance_by_name.values()
+        membership.set_listed(instances, asked_before_ms)
+        self.assertFalse(membership.fresh())
+        fleet.links.resume("a-0")
+        fleet.links.run(0)
+        self.assertFalse(membership.fresh())
+        fleet.links.run(1_000)
+        self.assertTrue(membership.fresh())
+        (woke,) = [event for event in node.events if isinstance(event, Woke)]
+        self.assertGreaterEqual(woke.paused_ms, 60_000)
+        fleet.links.pause("b-0")
+        fleet.links.run(10_000)
+        other = fleet.node_by_name["b-0"].control.membership
+        other.set_listed(instances)
+        self.assertTrue(other.fresh())
+
+    def test_other_zones_and_regions(self):
+        fleet = start_fleet(TWO_REGIONS)
+        for node in fleet.up():
+            expected = 3 if node.name.startswith("d") else 21
+            self.assertEqual(len(node.live()), expected)
+        fleet.node_by_name["a-1"].control.membership.publish({"shard": 7})
+        fleet.noted.clear()
+        fleet.stop("b-1")
+        fleet.links.run(8_000)
+        observers = observers_of_loss(fleet, "b-1")
+        self.assertEqual(len(observers), 20)
+        shards = fleet.node_by_name["c-0"].control.membership.shards()
+        self.assertEqual(shards, {"shard": 7})
+        for number in range(9):
+            fleet.stop(f"b-{number}")
+        fleet.links.run(10_000)
+        self.assertEqual(len(fleet.node_by_name["a-0"].live()), 12)
+
+
+class TodayTest(unittest.TestCase):
+    """The sizes of today are one mesh."""
+
+    def test_all_nodes_of_a_small_region_are_neighbours(self):
+        fleet = start_fleet(TODAY)
+        for node in fleet.up():
+            self.assertEqual(len(node.control.membership.layout.neighbours), 8)
