Measure membership and configuration of fleets up to 330 nodes

Change: peridotcove bench fleet; calls follow each other without a tick, the fallback waits 15 s; a revision that only a dead process had is no longer waited for; ready does not go back. Conclusion: figures for the docs follow from the command itself.

--- /dev/null
+++ b/peridotcove/bench/fleet.py
@@ -0,0 +1,146 @@
+"""Measures membership and configuration: ``peridotcove bench fleet``."""
+
+import json
+import logging
+
+from attrs import asdict, frozen
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from peridotcove.bench.fleet_cases import (
+    ZONES_BY_SIZE,
+    count_bytes,
+    count_reads,
+    time_change,
+    time_change_cost,
+    time_detection,
+    time_heartbeats,
+)
+
+IN_FORCE_MS = 7_000
+DETECTION_MS = 3_000
+NODE_BYTES = 6_000
+READS_A_SECOND = 2_000
+CORE_MS = 10.0
+MEMORY_MB = 32
+
+
+@frozen
+class Row:
+    """One measured figure.
+
+    Attributes
+    ----------
+    case : str
+        What was measured, and its unit.
+    size : str
+        How large the fleet or configuration was.
+    value : float
+        The figure.
+    target : float or None
+        Highest figure wanted, if one is set.
+    met : bool or None
+        Whether the target is met.
+    """
+
+    case: str
+    size: str
+    value: float
+    target: float | None = None
+    met: bool | None = None
+
+
+def make_row(case, size, value, target=None):
+    """Return a row that says whether a figure meets its target.
+
+    Parameters
+    ----------
+    case, size : str
+        What was measured, at which size.
+    value : float
+        The figure.
+    target : float or None
+        Highest figure wanted.
+    """
+    return Row(case, size, value, target, None if target is None else value <= target)
+
+
+def run(sizes, seeds, customers, engines, deaths=20):
+    """Yield the measured rows.
+
+    Parameters
+    ----------
+    sizes : list of int
+        Sizes of fleets; keys of `ZONES_BY_SIZE`.
+    seeds : int
+        Fleets of each size whose time for a change is measured.
+    customers, engines : int
+        Size of the large configuration.
+    deaths : int
+        Deaths whose detection is measured.
+    """
+    for size in sizes:
+        nodes = f"{size} nodes"
+        times = [time_change(size, seed) for seed in range(seeds)]
+        case = f"change in force, slowest of {seeds}, ms"
+        yield make_row(case, nodes, max(times), IN_FORCE_MS)
+    for size in (sizes[0], sizes[-1]):
+        nodes = f"{size} nodes"
+        for case, value in count_reads(size).items():
+            target = READS_A_SECOND if "1 s" in case or "steady" in case else None
+            yield make_row(f"reads: {case}", nodes, value, target)
+        for case, value in count_bytes(size).items():
+            yield make_row(f"bytes a second: {case}", nodes, value, NODE_BYTES)
+    for case, value in time_detection(deaths).items():
+        targets = {"slowest ms": DETECTION_MS, "missed": 0, "false alarms": 0}
+        nodes = "zone of 15 at 2% loss"
+        yield make_row(f"detection: {case}", nodes, value, targets.get(case))
+    for case, value in time_heartbeats(sizes[-1]).items():
+        target = CORE_MS if case == "ms a second" else None
+        yield make_row(
+            f"heartbeats: {case}", f"one of {sizes[-1]} nodes", value, target
+        )
+    size = f"{customers} customers, {engines} engines"
+    for case, value in time_change_cost(customers, engines).items():
+        target = MEMORY_MB if case == "memory added MB" else None
+        yield make_row(f"configuration: {case}", size, value, target)
+
+
+class BenchFleetCommand(Command):
+    """``peridotcove bench fleet``."""
+
+    name = "bench fleet"
+    description = "Measure membership and configuration of fleets in memory."
+    options = [
+        option("json", None, "Print JSON.", flag=True),
+        option(
+            "sizes",
+            None,
+            "Sizes of fleets.",
+            flag=False,
+            default=",".join(map(str, ZONES_BY_SIZE)),
+        ),
+        option("seeds", None, "Fleets a size.", flag=False, default="5"),
+        option("customers", None, "Customers.", flag=False, default="11000"),
+        option("engines", None, "Engines.", flag=False, default="1600"),
+    ]
+    help = "Exit codes: 0 measured (met or not), 2 wrong usage."
+
+    def handle(self):
+        """Measure and print."""
+        logging.getLogger("peridotcove").setLevel(logging.CRITICAL)
+        sizes = [int(word) for word in self.option("sizes").split(",")]
+        if not set(sizes) <= set(ZONES_BY_SIZE):
+            self.line_error(f"<error>sizes: some of {list(ZONES_BY_SIZE)}</error>")
+            return 2
+        names = ("seeds", "customers", "engines")
+        rows = []
+        for row in run(sizes, *(int(self.option(name)) for name in names)):
+            rows.append(asdict(row))
+            if not self.option("json"):
+                mark = {None: "", True: " met", False: " MISSED"}[row.met]
+                target = "" if row.target is None else f" (target {row.target})"
+                self.line(f"{row.case:45} {row.size:32} {row.value:>10}{target}{mark}")
+        if self.option("json"):
+            self.line(json.dumps(rows, indent=1))
+        return 0
--- a/peridotcove/platform/watch.py
+++ b/peridotcove/platform/watch.py
@@ -7,7 +7,7 @@
 from peridotcove.reader import ReadPart
 
 MS_PER_S = 1000
-IDLE_S = 0.02
+MAX_GAP_S = 0.25
 LIST_WAIT_MS = 4_000
 FIRST_BACKOFF_MS = 250
 MAX_BACKOFF_MS = 4_000
@@ -30,7 +30,7 @@
     while True:
         call = reader.next_call()
         if call is None:
-            await asyncio.sleep(IDLE_S)
+            await asyncio.sleep(reader.pause_ms() / MS_PER_S)
             continue
         try:
             if isinstance(call, ReadPart):
@@ -77,4 +77,4 @@
         if found is not None:
             version = found.version
             take(found.instances, asked_ms)
-        await asyncio.sleep(rng.uniform(0, IDLE_S))
+        await asyncio.sleep(rng.uniform(0, MAX_GAP_S))
--- a/peridotcove/pulls.py
+++ b/peridotcove/pulls.py
@@ -70,6 +70,7 @@
         self._due_ms = None
         self._pull = None
         self._asked_ms = None
+        self._asked_peer = None
         self._answers = set()
         self._begun_ms = None
         self._created_ms = clock.now()
@@ -105,6 +106,16 @@
             grace = self.rng.randint(MIN_GRACE_MS, MAX_GRACE_MS)
             self._due_ms = self.clock.now() + grace
 
+    def drop(self, peer):
+        """Forget what a peer had: it has nothing later, or does not answer.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the peer.
+        """
+        self._seen_by_peer.pop(peer, None)
+
     def answered(self, peer):
         """Note that a peer has said what it has in force.
 
@@ -134,8 +145,11 @@
             self._due_ms = self._pull = None
             return outgoing
         if self._pull is not None and now - self._pull.at_ms >= ASK_AGAIN_MS:
-            seen.pop(self._pull.peer, None)
+            self.drop(self._pull.peer)
             self._pull = None
+        if self._pull is None and now >= self._due_ms and self._asked_peer in seen:
+            # It has not answered; its next frame brings it back.
+            self.drop(self._asked_peer)
         if self._pull is None and seen and now >= self._due_ms:
             outgoing += self.ask_now(self._choose(), revision)
         return outgoing
@@ -155,7 +169,7 @@
             return []
         if self._asked_ms is not None and now - self._asked_ms < MIN_GRACE_MS:
             return []
-        self._asked_ms = now
+        self._asked_ms, self._asked_peer = now, peer
         self._due_ms = now + ASK_AGAIN_MS + self.rng.randint(0, MIN_GRACE_MS)
         return [Outgoing(peer, AskConfiguration(revision))]
 
--- a/peridotcove/reader.py
+++ b/peridotcove/reader.py
@@ -12,8 +12,9 @@
 FIRST_BACKOFF_MS = 250
 MAX_BACKOFF_MS = 2_000
 MAX_MISMATCHES = 3
-FALLBACK_MS = 4_000
-FALLBACK_SPREAD_MS = 2_000
+IDLE_MS = 250
+FALLBACK_MS = 15_000
+FALLBACK_SPREAD_MS = 15_000
 
 
 @frozen
@@ -122,6 +123,11 @@
         wait_ms = 0 if self._failures else WATCH_MS
         return ReadManifest(self.revisions.watch_after, wait_ms)
 
+    def pause_ms(self):
+        """Return the time in ms after which to ask for a call again."""
+        left_ms = self._due_ms - self.clock.now()
+        return left_ms if left_ms > 0 else IDLE_MS
+
     def take_manifest(self, manifest):
         """Take the answer to `ReadManifest`; return the messages that follow.
 
--- a/peridotcove/revisions.py
+++ b/peridotcove/revisions.py
@@ -112,6 +112,7 @@
         self._history = collections.deque(maxlen=HISTORY)
         self._pulls = Pulls(clock, rng, ask_at_start)
         self._expected = 0
+        self._ready = False
         self._confirmed_ms = None
         self._asked_refused_ms = None
         self._started_ms = clock.now()
@@ -143,10 +144,10 @@
         return self._state.assembly.configuration
 
     def ready(self):
-        """Return whether one is in force, and service and peers were asked."""
-        if not self.revision or self.expects_more():
-            return False
-        return self._pulls.started(self.revision)
+        """Return whether one is in force, and service and peers were asked at start."""
+        if not self._ready and self.revision and not self.expects_more():
+            self._ready = self._pulls.started(self.revision)
+        return self._ready
 
     def expect(self, revision):
         """Note the revision that the service had at this node's start.
@@ -260,6 +261,8 @@
         """
         if self._wants(revision):
             self._pulls.notice(peer, revision)
+        else:
+            self._pulls.drop(peer)
 
     def notice_refused(self, peer, revision):
         """Note that a peer has refused a revision; return a request for the faults.
--- a/peridotcove/standins/fleet.py
+++ b/peridotcove/standins/fleet.py
@@ -110,7 +110,7 @@
                     self.send(reader.take_part(call.name, answer))
                 else:
                     self.send(reader.take_manifest(answer))
-                self._call()
+                self.fleet.links.later(reader.pause_ms(), self.name, self._call)
 
             self._on_process(take)()
 
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -232,6 +232,18 @@
         fleet.links.run(IN_FORCE_MS)
         self.assertEqual(revisions(fleet), {2})
 
+    def test_a_revision_that_died_with_its_only_holder_is_waited_for_no_more(self):
+        fleet = start_fleet({"r": {"a": 2, "b": 2}})
+        fleet.links.partition(["b-1"])
+        node = fleet.node_by_name["a-0"]
+        node.control.revisions.notice("b-1", 2)
+        fleet.start("b-1")
+        fleet.links.heal()
+        fleet.links.run(IN_FORCE_MS)
+        for node in fleet.up():
+            self.assertTrue(node.control.revisions.ready())
+            self.assertEqual(node.control.revisions._pulls._seen_by_peer, {})
+
     def test_faults_alone_and_in_pairs(self):
         faults = {
             "partition": lambda fleet: fleet.links.partition(["a-0", "b-0", "b-1"]),
