--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -17,6 +17,8 @@
 
 COMMANDS = {
     "bench fleet": "peridotcove.bench.fleet:BenchFleetCommand",
+    "bench capacity": "peridotcove.bench.capacity:BenchCapacityCommand",
+    "bench operators": "peridotcove.bench.operators:BenchOperatorsCommand",
     "check": "peridotcove.operators.commands:CheckCommand",
     "timeline": "peridotcove.operators.commands:TimelineCommand",
     "demo-caller": "peridotcove.standins.commands:DemoCallerCommand",
