--- a/peridotcove/bench/capacity_configuration.py
+++ b/peridotcove/bench/capacity_configuration.py
@@ -9,9 +9,10 @@
 from peridotcove.clock import FakeClock
 from peridotcove.fleet import Fleet
 from peridotcove.fragments import compact, cut
+from peridotcove.manifests import Manifest
 from peridotcove.nodes.messages import decode, encode
 from peridotcove.parts import Pointer, digest
-from peridotcove.revisions import Manifest, Revisions
+from peridotcove.revisions import Revisions
 
 CUSTOMERS = (10, 100, 1_000, 11_000)
 ENGINES = (6, 60, 400, 1_600)
--- a/peridotcove/bench/fleet_cases.py
+++ b/peridotcove/bench/fleet_cases.py
@@ -8,12 +8,12 @@
 from peridotcove.clock import FakeClock
 from peridotcove.control import Control
 from peridotcove.fragments import cut
+from peridotcove.manifests import Manifest
 from peridotcove.membership_events import NodeLost
 from peridotcove.models import Instance
 from peridotcove.nodes import messages
 from peridotcove.nodes.configuration_messages import AskConfiguration, Delta
 from peridotcove.parts import DIGEST_BYTES, Pointer, canonical, digest
-from peridotcove.revisions import Manifest
 from peridotcove.standins.fleet import MemoryFleet
 from peridotcove.standins.links import Faults, Links, count_wire_bytes
 
--- a/peridotcove/platform/client.py
+++ b/peridotcove/platform/client.py
@@ -8,9 +8,9 @@
 from tornado.httpclient import HTTPError
 
 from peridotcove.exceptions import InvalidSettings, PlatformDown
+from peridotcove.manifests import Manifest
 from peridotcove.models import Instance
 from peridotcove.parts import DIGEST_BYTES, Pointer
-from peridotcove.revisions import Manifest
 from peridotcove.schema import build
 
 MS_PER_S = 1000
--- a/peridotcove/revisions.py
+++ b/peridotcove/revisions.py
@@ -10,7 +10,9 @@
 from attrs import field, frozen
 
 from peridotcove.assembly import Assembly
+from peridotcove.deltas import find_changes, make_delta, patch_parts
 from peridotcove.exceptions import InvalidSettings, ProtocolError, SettingError
+from peridotcove.manifests import Refused
 from peridotcove.nodes.configuration_messages import (
     AskConfiguration,
     AskPart,
@@ -21,17 +23,7 @@
     RevisionRefused,
 )
 from peridotcove.nodes.network import Outgoing
-from peridotcove.parts import (
-    Change,
-    Part,
-    Pointer,
-    canonical,
-    diff,
-    digest,
-    load,
-    make_part,
-    patch,
-)
+from peridotcove.parts import Pointer, digest, make_part
 from peridotcove.pulls import Pulls
 
 HISTORY = 32
@@ -42,41 +34,6 @@
 log = logging.getLogger("peridotcove.configuration")
 
 
-@frozen
-class Manifest:
-    """What the service says of a revision.
-
-    Attributes
-    ----------
-    revision : int
-        The revision.
-    pointer_by_name : dict of Pointer
-        Parts by name.
-    """
-
-    revision: int
-    pointer_by_name: dict
-
-
-@frozen
-class Refused:
-    """A revision that is not valid.
-
-    Attributes
-    ----------
-    revision : int
-        The revision.
-    faults : tuple of str
-        Its faults, one line each.
-    final : bool
-        False if it could not be read as the manifest describes it, and may be yet.
-    """
-
-    revision: int
-    faults: tuple
-    final: bool = True
-
-
 @frozen
 class _State:
     revision: int = 0
@@ -324,26 +281,13 @@
             self._pulls.notice(peer, message.revision)
             return self._pulls.ask_now(peer, self.revision)
         try:
-            parts = self._patch_parts(message)
+            parts = patch_parts(self._state.part_by_name, message)
         except (ProtocolError, ValueError, TypeError, AttributeError) as error:
             log.warning("configuration: change from %s left out: %s", peer, error)
             self._pulls.notice(peer, message.revision)
             return self._pulls.ask_now(peer, 0)
         return self._replace(message.revision, parts)
 
-    def _patch_parts(self, message):
-        parts = dict(self._state.part_by_name)
-        for name in message.gone:
-            parts.pop(name, None)
-        for name, revision, published, wanted, changed, dropped in message.parts:
-            old = parts.get(name)
-            value = load(old.data) if old is not None else {}
-            data = canonical(patch(value, Change(changed, dropped)))
-            if digest(data) != wanted:
-                raise ProtocolError(f"part {name} would have another digest")
-            parts[name] = Part(name, Pointer(revision, published, wanted), data)
-        return parts
-
     def _receive_offer(self, peer, message):
         self._pulls.answered(peer)
         if not self._wants(message.revision):
@@ -403,7 +347,7 @@
     def _replace(self, revision, parts):
         old = self._state
         try:
-            changes = _find_changes(old.part_by_name, parts)
+            changes = find_changes(old.part_by_name, parts)
             assembly = old.assembly.apply(revision, changes)
         except InvalidSettings as error:
             return self._refuse(revision, _list_faults(error))
@@ -413,7 +357,7 @@
         if self.refused is not None and self.refused.revision <= revision:
             self.refused = None
         log.info("configuration: revision %d is in force", revision)
-        delta = _make_delta(old, revision, parts, changes)
+        delta = make_delta(old.revision, old.part_by_name, revision, parts, changes)
         if old.revision:
             self._history.append(delta)
         peers = self._push_to() if old.revision else ()
@@ -441,32 +385,6 @@
         return []
 
 
-def _find_changes(old, new):
-    changes = {}
-    for name in {**old, **new}:
-        before, after = old.get(name), new.get(name)
-        if before and after and before.pointer.digest == after.pointer.digest:
-            continue
-        changes[name] = diff(
-            load(before.data) if before else {}, load(after.data) if after else {}
-        )
-    return changes
-
-
-def _make_delta(old, revision, parts, changes):
-    rows = []
-    for name, part in parts.items():
-        before = old.part_by_name.get(name)
-        if before is not None and before.pointer == part.pointer:
-            continue
-        change = changes.get(name, Change({}, {}))
-        pointer = part.pointer
-        head = [name, pointer.revision, pointer.published, pointer.digest]
-        rows.append([*head, change.changed, change.dropped])
-    gone = sorted(set(old.part_by_name) - set(parts))
-    return Delta(old.revision, revision, rows, gone)
-
-
 def _list_faults(error):
     lines = []
     for fault in error.exceptions:
--- a/peridotcove/standins/memory_service.py
+++ b/peridotcove/standins/memory_service.py
@@ -2,9 +2,9 @@
 
 import hashlib
 
+from peridotcove.manifests import Manifest
 from peridotcove.parts import DIGEST_BYTES, Pointer, canonical
 from peridotcove.reader import ReadManifest
-from peridotcove.revisions import Manifest
 
 LATENCY_MS = 4
 TIMEOUT_MS = 1_000
