--- a/peridotcove/bench/capacity_links.py
+++ b/peridotcove/bench/capacity_links.py
@@ -1,6 +1,7 @@
 """Slopes of the real links between two nodes over loopback, and of lease traffic."""
 
 import asyncio
+import collections
 import random
 import time
 
@@ -13,6 +14,7 @@
 from peridotcove.nodes.limit_messages import ReportUsage
 from peridotcove.nodes.links import Links
 from peridotcove.nodes.messages import GiveLease, HoldLeases, ReleaseLease, encode
+from peridotcove.ownership import owner_rank
 from peridotcove.standins.links import count_wire_bytes
 
 FRAMES = 500
@@ -109,3 +111,37 @@
         frame = encode(HoldLeases(f"region-0/model-0/{number}", leases), 1)
         total += count_wire_bytes(len(frame))
     return total
+
+
+@probe(
+    "shards of one node, the most",
+    "owner",
+    "shards",
+    "nodes of a region",
+    (3, 9, 27, 55),
+    target.NODES_A_REGION,
+)
+def count_shards(size):
+    """Return the shards of the node that owns the most, of a region's shards."""
+    nodes = [Instance(f"node-{n}", "node", HOST, 1, "zone") for n in range(size)]
+    shards_a_model = target.SHARDS_A_MODEL
+    owners = collections.Counter(
+        owner_rank(f"region-0/model-{model}/{number}", nodes)[0]
+        for model in range(target.MODELS)
+        for number in range(shards_a_model)
+    )
+    return max(owners.values())
+
+
+@probe(
+    "leases: bytes out of an owner",
+    "owner",
+    "bytes/s",
+    "requests/s",
+    (1, 5, 12, 36),
+    round(target.REQUESTS_PER_S / target.SHARDS),
+)
+def count_owner_bytes(size):
+    """Return the bytes of the grants."""
+    grant = GiveLease(b"\x01" * LEASE_BYTES, "engine-1234", CHAT_BLOCKS)
+    return size * count_wire_bytes(len(encode(grant, 1)))
