Keep the list of leaving endpoints until something changes

Cause: it was made anew four times a second: 0.74 ms at 1,600 engines, 0.3% of a core. Change: it is kept until a source changes.

--- a/peridotcove/endpoint_states.py
+++ b/peridotcove/endpoint_states.py
@@ -39,6 +39,7 @@
         self._listed = {}
         self._gone = frozenset()
         self._hold_until = {}
+        self._leaving = None
         self._ticked = clock.now()
         self._woke = None
 
@@ -54,6 +55,7 @@
         for service in configuration.service_by_name.values():
             described.update((item.name, item) for item in service.endpoints)
         self._described = {name: item.status for name, item in described.items()}
+        self._leaving = None
 
     def set_instances(self, instances, asked_ms):
         """Take the platform's list; return the names first seen leaving in it.
@@ -74,6 +76,7 @@
         left = {name for name, state in listed.items() if state is State.LEAVING}
         news = {name for name in gone | left if not self._is_held(name)}
         self._listed, self._gone = listed, frozenset(gone)
+        self._leaving = None
         self._hold(gone | left)
         self._hear(asked_ms)
         return sorted(news)
@@ -101,10 +104,16 @@
         for name, until in list(self._hold_until.items()):
             if now >= until:
                 del self._hold_until[name]
+                self._leaving = None
         return self._woke is not None
 
     def leaving(self):
         """Return the names of the endpoints believed to be leaving."""
+        if self._leaving is None:
+            self._leaving = self._find_leaving()
+        return self._leaving
+
+    def _find_leaving(self):
         out = (Status.LEAVING, Status.RETIRED)
         names = {name for name, status in self._described.items() if status in out}
         names |= set(self._hold_until) | set(self._listed) | self._gone
@@ -148,6 +157,7 @@
         until = self.clock.now() + HOLD_MS
         for name in names:
             self._hold_until[name] = until
+            self._leaving = None
 
     def _notice(self, now):
         if now - self._ticked > PAUSE_MS:
