Hold a peer's word on a leaving endpoint until a list was read

Cause: the table of faults found it: a node whose list is down sent new work to a leaving endpoint again 30 s after it was told.

--- a/peridotcove/endpoint_states.py
+++ b/peridotcove/endpoint_states.py
@@ -1,8 +1,9 @@
 """Which engines and endpoints may get new work, whichever source says so first.
 
 Signs that one is leaving come from the configuration, the platform's list and other
-nodes. A sign from list or node holds for a while against a list that lags. After a
-pause of this process nothing is sent until another source has been heard.
+nodes. A sign from list or node holds for a while against a list that lags, and a node's
+word also for as long as this node reads no list. After a pause of this process nothing
+is sent until another source has been heard.
 """
 
 from peridotcove.exceptions import RequestRefused
@@ -39,6 +40,7 @@
         self._listed = {}
         self._gone = frozenset()
         self._hold_until = {}
+        self._listed_as_held = set()
         self._leaving = None
         self._ticked = clock.now()
         self._woke = None
@@ -77,7 +79,9 @@
         news = {name for name in gone | left if not self._is_held(name)}
         self._listed, self._gone = listed, frozenset(gone)
         self._leaving = None
+        self._release(self._hold_until)
         self._hold(gone | left)
+        self._listed_as_held |= gone | left
         self._hear(asked_ms)
         return sorted(news)
 
@@ -101,10 +105,7 @@
         """Return whether other sources are to be asked; call it each 250 ms."""
         now = self.clock.now()
         self._notice(now)
-        for name, until in list(self._hold_until.items()):
-            if now >= until:
-                del self._hold_until[name]
-                self._leaving = None
+        self._release(self._listed_as_held)
         return self._woke is not None
 
     def leaving(self):
@@ -151,7 +152,7 @@
     def _is_held(self, name):
         if name in self._gone or self._listed.get(name) is State.LEAVING:
             return True
-        return self.clock.now() < self._hold_until.get(name, 0)
+        return name in self._hold_until
 
     def _hold(self, names):
         until = self.clock.now() + HOLD_MS
@@ -159,6 +160,13 @@
             self._hold_until[name] = until
             self._leaving = None
 
+    def _release(self, names):
+        now = self.clock.now()
+        for name in [name for name in names if now >= self._hold_until[name]]:
+            del self._hold_until[name]
+            self._listed_as_held.discard(name)
+            self._leaving = None
+
     def _notice(self, now):
         if now - self._ticked > PAUSE_MS:
             self.pauses += 1
--- a/tests/test_endpoint_states.py
+++ b/tests/test_endpoint_states.py
@@ -94,8 +94,17 @@
         self.states.set_instances(instances(), self.clock.now())
         self.assertEqual(self.check(), "leaving")
         self.run_for(1_000)
+        self.assertEqual(self.check(), "leaving")
+        self.states.set_instances(instances(), self.clock.now())
         self.assertEqual(self.check(), "ok")
 
+    def test_back_in_service(self):
+        self.states.set_instances(instances(["e1"]), self.clock.now())
+        self.states.set_instances(instances(), self.clock.now())
+        self.assertEqual(self.check(), "leaving")
+        self.run_for(HOLD_MS)
+        self.assertEqual((self.check(), self.states.leaving()), ("ok", []))
+
     def test_a_list_that_lost_most_is_doubted(self):
         self.states.set_instances([], 0)
         self.assertEqual(self.check(), "ok")
@@ -127,7 +136,8 @@
 
     @given(st.data())
     def test_no_work_three_seconds_after_the_first_sign(self, data):
-        fleet = _Nodes(data)
+        fleet = Nodes()
+        fleet.draw = data.draw
         sign_step = data.draw(st.integers(1, 20))
         seen = [sign_step + data.draw(st.integers(0, 10)) for _ in NAMES]
         seen[0] = sign_step
@@ -146,11 +156,12 @@
                         fleet.states[index].check("e1")
 
 
-class _Nodes:
-    """Three nodes and their links."""
+class Nodes:
+    """Three nodes and their links; `draw` decides on loss, delay and pauses."""
 
-    def __init__(self, data):
-        self.data = data
+    draw = None
+
+    def __init__(self):
         self.clock = FakeClock()
         self.states = [EndpointStates(self.clock) for _ in NAMES]
         rng = random.Random(0)
@@ -166,16 +177,22 @@
         return [i for i, until in enumerate(self.asleep_until) if until <= now]
 
     def pause(self, index):
-        ms = self.data.draw(st.sampled_from([1_500, 10_000, 60_000]))
+        ms = self.draw(st.sampled_from([1_500, 10_000, 60_000]))
         self.asleep_until[index] = self.clock.now() + ms
 
     def send(self, sender, outgoing):
         for item in outgoing:
-            if self.data.draw(st.integers(0, 9)) == 9:
+            if self.is_lost(sender, int(item.peer)):
                 continue
-            due = self.clock.now() + self.data.draw(st.integers(0, 900))
+            due = self.clock.now() + self.delay_ms()
             self.links.append((due, sender, int(item.peer), encode(item.message, 1)))
 
+    def is_lost(self, sender, to):
+        return self.draw(st.integers(0, 9)) == 9
+
+    def delay_ms(self):
+        return self.draw(st.integers(0, 900))
+
     def deliver(self):
         now, awake = self.clock.now(), self.awake()
         due = [item for item in self.links if item[0] <= now and item[2] in awake]
@@ -188,11 +205,9 @@
     def tick(self, index):
         self.send(index, self.nodes[index].tick(self.peers(index)))
 
-    def read_list(self, index, leaving):
-        now = self.clock.now()
-        news = self.nodes[index].set_instances(
-            instances(leaving), now, self.peers(index)
-        )
+    def read_list(self, index, leaving, names=NAMES):
+        now, listed = self.clock.now(), instances(leaving, names)
+        news = self.nodes[index].set_instances(listed, now, self.peers(index))
         self.send(index, news)
 
     def peers(self, index):
