Hold requests for a set engine apart from the queue

Cause: a held request was weighed anew on every event. Change: it is weighed when its engine has room or its time is over; a customer's concurrency holds for it too.

--- a/peridotcove/bench/owners.py
+++ b/peridotcove/bench/owners.py
@@ -7,7 +7,7 @@
 from peridotcove.bench.policies import FRAME_BYTES, Policy, policies
 from peridotcove.dispatch import Dispatcher
 from peridotcove.models import Grant, Instance
-from peridotcove.nodes.messages import AskLease, GiveLease, ReleaseLease, encode
+from peridotcove.nodes.messages import AskLease, GiveLease, ReleaseLease, encode, pack
 from peridotcove.ownership import owner_rank, shards_of
 from peridotcove.shares import ShardLoad, ShardPicker
 
@@ -93,12 +93,12 @@
             request.request_id,
             shard,
             request.customer,
-            request.model,
-            list(request.prefixes),
+            "",
+            pack(request.prefixes),
+            request.blocks,
             hint,
-            request.zone,
             request.deadline_ms,
-            request.priority,
+            request.chat_key,
         )
         self._count_bytes(request.entry, shard, message)
         if hint:
@@ -139,7 +139,7 @@
         """Release the lease."""
         _, shard = self._shard_by_id.pop(request.request_id)
         del self._held_by_entry[request.entry][request.request_id]
-        message = ReleaseLease(request.request_id, shard, "done", reused)
+        message = ReleaseLease(request.request_id, "done", reused)
         self._count_bytes(request.entry, shard, message)
         hop = self._hop(request.entry, shard)
         self.world.after(hop, self._release, request, shard, reused)
--- a/peridotcove/cache_index.py
+++ b/peridotcove/cache_index.py
@@ -24,7 +24,7 @@
 MARK_MS = 500
 MAX_MARKS = 64
 MAX_WIDE = 1024
-WIDE_LOOKS = 2
+WIDE_LOOKS = 1
 OLDER_BLOCKS = 16
 SAMPLE_MASK = 3
 MIN_SLOTS = 4_096
@@ -79,6 +79,7 @@
     clock: int = 0
     floor: int = 0
     doubt: int = 0
+    horizon: float = 0.0
     sequence: int | None = None
     marks: deque = field(factory=lambda: deque(maxlen=MAX_MARKS))
 
@@ -100,7 +101,8 @@
     blocks: int
     pairs: tuple
     blocks_by_engine: dict
-    _match_by_engine: dict
+    _age_by_engine: dict
+    _leaf_by_engine: dict
     _rungs: list
 
 
@@ -140,6 +142,7 @@
             elif cache.size != size:
                 cache.size = size
                 cache.reach = float(size)
+                _follow(cache)
         total = sum(cache.size for cache in self._cache_by_engine.values())
         slots = max(MIN_SLOTS, min(MAX_SLOTS, total // BLOCKS_PER_SLOT))
         self._table.limit(slots)
@@ -180,7 +183,7 @@
             blocks = len(prefixes)
             depths = select_depths(blocks)
             pairs = tuple([(depth, prefixes[depth - 1]) for depth in depths])
-        lookup = Lookup(blocks, pairs, {}, {}, [])
+        lookup = Lookup(blocks, pairs, {}, {}, {}, [])
         rungs = lookup._rungs
         wide = self._wide
         get = self._table.get
@@ -199,8 +202,7 @@
             value = get(key)
             if not value:
                 continue
-            number = (value >> ENGINE_SHIFT) & ENGINE_MASK
-            self._match(lookup, depth, key, number, value)
+            self._match(lookup, depth, key, value)
             if value & LEAF_BIT:
                 lowest = lowest or depth - OLDER_BLOCKS
             elif depth in RUNGS:
@@ -211,21 +213,23 @@
         found = lookup.blocks_by_engine
         engines = self._engine_by_number
         for number, stamp in stamp_by_number.items():
-            if engines[number][0] not in found:
-                self._match(lookup, depth, key, number, stamp)
+            name, cache = engines[number]
+            age = (cache.clock - stamp) & CLOCK_MASK
+            if age < cache.horizon and name not in found:
+                self._enter(lookup, depth, key, name, cache, age)
 
-    def _match(self, lookup, depth, key, number, stamp):
+    def _match(self, lookup, depth, key, value):
+        number = (value >> ENGINE_SHIFT) & ENGINE_MASK
         name, cache = self._engine_by_number[number]
-        if name in lookup.blocks_by_engine:
-            return
-        age = (cache.clock - stamp) & CLOCK_MASK
-        if age > cache.reach or age >= (cache.clock - cache.floor) & CLOCK_MASK:
-            return
-        blocks = depth
-        if age >= (cache.clock - cache.doubt) & CLOCK_MASK:
-            blocks = depth * DOUBT_SHARE
-        lookup.blocks_by_engine[name] = blocks
-        lookup._match_by_engine[name] = (key, age, bool(stamp & LEAF_BIT))
+        age = (cache.clock - value) & CLOCK_MASK
+        if age < cache.horizon and name not in lookup.blocks_by_engine:
+            self._enter(lookup, depth, key, name, cache, age)
+            lookup._leaf_by_engine[name] = key if value & LEAF_BIT else 0
+
+    def _enter(self, lookup, depth, key, name, cache, age):
+        doubtful = age >= (cache.clock - cache.doubt) & CLOCK_MASK
+        lookup.blocks_by_engine[name] = depth * DOUBT_SHARE if doubtful else depth
+        lookup._age_by_engine[name] = age
 
     def record(self, lookup, engine, wall_ms):
         """Take in that a chat goes to an engine.
@@ -243,10 +247,10 @@
         if cache is None or not lookup.pairs:
             return
         self._advance(cache, lookup, engine, wall_ms)
-        match = lookup._match_by_engine.get(engine)
+        old_leaf = lookup._leaf_by_engine.get(engine, 0)
         leaf_depth, leaf = lookup.pairs[-1]
-        if match is not None and match[2] and match[0] != leaf:
-            self._table.remove(match[0])
+        if old_leaf and old_leaf != leaf:
+            self._table.remove(old_leaf)
         stamp = _pack(cache, leaf_depth) | LEAF_BIT
         known = self._table.get(leaf)
         if known and not known & LEAF_BIT or leaf in self._wide:
@@ -260,14 +264,14 @@
                 stamps[number] = clock
             elif key != leaf:
                 self._touch(key, value, cache, depth)
-        if (match is None or not match[2]) and not leaf & SAMPLE_MASK:
+        if not old_leaf and not leaf & SAMPLE_MASK:
             self._extend(lookup, cache)
 
     def _advance(self, cache, lookup, engine, wall_ms):
         cached = int(lookup.blocks_by_engine.get(engine, 0))
         entered = lookup.blocks - cached
         if cached:
-            age = lookup._match_by_engine[engine][1]
+            age = lookup._age_by_engine[engine]
             entered += int(cached * age / (cache.reach + 1))
         if not cache.marks or wall_ms - cache.marks[-1][0] >= MARK_MS:
             cache.marks.append((wall_ms, cache.clock))
@@ -313,6 +317,7 @@
             cache.reach = max(cache.reach * MISS_FACTOR, cache.size * LOWEST_REACH)
         else:
             cache.reach = min(cache.reach * HIT_FACTOR, cache.size * HIGHEST_REACH)
+        _follow(cache)
 
     def apply(self, event):
         """Take an engine's cache event, which may be late or follow a gap.
@@ -334,6 +339,7 @@
             cache.floor = cache.doubt = then
         elif gap:
             cache.doubt = then
+        _follow(cache)
         for key in event.removed:
             self._remove(key, cache, then)
         for key, depth in event.stored:
@@ -370,6 +376,8 @@
         cache.floor = oldest
     if (cache.clock - cache.doubt) & CLOCK_MASK > MAX_AGE:
         cache.doubt = oldest
+    # Entries of this age or older are not expected in the cache any more.
+    cache.horizon = min(cache.reach + 1, (cache.clock - cache.floor) & CLOCK_MASK)
 
 
 def _pack(cache, depth):
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -1,5 +1,7 @@
 """The owner's decisions: which request runs on which engine of a shard, and when."""
 
+from attrs import frozen
+
 from peridotcove.cache_index import CacheIndex
 from peridotcove.choice import Chooser
 from peridotcove.fair_queue import FairQueue, Waiting
@@ -14,6 +16,14 @@
 HOLD_GRACE_MS = 2_000
 RETRY_MS = 1_000
 HASHES = 1 << 64
+MAX_HELD = 32
+
+
+@frozen
+class _Held:
+    item: Waiting
+    wanted: str
+    until_ms: int
 
 
 class Dispatcher:
@@ -135,10 +145,15 @@
         wait = min(request.deadline_ms, self._configuration.bounds.queue_ms)
         customer = self._customer(request.customer)
         item = Waiting(request, now, now + wait)
-        self._places.change(customer, waiting=1)
-        if not len(self._queue) and self._may_start(request.customer):
+        self._set_share()
+        if not len(self._queue) and self._may_take(request.customer):
             grant = self._place(item)
-            return [] if grant is None else [grant]
+            if grant is not None:
+                return [grant]
+            if request_id in self._held_by_id:
+                self._places.change(customer, waiting=1)
+                return []
+        self._places.change(customer, waiting=1)
         self._queue.push(item, customer.weight)
         decisions = self._drain()
         if request_id in self._queue:
@@ -157,7 +172,7 @@
 
     def _leave(self, request_id):
         if request_id in self._held_by_id:
-            item, _, _ = self._held_by_id.pop(request_id)
+            item = self._held_by_id.pop(request_id).item
         else:
             item = self._queue.remove(request_id)
         self._places.change(self._customer(item.request.customer), waiting=-1)
@@ -257,9 +272,9 @@
         refusals = []
         now = self._clock.now()
         late = self._queue.expire(now)
-        for item, _, _ in list(self._held_by_id.values()):
-            if item.expires_ms <= now:
-                late.append(self._held_by_id.pop(item.request.request_id)[0])
+        for request_id, held in list(self._held_by_id.items()):
+            if held.item.expires_ms <= now:
+                late.append(self._held_by_id.pop(request_id).item)
         for item in late:
             request = item.request
             self._places.change(self._customer(request.customer), waiting=-1)
@@ -276,7 +291,7 @@
 
     def _waiting_requests(self):
         items = self._queue.items()
-        items.extend(item for item, _, _ in self._held_by_id.values())
+        items.extend(held.item for held in self._held_by_id.values())
         return [item.request for item in items]
 
     def _customer(self, name):
@@ -286,24 +301,25 @@
     def _drain(self):
         self._set_share()
         granted = []
-        for item, wanted, until_ms in list(self._held_by_id.values()):
-            if not self._loads.has_room():
-                return granted
-            grant = self._place(item, wanted, until_ms)
-            if grant is not None:
-                granted.append(grant)
+        for held in list(self._held_by_id.values()):
+            if self._may_go(held):
+                self._keep(granted, held.item, self._place(held.item, held))
         while len(self._queue) and self._loads.has_room():
             item = self._queue.pop(self._may_take)
             if item is None:
                 break
-            grant = self._place(item)
-            if grant is not None:
-                granted.append(grant)
+            self._keep(granted, item, self._place(item))
         return granted
 
-    def _may_start(self, name):
-        self._set_share()
-        return self._loads.has_room() and self._may_take(name)
+    def _may_go(self, held):
+        late = self._clock.now() >= held.until_ms
+        ready = self._loads.has_room() if late else self._loads.has_room(held.wanted)
+        return ready and self._may_take(held.item.request.customer)
+
+    def _keep(self, granted, item, grant):
+        if grant is not None:
+            granted.append(grant)
+            self._places.change(self._customer(item.request.customer), waiting=-1)
 
     def _set_share(self):
         self._loads.capacity_share = FRESH_SHARE if self.fresh else 1.0
@@ -312,27 +328,30 @@
         self._places.capacity = self._loads.capacity * self._loads.capacity_share
         return self._places.may_take(self._customer(name), self._loads.total())
 
-    def _place(self, item, wanted="", until_ms=None):
+    def _place(self, item, held=None):
         request = item.request
         lookup = self._index.look(request.prefixes, request.blocks)
         choice = self._chooser.choose(request, lookup, self._loads)
-        now = self._clock.now()
-        if choice.engine != choice.wanted:
-            if until_ms is None:
-                until_ms = now + choice.patience_ms
-            if now < until_ms:
-                held = (item, choice.wanted, until_ms)
-                self._held_by_id[request.request_id] = held
-                return None
+        if not choice.engine or self._should_hold(item, held, choice):
+            return None
         self._held_by_id.pop(request.request_id, None)
+        now = self._clock.now()
         name = choice.engine
         cached = int(lookup.blocks_by_engine.get(name, 0))
         self._index.record(lookup, name, self._clock.wall())
         request_id = request.request_id
-        self._places.change(self._customer(request.customer), waiting=-1)
         self._add(Lease(request_id, request.entry, request.customer, name, now, cached))
         return Grant(request_id, name, cached)
 
+    def _should_hold(self, item, held, choice):
+        if choice.engine == choice.wanted:
+            return False
+        now = self._clock.now()
+        if held is None and len(self._held_by_id) < MAX_HELD:
+            held = _Held(item, choice.wanted, now + choice.patience_ms)
+            self._held_by_id[item.request.request_id] = held
+        return held is not None and now < held.until_ms
+
     def _add(self, lease):
         self._book.add(lease)
         self._places.change(self._customer(lease.customer), leases=1)
--- a/peridotcove/loads.py
+++ b/peridotcove/loads.py
@@ -230,9 +230,19 @@
         bound = math.ceil(self.load_bound * mean * load.weight)
         return min(bound, max(1, int(load.capacity * self.capacity_share)))
 
-    def has_room(self):
-        """Return whether an engine may get the next request."""
+    def has_room(self, engine=None):
+        """Return whether an engine may get the next request.
+
+        Parameters
+        ----------
+        engine : str or None
+            Name of the engine; any when None.
+        """
         if not self.open:
             return False
         mean = self.mean()
-        return any(load.total < self.limit(load, mean) for load in self.open)
+        for load in self.open:
+            asked = engine is None or load.name == engine
+            if asked and load.total < self.limit(load, mean):
+                return True
+        return False
