Add the command that measures routing against baselines and targets

Cause: reuse, skew and fairness are to be measured in one run. Change: bench routing with rows, targets, state per chat.

--- a/peridotcove/bench/cases.py
+++ b/peridotcove/bench/cases.py
@@ -13,7 +13,6 @@
 MEAN_LOAD = 12
 TURNS = 8
 SERVICE_MS = 8_000
-PAUSE_MS = 40_000
 MEAN_CHAT_BLOCKS = 60
 LONG_PREFIX_BLOCKS = 24
 PREFIX_BLOCKS = (4, 8, 12, 16)
@@ -32,8 +31,10 @@
         How many there are.
     customers : int
         Customers in use.
-    end_ms : int
-        Length of a run in ms.
+    pause_ms : int
+        Mean of most pauses of a chat in ms.
+    warm_ms, end_ms : int
+        Start and end of the measurement in ms.
     """
 
     nodes: int
@@ -41,13 +42,15 @@
     zones: int
     models: int = 1
     customers: int = CUSTOMERS
-    end_ms: int = 480_000
+    pause_ms: int = 40_000
+    warm_ms: int = 100_000
+    end_ms: int = 400_000
 
 
 SIZE_BY_NAME = {
     "stands": Size(9, 6, 4),
     "gloves": Size(9, 9, 3),
-    "region": Size(55, 267, 4, 6, 400, 120_000),
+    "region": Size(55, 267, 4, 6, 400, 15_000, 40_000, 60_000),
 }
 
 
@@ -89,17 +92,18 @@
     """
     names = [f"customer-{number}" for number in range(size.customers)]
     rate = load * size.engines / SERVICE_MS * 1000
-    cycle_ms = SERVICE_MS + 1.4 * PAUSE_MS
+    cycle_ms = SERVICE_MS + 1.4 * size.pause_ms
     live_chats = int(rate * cycle_ms / 1000)
     blocks = int(cache_factor * live_chats * MEAN_CHAT_BLOCKS / size.engines)
     shares, prefixes = _make_shares(names, long_prefixes)
     models = tuple(f"m{number}" for number in range(size.models))
-    shape = Shape(rate / TURNS, live_chats, PAUSE_MS, shares, prefixes, models)
+    shape = Shape(rate / TURNS, live_chats, size.pause_ms, shares, prefixes, models)
     setup = Setup(
         _make_configuration(size, names, models, blocks),
         REGION,
         {f"node-{number}": f"z{number % size.zones}" for number in range(size.nodes)},
         blocks,
+        warm_ms=size.warm_ms,
         end_ms=size.end_ms,
     )
     return Plan(setup, shape)
@@ -170,7 +174,7 @@
     size : Size
         The size.
     """
-    return make_plan(size)
+    return evolve(make_plan(size), event_ms=EVENT_MS)
 
 
 @cases.register("saturday peak")
@@ -305,7 +309,7 @@
     """
     plan = make_plan(size)
     window = (EVENT_MS, EVENT_MS + 90_000)
-    shape = evolve(plan.shape, surging="customer-2", surge_factor=10.0, surge_ms=window)
+    shape = evolve(plan.shape, surging="customer-0", surge_factor=10.0, surge_ms=window)
     return evolve(plan, shape=shape, window_ms=window)
 
 
--- a/peridotcove/bench/measure.py
+++ b/peridotcove/bench/measure.py
@@ -16,17 +16,22 @@
     case, policy : str
         What was run.
     nodes, engines, requests : int
-        Sizes of the run.
+        Sizes of the run; requests are those measured.
     reuse : float
         Share of the prompts' blocks that were in the cache.
     skew_p50, skew_p99, skew_max : float
         Highest load over the mean of the model's engines, sampled over time.
     over_bound : float
         Share of samples in which an engine had more than the bound, rounded up.
+    most_over : int
+        Most requests above the bound in any sample.
     refused : float
         Share of requests refused.
     moved : float
         Share of later turns that ran on another engine than the turn before.
+    moved_chats : float
+        Share of chats whose first turn after the event of the case ran on another
+        engine; 0 without an event.
     bytes_per_node_second : float
         Control bytes that a node sends.
     decision_us_p50, decision_us_p99 : float
@@ -45,8 +50,10 @@
     skew_p99: float
     skew_max: float
     over_bound: float
+    most_over: int
     refused: float
     moved: float
+    moved_chats: float
     bytes_per_node_second: float
     decision_us_p50: float
     decision_us_p99: float
@@ -90,6 +97,7 @@
         self._started = 0
         self._refused = 0
         self._over = 0
+        self._most_over = 0
 
     def start(self, sent, engine, reused, first_ms, clock):
         """Take the start of a request.
@@ -146,7 +154,7 @@
         for fake in world.open_fakes():
             fakes_by_model.setdefault(fake.spec.model, []).append(fake)
         skew = 1.0
-        over = False
+        over = 0
         for fakes in fakes_by_model.values():
             mean = sum(fake.load for fake in fakes) / sum(
                 fake.spec.weight for fake in fakes
@@ -155,9 +163,10 @@
                 if mean:
                     skew = max(skew, fake.load / (fake.spec.weight * mean))
                 bound = math.ceil(self.load_bound * mean * fake.spec.weight)
-                over = over or fake.load > bound
+                over = max(over, fake.load - bound)
         self.samples.append((world.clock.now(), skew))
-        self._over += over
+        self._over += over > 0
+        self._most_over = max(self._most_over, over)
 
     @property
     def reuse(self):
@@ -178,16 +187,18 @@
                 first_by_chat.setdefault(number, moved)
         return sum(first_by_chat.values()) / max(1, len(first_by_chat))
 
-    def row(self, case, policy, setup):
+    def row(self, case, policy, plan):
         """Return the line of the run.
 
         Parameters
         ----------
         case, policy : str
             What was run.
-        setup : Setup
+        plan : Plan
             How it was run.
         """
+        setup = plan.setup
+        chats = 0.0 if plan.event_ms is None else self.moved_after(plan.event_ms)
         skews = [skew for _, skew in self.samples]
         seconds = setup.end_ms / 1000
         nodes = len(setup.zone_by_node)
@@ -205,8 +216,10 @@
             round(percentile(skews, 99), 3),
             round(max(skews, default=0.0), 3),
             round(self._over / max(1, len(skews)), 4),
+            self._most_over,
             round(self._refused / max(1, total), 4),
             round(moved, 4),
+            round(chats, 4),
             round(self.sent_bytes / nodes / seconds, 1),
             round(percentile(times, 50), 1),
             round(percentile(times, 99), 1),
--- /dev/null
+++ b/peridotcove/bench/state.py
@@ -0,0 +1,52 @@
+"""Measures the memory that the cache index takes for each remembered chat."""
+
+import tracemalloc
+
+from peridotcove.bench.workload import Shape, Workload
+from peridotcove.cache_index import CacheIndex
+from peridotcove.models import Engine
+from peridotcove.prefixes import thin
+
+CHATS = 20_000
+CUSTOMERS = 100
+ENGINES = 16
+TURNS = 2
+BLOCK_CHARS = 256
+CACHE_TOKENS = 10_000_000
+
+
+def measure_state(chats=CHATS):
+    """Return the bytes of memory for each chat that the index remembers.
+
+    Parameters
+    ----------
+    chats : int
+        How many chats it is to remember.
+    """
+    names = [f"customer-{number}" for number in range(CUSTOMERS)]
+    shape = Shape(
+        1.0, 0, 1.0, dict.fromkeys(names, 1.0), dict.fromkeys(names, 8), ("m",)
+    )
+    workload = Workload(shape, 1)
+    engines = [
+        Engine(f"engine-{number}", "", "", "m", cache_tokens=CACHE_TOKENS)
+        for number in range(ENGINES)
+    ]
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    index = CacheIndex(BLOCK_CHARS)
+    index.set_engines(engines)
+    for number in range(chats):
+        _record(index, workload.open_chat(number, names[number % CUSTOMERS]), number)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (after - before) / chats
+
+
+def _record(index, chat, number):
+    for _ in range(TURNS):
+        chat.ask()
+        prefixes = tuple(chat.prefixes)
+        lookup = index.look(thin(prefixes), len(prefixes))
+        index.record(lookup, f"engine-{number % ENGINES}", number)
+        chat.grow(chat.answer_blocks)
--- a/peridotcove/bench/workload.py
+++ b/peridotcove/bench/workload.py
@@ -178,6 +178,20 @@
             chat.grow(chat.answer_blocks)
         return chat
 
+    def open_single(self, number, customer):
+        """Return a chat of one turn.
+
+        Parameters
+        ----------
+        number : int
+            Number of the chat.
+        customer : str
+            Name of the customer.
+        """
+        chat = self.open_chat(number, customer)
+        chat.turns_left = 1
+        return chat
+
     def earlier(self):
         """Yield first times in ms and customers of the chats of `open_earlier`."""
         rng = random.Random(f"earlier {self._seed}")
@@ -189,13 +203,14 @@
             yield at_ms, rng.choices(self._names, self._shares)[0]
 
     def surge(self):
-        """Yield times in ms at which the surging customer's additional chats come."""
+        """Yield times in ms at which a surging customer sends single questions more."""
         shape = self.shape
         start, end = shape.surge_ms
         if not shape.surging:
             return
         share = shape.share_by_customer[shape.surging]
-        rate = shape.chats_per_second * share * (shape.surge_factor - 1) / 1000
+        more = shape.surge_factor - 1
+        rate = shape.chats_per_second * share * MEAN_TURNS * more / 1000
         rng = random.Random(f"surge {self._seed}")
         now = start + rng.expovariate(rate)
         while now < end:
--- a/peridotcove/bench/world.py
+++ b/peridotcove/bench/world.py
@@ -13,6 +13,9 @@
 SAMPLE_MS = 200
 TICK_MS = 50
 REPORT_MS = 500
+EARLIER = 1
+NEW = 10_000_000
+SURGE = 20_000_000
 
 
 @frozen
@@ -45,8 +48,8 @@
     cache_blocks: int
     hop_ms: int = 2
     report_lag_ms: int = 300
-    warm_ms: int = 100_000
-    end_ms: int = 240_000
+    warm_ms: int = 0
+    end_ms: int = 60_000
     script: tuple = ()
 
 
@@ -151,15 +154,10 @@
     def run(self):
         """Run to the end and return the measure."""
         workload = self.workload
-        number = 0
-        for at_ms, customer in workload.earlier():
-            number += 1
-            self.after(at_ms, self._open, workload.open_earlier, number, customer)
-        arrivals = list(workload.arrivals(self.setup.end_ms))
-        arrivals.extend(workload.surge())
-        for at_ms, customer in arrivals:
-            number += 1
-            self.after(at_ms, self._open, workload.open_chat, number, customer)
+        end_ms = self.setup.end_ms
+        self._plan(workload.open_earlier, workload.earlier(), EARLIER)
+        self._plan(workload.open_chat, workload.arrivals(end_ms), NEW)
+        self._plan(workload.open_single, workload.surge(), SURGE)
         for at_ms, action in self.setup.script:
             self.after(at_ms, action, self)
         self._tick()
@@ -171,6 +169,10 @@
             action(*args)
         return self.measure
 
+    def _plan(self, make, arrivals, first):
+        for number, (at_ms, customer) in enumerate(arrivals, first):
+            self.after(at_ms, self._open, make, number, customer)
+
     def _open(self, make, number, customer):
         self._ask(make(number, customer))
 
--- a/peridotcove/choice.py
+++ b/peridotcove/choice.py
@@ -104,20 +104,21 @@
 
     def _costs(self, request, lookup, open_loads, mean):
         weights = self.weights
+        blocks_by_engine = lookup.blocks_by_engine
         per_load = weights.load / mean
         zone = request.zone
-        known = lookup.blocks_by_engine.get
+        get = blocks_by_engine.get
         costs = []
         places = {}
         for load in open_loads:
             name = load.name
             places[name] = len(costs)
-            cost = per_load * load.total / load.weight - known(name, 0)
+            cost = per_load * load.total / load.weight - get(name, 0)
             costs.append(cost if load.zone == zone else cost + weights.zone)
         first = self._ranking.best(_key(request, lookup), places)
         costs[places[first]] -= weights.rank
         hint = request.hint
-        if hint in places and hint not in lookup.blocks_by_engine:
+        if hint in places and hint not in blocks_by_engine:
             costs[places[hint]] -= weights.hint * lookup.blocks
         return costs
 
--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -16,6 +16,7 @@
 EXIT_USAGE = 2
 
 COMMANDS = {
+    "bench routing": "peridotcove.bench.commands:BenchRoutingCommand",
     "check": "peridotcove.operators.commands:CheckCommand",
     "timeline": "peridotcove.operators.commands:TimelineCommand",
     "demo-caller": "peridotcove.standins.commands:DemoCallerCommand",
