--- a/peridotcove/bench/state.py
+++ b/peridotcove/bench/state.py
@@ -8,6 +8,7 @@
 from peridotcove.prefixes import thin
 
 CHATS = 20_000
+WARM_CHATS = 2_000
 CUSTOMERS = 100
 ENGINES = 16
 TURNS = 2
@@ -18,6 +19,9 @@
 def measure_state(chats=CHATS):
     """Return the bytes of memory for each chat that the index remembers.
 
+    Tables that are made once for the process are left out; entries for prefixes that
+    chats share count as memory, not as chats.
+
     Parameters
     ----------
     chats : int
@@ -32,15 +36,21 @@
         Engine(f"engine-{number}", "", "", "m", cache_tokens=CACHE_TOKENS)
         for number in range(ENGINES)
     ]
+    _fill(workload, names, engines, WARM_CHATS)
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
+    index = _fill(workload, names, engines, chats)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (after - before) / len(index)
+
+
+def _fill(workload, names, engines, chats):
     index = CacheIndex(BLOCK_CHARS)
     index.set_engines(engines)
     for number in range(chats):
         _record(index, workload.open_chat(number, names[number % CUSTOMERS]), number)
-    after, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    return (after - before) / chats
+    return index
 
 
 def _record(index, chat, number):
--- a/peridotcove/cache_index.py
+++ b/peridotcove/cache_index.py
@@ -6,6 +6,7 @@
 entries doubtful, and a full list brings them back.
 """
 
+from array import array
 from bisect import bisect_right
 from collections import deque
 
@@ -76,7 +77,7 @@
     number: int
     size: int
     reach: float
-    clock: int = 0
+    clock: int = 1
     floor: int = 0
     doubt: int = 0
     horizon: float = 0.0
@@ -137,6 +138,7 @@
                 self._forget_if_full()
                 number = len(self._engine_by_number)
                 cache = _Cache(number, size, float(size))
+                _follow(cache)
                 self._cache_by_engine[engine.name] = cache
                 self._engine_by_number.append((engine.name, cache))
             elif cache.size != size:
@@ -155,7 +157,7 @@
             self._table = CompactTable(MIN_SLOTS, self._age)
 
     def __len__(self):
-        return len(self._table)
+        return sum(1 for value in self._table.values() if value & LEAF_BIT)
 
     @property
     def slots(self):
@@ -212,10 +214,10 @@
     def _match_wide(self, lookup, depth, key, stamp_by_number):
         found = lookup.blocks_by_engine
         engines = self._engine_by_number
-        for number, stamp in stamp_by_number.items():
+        for number, stamp in enumerate(stamp_by_number):
             name, cache = engines[number]
             age = (cache.clock - stamp) & CLOCK_MASK
-            if age < cache.horizon and name not in found:
+            if stamp and age < cache.horizon and name not in found:
                 self._enter(lookup, depth, key, name, cache, age)
 
     def _match(self, lookup, depth, key, value):
@@ -261,7 +263,7 @@
         for depth, key, value in lookup._rungs:
             stamps = self._wide.get(key)
             if stamps is not None:
-                stamps[number] = clock
+                _stamp(stamps, number, clock)
             elif key != leaf:
                 self._touch(key, value, cache, depth)
         if not old_leaf and not leaf & SAMPLE_MASK:
@@ -281,7 +283,7 @@
     def _touch(self, key, value, cache, depth):
         stamp_by_number = self._wide.get(key)
         if stamp_by_number is not None:
-            stamp_by_number[cache.number] = cache.clock
+            _stamp(stamp_by_number, cache.number, cache.clock)
             return
         number = (value >> ENGINE_SHIFT) & ENGINE_MASK
         if number == cache.number:
@@ -290,7 +292,9 @@
         self._table.remove(key)
         if len(self._wide) >= MAX_WIDE:
             del self._wide[next(iter(self._wide))]
-        stamps = {number: value & CLOCK_MASK, cache.number: cache.clock}
+        stamps = array("Q")
+        _stamp(stamps, number, value & CLOCK_MASK)
+        _stamp(stamps, cache.number, cache.clock)
         self._wide[key] = stamps
 
     def _extend(self, lookup, cache):
@@ -335,6 +339,7 @@
         gap = cache.sequence is not None and event.sequence != cache.sequence + 1
         cache.sequence = event.sequence
         then = self._clock_at(cache, event.at_ms)
+        cache.clock = (cache.clock + 1) & CLOCK_MASK
         if event.full:
             cache.floor = cache.doubt = then
         elif gap:
@@ -356,10 +361,10 @@
         number = (value >> ENGINE_SHIFT) & ENGINE_MASK
         if value and number == cache.number and _not_after(value, then, cache):
             self._table.remove(key)
-        stamps = self._wide.get(key, {})
-        stamp = stamps.get(cache.number)
-        if stamp is not None and _not_after(stamp, then, cache):
-            del stamps[cache.number]
+        stamps = self._wide.get(key, ())
+        known = cache.number < len(stamps) and stamps[cache.number]
+        if known and _not_after(known, then, cache):
+            stamps[cache.number] = 0
 
     def _store(self, key, depth, cache):
         value = self._table.get(key)
@@ -386,5 +391,12 @@
     return SET_BIT | engine | depth << DEPTH_SHIFT | cache.clock
 
 
+def _stamp(stamp_by_number, number, clock):
+    missing = number + 1 - len(stamp_by_number)
+    if missing > 0:
+        stamp_by_number.extend([0] * missing)
+    stamp_by_number[number] = SET_BIT | clock
+
+
 def _not_after(stamp, then, cache):
     return (cache.clock - stamp) & CLOCK_MASK >= (cache.clock - then) & CLOCK_MASK
--- a/peridotcove/compact_table.py
+++ b/peridotcove/compact_table.py
@@ -51,6 +51,10 @@
         """Slots allotted, free ones included."""
         return len(self._keys)
 
+    def values(self):
+        """Yield the values in use."""
+        return (value for value in self._values if value)
+
     def get(self, key):
         """Return the value of a key, or 0.
 
--- /dev/null
+++ b/peridotcove/continuation.py
@@ -0,0 +1,115 @@
+"""Token that a caller may send back on a chat's next turn.
+
+It names the engine of the last turn, so that a chat finds its cached prefix after every
+node was replaced. It is a hint and nothing more: a missing, old, foreign or forged one
+leaves the choice to the owner's index and the rank.
+"""
+
+import base64
+import binascii
+import hashlib
+import hmac
+import struct
+
+from attrs import frozen
+
+MAX_TOKEN_CHARS = 256
+MAX_ENGINE_BYTES = 128
+MAC_BYTES = 16
+LIFE_MS = 6 * 3_600_000
+LEEWAY_MS = 60_000
+FORMAT = 1
+HEAD = struct.Struct(">BQQH")
+CONTEXT = b"peridotcove continuation"
+
+
+@frozen
+class Continuation:
+    """What a token says.
+
+    Attributes
+    ----------
+    engine : str
+        Engine of the chat's last turn.
+    chat_key : int
+        Key of the chat; the token is of no use for another chat.
+    blocks : int
+        Prefix blocks that were sent to the engine.
+    at_ms : int
+        Wall time in ms of the last turn.
+    """
+
+    engine: str
+    chat_key: int
+    blocks: int
+    at_ms: int
+
+
+class ContinuationCodec:
+    """Signs and reads tokens.
+
+    Parameters
+    ----------
+    secret : bytes
+        Secret that all nodes share.
+    clock : Clock
+        The clock.
+    """
+
+    def __init__(self, secret, clock):
+        self._key = hmac.digest(secret, CONTEXT, hashlib.sha256)
+        self._clock = clock
+
+    def encode(self, engine, chat_key, blocks):
+        """Return a token, or an empty text where the name does not fit.
+
+        Parameters
+        ----------
+        engine : str
+            Engine of this turn.
+        chat_key : int
+            Key of the chat, 64 bits.
+        blocks : int
+            Prefix blocks that were sent to the engine.
+        """
+        name = engine.encode()
+        if len(name) > MAX_ENGINE_BYTES:
+            return ""
+        count = min(blocks, 0xFFFF)
+        body = HEAD.pack(FORMAT, self._clock.wall(), chat_key, count) + name
+        return base64.urlsafe_b64encode(body + self._sign(body)).decode()
+
+    def decode(self, token, chat_key):
+        """Return the `Continuation` of a token, or None if it is of no use.
+
+        Parameters
+        ----------
+        token : str
+            What the caller sent; anything.
+        chat_key : int
+            Key of the chat that it came with.
+        """
+        body = self._open(token)
+        if body is None:
+            return None
+        _, at_ms, key, blocks = HEAD.unpack_from(body)
+        age = self._clock.wall() - at_ms
+        if key != chat_key or not -LEEWAY_MS <= age <= LIFE_MS:
+            return None
+        engine = body[HEAD.size :].decode("utf-8", "replace")
+        return Continuation(engine, key, blocks, at_ms)
+
+    def _open(self, token):
+        if not token or len(token) > MAX_TOKEN_CHARS:
+            return None
+        try:
+            data = base64.b64decode(token.encode(), b"-_", validate=True)
+        except (binascii.Error, ValueError):
+            return None
+        body, mac = data[:-MAC_BYTES], data[-MAC_BYTES:]
+        if len(body) < HEAD.size or body[0] != FORMAT:
+            return None
+        return body if hmac.compare_digest(mac, self._sign(body)) else None
+
+    def _sign(self, body):
+        return hmac.digest(self._key, body, hashlib.sha256)[:MAC_BYTES]
--- /dev/null
+++ b/tests/test_continuation.py
@@ -0,0 +1,54 @@
+"""Tests of `peridotcove.continuation`."""
+
+import base64
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotcove.clock import FakeClock
+from peridotcove.continuation import LIFE_MS, MAX_TOKEN_CHARS, ContinuationCodec
+
+KEYS = st.integers(0, 2**64 - 1)
+
+
+class TestContinuation(unittest.TestCase):
+    """A token is a hint that can do no harm."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.codec = ContinuationCodec(b"a secret of the nodes", self.clock)
+
+    @given(engine=st.text(max_size=200), key=KEYS, blocks=st.integers(0, 10**6))
+    def test_round_trip_is_bounded(self, engine, key, blocks):
+        engine = engine.encode("utf-8", "replace").decode()
+        token = self.codec.encode(engine, key, blocks)
+        self.assertLessEqual(len(token), MAX_TOKEN_CHARS)
+        found = self.codec.decode(token, key)
+        if token:
+            self.assertEqual((found.engine, found.chat_key), (engine, key))
+            self.assertIsNone(self.codec.decode(token, key ^ 1))
+        else:
+            self.assertGreater(len(engine.encode()), 128)
+
+    @given(token=st.text() | st.binary(max_size=80).map(base64.urlsafe_b64encode))
+    def test_anything_foreign_is_no_token(self, token):
+        text = token.decode() if isinstance(token, bytes) else token
+        self.assertIsNone(self.codec.decode(text, 1))
+
+    @given(place=st.integers(0, 10**4), bit=st.integers(0, 7))
+    def test_one_changed_bit_makes_it_void(self, place, bit):
+        data = bytearray(base64.urlsafe_b64decode(self.codec.encode("e", 7, 3)))
+        data[place % len(data)] ^= 1 << bit
+        self.assertIsNone(
+            self.codec.decode(base64.urlsafe_b64encode(bytes(data)).decode(), 7)
+        )
+
+    def test_old_and_foreign_tokens_are_void(self):
+        token = self.codec.encode("e", 7, 3)
+        other = ContinuationCodec(b"a secret of some others", self.clock)
+        self.assertIsNone(other.decode(token, 7))
+        self.clock.advance(LIFE_MS)
+        self.assertIsNotNone(self.codec.decode(token, 7))
+        self.clock.advance(1)
+        self.assertIsNone(self.codec.decode(token, 7))
