--- a/peridotcove/bench/state.py
+++ b/peridotcove/bench/state.py
@@ -8,7 +8,6 @@
 from peridotcove.prefixes import thin
 
 CHATS = 20_000
-WARM_CHATS = 2_000
 CUSTOMERS = 100
 ENGINES = 16
 TURNS = 2
@@ -36,7 +35,7 @@
         Engine(f"engine-{number}", "", "", "m", cache_tokens=CACHE_TOKENS)
         for number in range(ENGINES)
     ]
-    _fill(workload, names, engines, WARM_CHATS)
+    _fill(workload, names, engines, chats)
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     index = _fill(workload, names, engines, chats)
--- a/peridotcove/endpoints/client.py
+++ b/peridotcove/endpoints/client.py
@@ -13,7 +13,7 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
 
-from peridotcove.exceptions import EndpointFailed
+from peridotcove.exceptions import EndpointFailed, RequestError
 from peridotcove.verdict import Verdict
 
 MAX_TRANSFERS = 512
@@ -24,6 +24,12 @@
 class CurlClient(CurlAsyncHTTPClient):
     """The curl client with a way to end one transfer."""
 
+    def close(self):
+        """Close every connection, and the timer that closing them may set."""
+        super().close()
+        if self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
+
     def cancel(self, curl):
         """End a transfer and close its connection.
 
@@ -32,7 +38,7 @@
         curl : pycurl.Curl
             Handle of the transfer; nothing happens if it has ended.
         """
-        if getattr(curl, "info", None) is not None:
+        if self._multi is not None and getattr(curl, "info", None) is not None:
             self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
             self._process_queue()
 
@@ -70,6 +76,9 @@
         the sink while it keeps the transfer paused.
     sink : callable or None
         Takes each read of the body; returns true to pause the transfer.
+    check : callable or None
+        Called right before the request is sent; the `RequestError` that it raises stops
+        the request.
     status : int
         HTTP status of the answer; 0 before its head.
     headers : tornado.httputil.HTTPHeaders
@@ -80,6 +89,8 @@
     gap_ms: int
     stall_ms: int
     sink: object = None
+    check: object = None
+    refused: object = None
     status: int = 0
     headers: HTTPHeaders = field(factory=HTTPHeaders)
     connected: bool = False
@@ -124,6 +135,14 @@
         *addresses : object
             Both ends of the connection.
         """
+        if self.cancelled or self.connected:
+            return pycurl.PREREQFUNC_ABORT
+        try:
+            if self.check is not None:
+                self.check()
+        except RequestError as error:
+            self.refused = error
+            return pycurl.PREREQFUNC_ABORT
         self.connected = True
         return pycurl.PREREQFUNC_OK
 
@@ -251,7 +270,8 @@
 def _explain(url, error, transfer):
     if not transfer.connected:
         message = f"no connection to {url}"
-        return EndpointFailed("unreachable", message, Verdict.NOT_RUN)
+        unreachable = EndpointFailed("unreachable", message, Verdict.NOT_RUN)
+        return transfer.refused or unreachable
     if transfer.timed_out and transfer.paused:
         message = "the caller does not read its answer"
         return EndpointFailed("slow-caller", message, Verdict.MAY_HAVE_RUN, 408)
--- a/tests/endpoints/test_engines.py
+++ b/tests/endpoints/test_engines.py
@@ -13,11 +13,13 @@
 from peridotcove.settings import Limits
 from peridotcove.verdict import Verdict
 
-EVENT = b'data: {"choices": [{"delta": {"content": "x"}}]}\n\n'
+EVENT = b'data: {"id": "chatcmpl-ab", "choices": [{"delta": {"content": "x"}}]}\n\n'
 DONE = b"data: [DONE]\n\n"
-USAGE = b'data: {"usage": {"prompt_tokens": 80, "completion_tokens": 1, '
+USAGE = (
+    b'data: {"id": "chatcmpl-ab", "usage": {"prompt_tokens": 80, "total_tokens": 1, '
+)
 USAGE += b'"prompt_tokens_details": {"cached_tokens": 60}}}\n\n'
-WHOLE = json.dumps({"choices": [], "id": "1"}).encode()
+WHOLE = json.dumps({"choices": [], "id": "chatcmpl-ab"}).encode()
 LIMITS = Limits(first_byte_ms=200, gap_ms=200)
 
 
@@ -30,7 +32,7 @@
 
 
 class ScriptedEngine:
-    """Sends given bytes to each request, then closes or stays silent."""
+    """Sends given bytes to each chat, then closes or stays silent; resumes nothing."""
 
     def __init__(self, answer, silent=False):
         self.answer = answer
@@ -46,7 +48,10 @@
 
     async def _serve(self, reader, writer):
         try:
-            await reader.readuntil(b"\r\n\r\n")
+            request = await reader.readuntil(b"\r\n\r\n")
+            if not request.startswith(b"POST /v1/chat/completions "):
+                writer.write(head(b"404 Not Found", length=0))
+                return
             self.requests += 1
             writer.write(self.answer)
             if self.silent:
