--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -15,7 +15,12 @@
 )
 from peridotcove.callers.chats import find_customer, read_chat
 from peridotcove.callers.sink import Sink
-from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
+from peridotcove.exceptions import (
+    EndpointFailed,
+    RequestError,
+    RequestRefused,
+    TicketRefused,
+)
 from peridotcove.logs import get_logger
 from peridotcove.verdict import Verdict
 
@@ -62,18 +67,14 @@
         Parameters
         ----------
         error : RequestError
-            The error and its verdict.
+            The error and its verdict. Where the caller sent a ticket, an earlier send
+            may have run, and only the ticket's own process can say that none did.
         """
-        if self._may_have_run_before(error):
+        if TICKET in self.request.headers and not isinstance(error, TicketRefused):
             error.verdict = Verdict.MAY_HAVE_RUN
         self.desk.count(self._span, error.code, error.verdict)
         set_error(self, error, self.request_id.hex())
 
-    def _may_have_run_before(self, error):
-        # Only who decides about a ticket knows what became of its earlier calls.
-        known = hasattr(error, "ticket") or error.verdict is not Verdict.NOT_RUN
-        return TICKET in self.request.headers and not known
-
     def write_error(self, status_code, **kwargs):
         """Answer a fault that no handler foresaw.
 
