Measure state without the interpreter's free lists

Cause: freed tuples that the interpreter keeps counted as state of the index. Change: collect garbage before memory is read.

--- a/peridotcove/bench/state.py
+++ b/peridotcove/bench/state.py
@@ -1,5 +1,6 @@
 """Measures the memory that the cache index takes for each remembered chat."""
 
+import gc
 import tracemalloc
 
 from peridotcove.bench.workload import Shape, Workload
@@ -39,6 +40,7 @@
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     index = _fill(workload, names, engines, chats)
+    gc.collect()
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return (after - before) / len(index)
