--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -17,6 +17,7 @@
 
 COMMANDS = {
     "bench routing": "peridotcove.bench.commands:BenchRoutingCommand",
+    "bench fleet": "peridotcove.bench.fleet:BenchFleetCommand",
     "bench capacity": "peridotcove.bench.capacity:BenchCapacityCommand",
     "bench operators": "peridotcove.bench.operators:BenchOperatorsCommand",
     "check": "peridotcove.operators.commands:CheckCommand",
