--- a/peridotcove/choice.py
+++ b/peridotcove/choice.py
@@ -87,41 +87,51 @@
         """
         mean = loads.mean()
         costs = self._costs(request, lookup, loads.open, mean)
-        limit = loads.limit
+        least = min(costs)
+        wanted = loads.open[costs.index(least)].name
         engine = ""
         lowest = 0.0
+        per_weight = loads.bound(mean)
+        share = loads.capacity_share
         for load, cost in zip(loads.open, costs, strict=True):
-            if (not engine or cost < lowest) and load.total < limit(load, mean):
+            if engine and cost >= lowest:
+                continue
+            if load.total < per_weight * load.weight and load.has_place(share):
                 engine = load.name
                 lowest = cost
-        least = min(costs)
-        if not engine or least == lowest:
-            wanted = engine or loads.open[costs.index(least)].name
-            return Choice(engine, wanted, 0)
+        if not engine or lowest == least:
+            return Choice(engine, engine or wanted, 0)
         patience = int((lowest - least) * self.weights.patience_ms)
-        wanted = loads.open[costs.index(least)].name
         return Choice(engine, wanted, min(patience, self.weights.max_patience_ms))
 
     def _costs(self, request, lookup, open_loads, mean):
         weights = self.weights
-        blocks_by_engine = lookup.blocks_by_engine
         per_load = weights.load / mean
+        far = weights.zone
         zone = request.zone
-        get = blocks_by_engine.get
+        hint = request.hint
+        known = lookup.blocks_by_engine
+        get = known.get
+        first = self._first(request, lookup, open_loads)
         costs = []
-        places = {}
         for load in open_loads:
             name = load.name
-            places[name] = len(costs)
             cost = per_load * load.total / load.weight - get(name, 0)
-            costs.append(cost if load.zone == zone else cost + weights.zone)
-        first = self._ranking.best(_key(request, lookup), places)
-        costs[places[first]] -= weights.rank
-        hint = request.hint
-        if hint in places and hint not in blocks_by_engine:
-            costs[places[hint]] -= weights.hint * lookup.blocks
+            if load.zone != zone:
+                cost += far
+            if name == first:
+                cost -= weights.rank
+            if name == hint and name not in known:
+                cost -= weights.hint * lookup.blocks
+            costs.append(cost)
         return costs
 
+    def _first(self, request, lookup, open_loads):
+        allowed = None
+        if len(open_loads) < len(self._ranking.names):
+            allowed = {load.name for load in open_loads}
+        return self._ranking.best(_key(request, lookup), allowed)
+
 
 def _key(request, lookup):
     if request.chat_key:
--- a/peridotcove/compact_table.py
+++ b/peridotcove/compact_table.py
@@ -1,11 +1,14 @@
-"""A hash table of 64-bit numbers in two flat arrays, 16 bytes a slot."""
+"""A hash table of 64-bit numbers in flat arrays, 17 bytes a slot."""
 
 from array import array
 
 BUCKET_SLOTS = 8
 BUCKET_SHIFT = 3
 LEAST_BUCKETS = 64
-SLOT_BYTES = 16
+SLOT_BYTES = 17
+TAG_SHIFT = 40
+TAG_MASK = 0xFF
+FREE = 0
 FULL_SHARE = 0.7
 
 
@@ -42,6 +45,7 @@
         self._mask = buckets - 1
         self._keys = array("Q", bytes(8 * buckets * BUCKET_SLOTS))
         self._values = array("Q", bytes(8 * buckets * BUCKET_SLOTS))
+        self._tags = bytearray(buckets * BUCKET_SLOTS)
 
     def __len__(self):
         return self._count
@@ -63,11 +67,19 @@
         key : int
             64-bit key.
         """
+        place = self._find(key)
+        return self._values[place] if place >= 0 else 0
+
+    def _find(self, key):
+        # A byte of the key, never FREE, is looked up first: most misses end there.
         start = (key & self._mask) << BUCKET_SHIFT
-        bucket = self._keys[start : start + BUCKET_SLOTS]
-        if key not in bucket:
-            return 0
-        return self._values[start + bucket.index(key)]
+        end = start + BUCKET_SLOTS
+        tag = (key >> TAG_SHIFT) & TAG_MASK or 1
+        find = self._tags.find
+        place = find(tag, start, end)
+        while place >= 0 and self._keys[place] != key:
+            place = find(tag, place + 1, end)
+        return place
 
     def put(self, key, value):
         """Set the value of a key.
@@ -81,13 +93,13 @@
         """
         if not key:
             return
-        start = (key & self._mask) << BUCKET_SHIFT
-        bucket = self._keys[start : start + BUCKET_SLOTS]
-        if key in bucket:
-            self._values[start + bucket.index(key)] = value
+        place = self._find(key)
+        if place >= 0:
+            self._values[place] = value
             return
-        if 0 in bucket:
-            place = start + bucket.index(0)
+        start = (key & self._mask) << BUCKET_SHIFT
+        place = self._tags.find(FREE, start, start + BUCKET_SLOTS)
+        if place >= 0:
             self._count += 1
         elif self._should_grow():
             self._grow()
@@ -95,6 +107,7 @@
             return
         else:
             place = self._oldest(start)
+        self._tags[place] = (key >> TAG_SHIFT) & TAG_MASK or 1
         self._keys[place] = key
         self._values[place] = value
 
@@ -106,10 +119,9 @@
         key : int
             64-bit key; an unknown one is ignored.
         """
-        start = (key & self._mask) << BUCKET_SHIFT
-        bucket = self._keys[start : start + BUCKET_SLOTS]
-        if key and key in bucket:
-            place = start + bucket.index(key)
+        place = self._find(key)
+        if place >= 0:
+            self._tags[place] = FREE
             self._keys[place] = 0
             self._values[place] = 0
             self._count -= 1
--- a/peridotcove/fair_queue.py
+++ b/peridotcove/fair_queue.py
@@ -152,7 +152,7 @@
         """
         busy = [p for p in sorted(self._class_by_priority) if self._busy(p)]
         if len(busy) > 1 and self._turns >= TURNS_PER_LOWER - 1:
-            busy.sort(key=self._oldest)
+            busy = [*sorted(busy[1:], key=self._oldest), busy[0]]
         for priority in busy:
             request_id = self._class_by_priority[priority].pop(eligible)
             if request_id is not None:
--- a/peridotcove/loads.py
+++ b/peridotcove/loads.py
@@ -12,6 +12,7 @@
 REPORT_LIFE_MS = 10_000
 REPORT_SLACK_MS = 250
 HISTORY_MS = 6_000
+ROUNDING = 1e-9
 
 
 class EngineLoad:
@@ -60,6 +61,16 @@
         self.capacity = engine.capacity
         self.open = engine.status is Status.IN_SERVICE
 
+    def has_place(self, capacity_share):
+        """Return whether the engine has a place that is free.
+
+        Parameters
+        ----------
+        capacity_share : float
+            Share of its capacity that may be used.
+        """
+        return self.total < max(1, int(self.capacity * capacity_share))
+
     def change(self, step, wall_ms):
         """Count leases up or down.
 
@@ -222,18 +233,18 @@
         total = self.total() + self._other_total + 1
         return total / (self.weight + self._other_weight)
 
-    def limit(self, load, mean):
-        """Return the most requests that an engine may have after a grant.
+    def bound(self, mean):
+        """Return the load per unit of weight that an engine's load must be below.
+
+        A whole number is below a bound if it is below the bound rounded up; what
+        floating point adds is taken off.
 
         Parameters
         ----------
-        load : EngineLoad
-            The engine.
         mean : float
             Load per unit of weight, from `mean`.
         """
-        bound = math.ceil(self.load_bound * mean * load.weight)
-        return min(bound, max(1, int(load.capacity * self.capacity_share)))
+        return self.load_bound * mean * (1 - ROUNDING)
 
     def has_room(self, engine=None):
         """Return whether an engine may get the next request.
@@ -245,9 +256,10 @@
         """
         if not self.open:
             return False
-        mean = self.mean()
+        per_weight = self.bound(self.mean())
         for load in self.open:
             asked = engine is None or load.name == engine
-            if asked and load.total < self.limit(load, mean):
+            below = asked and load.total < per_weight * load.weight
+            if below and load.has_place(self.capacity_share):
                 return True
         return False
--- a/peridotcove/ranking.py
+++ b/peridotcove/ranking.py
@@ -86,19 +86,21 @@
         shift = HASH_BITS - MANTISSA_BITS
         return [digest(raw, seed) >> shift for seed in self._seeds]
 
-    def best(self, key, allowed):
+    def best(self, key, allowed=None):
         """Return the first allowed name of the rank, or None.
 
         Parameters
         ----------
         key : int
             64-bit key.
-        allowed : container of str
-            Names that may be returned.
+        allowed : container of str or None
+            Names that may be returned; all when None.
         """
+        scores = self._digests(key) if self._equal else self.scores(key)
+        if allowed is None and scores:
+            return self.names[scores.index(max(scores))]
         best = None
         highest = -1.0
-        scores = self._digests(key) if self._equal else self.scores(key)
         for name, value in zip(self.names, scores, strict=True):
             if value > highest and name in allowed:
                 best = name
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from attrs import evolve
+from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -212,3 +213,59 @@
         clock.advance(10_000)
         dispatcher.tick()
         self.assertLess(dispatcher.load_by_engine()["engine-0"], 10)
+
+    @given(sides=st.lists(st.booleans(), min_size=1, max_size=60), told=st.booleans())
+    def test_two_owners_hold_the_weaker_bound_until_one_knows_all(self, sides, told):
+        clock = FakeClock()
+        engines = make_engines((1.0, 1.0, 2.0), capacity=1000)
+        owners = [make_dispatcher(engines, clock, untold) for untold in ((), ("n2",))]
+        out = []
+        for number, side in enumerate(sides):
+            request = make_request(number, f"customer-{number}")
+            out.extend((side, item) for item in owners[side].ask(request))
+            out.extend((side, item) for item in owners[side].tick())
+        load = Counter(item.engine for _, item in out)
+        for engine in engines.values():
+            share = 1.25 * len(out) * engine.weight / 4.0
+            self.assertLessEqual(load[engine.name], share + len(owners))
+        owner = owners[0]
+        leases = [(i.request_id, i.engine, "x") for side, i in out if side]
+        owner.hold("n2", leases)
+        self.assertEqual(owner.load_by_engine(), {**dict.fromkeys(engines, 0), **load})
+        for number in range(100, 120):
+            for item in owner.ask(make_request(number, f"customer-{number}")):
+                load[item.engine] += 1
+                weight = engines[item.engine].weight
+                bound = math.ceil(1.25 * sum(load.values()) * weight / 4.0)
+                self.assertLessEqual(load[item.engine], bound)
+
+    def test_request_that_can_not_start_in_time_is_refused_at_once(self):
+        clock = FakeClock()
+        dispatcher = make_dispatcher(make_engines((1.0,), capacity=10), clock)
+        for number in range(30):
+            dispatcher.ask(make_request(number, f"customer-{number}"))
+        for number in range(10):
+            clock.advance(400)
+            dispatcher.release(make_request(number).request_id, "done")
+        refusals = dispatcher.ask(make_request(99, "late", deadline_ms=500))
+        self.assertEqual([item.code for item in refusals], ["overloaded"])
+        self.assertGreater(refusals[0].retry_after_ms, 0)
+
+    def test_request_waits_a_little_for_the_engine_with_its_prefix(self):
+        clock = FakeClock()
+        dispatcher = make_dispatcher(make_engines((1.0, 1.0), capacity=50), clock)
+        prefixes = tuple(range(1, 101))
+        first = dispatcher.ask(make_request(1, prefixes=prefixes[:96]))[0]
+        second = dispatcher.ask(make_request(2, prefixes=prefixes, chat_key=5))[0]
+        self.assertEqual(second.engine, first.engine)
+        held = make_request(4, prefixes=prefixes, chat_key=5)
+        self.assertEqual(dispatcher.ask(held), [])
+        clock.advance(100)
+        grants = dispatcher.release(first.request_id, "done", 0)
+        self.assertEqual([item.engine for item in grants], [first.engine])
+        again = make_request(3, prefixes=prefixes, chat_key=5)
+        self.assertEqual(dispatcher.ask(again), [])
+        clock.advance(800)
+        grants = dispatcher.tick()
+        self.assertNotEqual([item.engine for item in grants], [first.engine])
+        self.assertEqual(len(grants), 1)
--- /dev/null
+++ b/tests/test_fair_queue.py
@@ -0,0 +1,74 @@
+"""Tests of `peridotcove.fair_queue`."""
+
+import unittest
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotcove.fair_queue import TURNS_PER_LOWER, FairQueue, Waiting
+from peridotcove.models import LeaseRequest
+
+NAMES = ("a", "b", "c")
+ITEMS = st.lists(st.tuples(st.sampled_from(NAMES), st.integers(0, 2)), max_size=40)
+
+
+def push(queue, number, customer, priority=1, weight=1.0, expires_ms=1000):
+    request_id = number.to_bytes(8, "big")
+    request = LeaseRequest(request_id, "n", customer, "m", (), priority=priority)
+    queue.push(Waiting(request, number, expires_ms), weight)
+    return request_id
+
+
+def pop(queue, barred=()):
+    return queue.pop(lambda name: name not in barred)
+
+
+class TestFairQueue(unittest.TestCase):
+    """Shares, order and deadlines."""
+
+    @given(weights=st.tuples(*[st.floats(0.1, 10)] * 3), turns=st.integers(1, 150))
+    def test_customers_with_work_get_shares_by_weight(self, weights, turns):
+        queue = FairQueue()
+        for number in range(450):
+            place = number % 3
+            push(queue, number, NAMES[place], weight=weights[place])
+        taken = Counter(pop(queue).request.customer for _ in range(turns))
+        served = [taken[n] / w for n, w in zip(NAMES, weights, strict=True)]
+        for mine, my_weight in zip(served, weights, strict=True):
+            for other, weight in zip(served, weights, strict=True):
+                self.assertLessEqual(mine - other, 1 / my_weight + 1 / weight + 1e-6)
+
+    @given(items=ITEMS, barred=st.sets(st.sampled_from(NAMES)))
+    def test_each_leaves_once_and_in_order_of_its_customer(self, items, barred):
+        queue = FairQueue()
+        ids = [push(queue, n, name, level) for n, (name, level) in enumerate(items)]
+        seen = []
+        while (item := pop(queue, barred)) is not None:
+            self.assertNotIn(item.request.customer, barred)
+            seen.append(item.request)
+        left = [item.request for item in queue.items()]
+        self.assertCountEqual([r.request_id for r in seen + left], ids)
+        self.assertTrue(all(request.customer in barred for request in left))
+        for line in {(r.customer, r.priority) for r in seen}:
+            mine = [r for r in seen if (r.customer, r.priority) == line]
+            self.assertEqual(mine, sorted(mine, key=lambda r: r.request_id))
+
+    def test_lower_priority_is_not_starved(self):
+        queue = FairQueue()
+        for number in range(100):
+            push(queue, number, "a", priority=0)
+            push(queue, 100 + number, "b", priority=5)
+        levels = [pop(queue).request.priority for _ in range(TURNS_PER_LOWER * 5)]
+        self.assertEqual(levels[: TURNS_PER_LOWER - 1], [0] * (TURNS_PER_LOWER - 1))
+        self.assertEqual(Counter(levels)[5], 5)
+
+    @given(items=ITEMS, now=st.integers(0, 80))
+    def test_expired_leave_and_no_others(self, items, now):
+        queue = FairQueue()
+        for number, (name, level) in enumerate(items):
+            push(queue, number, name, level, expires_ms=2 * number)
+        late = queue.expire(now)
+        self.assertTrue(all(item.expires_ms <= now for item in late))
+        self.assertTrue(all(item.expires_ms > now for item in queue.items()))
+        self.assertEqual(len(late) + len(queue), len(items))
--- a/tests/test_ranking.py
+++ b/tests/test_ranking.py
@@ -53,3 +53,4 @@
         ranking = Ranking(weights)
         expected = [name for name in ranking.order(key) if name in allowed]
         self.assertEqual(ranking.best(key, allowed), (expected or [None])[0])
+        self.assertEqual(ranking.best(key), ranking.order(key)[0])
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,52 @@
+"""Tests of `peridotcove.shares`."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotcove.ownership import Shard
+from peridotcove.shares import ShardLoad, ShardPicker
+
+SHARDS = [Shard(f"r/m/{n}", "m", "r", (f"e{n}",)) for n in range(4)]
+NAMES = [shard.name for shard in SHARDS]
+KEYS = st.integers(0, 2**64 - 1)
+
+
+def make_loads(first, rest=100.0):
+    loads = [first, rest, rest, rest]
+    return {n: ShardLoad(x, 10.0) for n, x in zip(NAMES, loads, strict=True)}
+
+
+class TestShardPicker(unittest.TestCase):
+    """Stable picks that leave shards above their share."""
+
+    def setUp(self):
+        self.picker = ShardPicker(SHARDS, dict.fromkeys(NAMES, 10.0))
+
+    @given(key=KEYS, hint=st.sampled_from(["", "e0", "e3", "gone"]))
+    def test_even_load_moves_nothing(self, key, hint):
+        usual = self.picker.pick(key, "", {})
+        picked = self.picker.pick(key, hint, make_loads(100.0))
+        hinted = {"e0": NAMES[0], "e3": NAMES[3]}.get(hint, usual)
+        self.assertEqual(picked, hinted)
+
+    @given(key=KEYS, load=st.floats(0, 1000))
+    def test_only_a_shard_above_its_share_passes_on(self, key, load):
+        usual = self.picker.pick(key, "", {})
+        picked = self.picker.pick(key, "", make_loads(load))
+        if picked != usual:
+            self.assertEqual((usual == NAMES[0]), load > 100.0)
+            self.assertIn(picked, NAMES)
+
+    def test_passes_on_a_growing_part(self):
+        parts = []
+        for load in (100.0, 118.0, 125.0, 400.0):
+            loads = make_loads(load)
+            keys = [number * 0x9E3779B97F4A7C15 % 2**64 for number in range(4000)]
+            home = [k for k in keys if self.picker.pick(k, "", {}) == NAMES[0]]
+            stay = [k for k in home if self.picker.pick(k, "", loads) == NAMES[0]]
+            parts.append(len(stay) / len(home))
+        self.assertEqual(parts[0], 1.0)
+        self.assertEqual(parts[3], 0.0)
+        self.assertTrue(parts[0] > parts[1] > parts[2] > parts[3])
