--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed-$(shell cat requirements/*.lock | cksum | cut -d' ' -f1)
 SEED ?= 1
 
-.PHONY: test lint format env
+.PHONY: test lint format env demo bench-relay binary
 
 env: $(STAMP)
 
@@ -24,3 +24,12 @@
 format: $(STAMP)
 	$(PY) -m ruff format .
 	$(PY) -m ruff check --fix .
+
+demo: $(STAMP)
+	@PYTHON=$(abspath $(PY)) demo/run.sh
+
+bench-relay: $(STAMP)
+	@PYTHON=$(abspath $(PY)) tools/bench_relay.sh
+
+binary: $(STAMP)
+	$(PY) tools/build_binary.py dist/peridotcove
--- a/demo/prepare.py
+++ b/demo/prepare.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import os
 import pathlib
 import secrets
 import socket
@@ -18,9 +19,10 @@
 HOST = "127.0.0.1"
 SHIFTS = (0, 25, 50, 75)
 PLATFORM_OFFSET, CALLERS_OFFSET, NODES_OFFSET, OPERATORS_OFFSET = 20, 100, 200, 300
-ENGINE_OPTIONS = (
+ENGINE_OPTIONS = os.environ.get(
+    "ENGINE_OPTIONS",
     "--capacity 32 --token-ms 20 --batch-slowdown 0.01 --prefill-rate 8000"
-    " --cache-blocks 1500 --lag 300 --drop 0.02"
+    " --cache-blocks 1500 --lag 300 --drop 0.02",
 )
 
 
@@ -50,7 +52,9 @@
         The configuration as JSON.
     """
     endpoints = [
-        item for service in raw["services"].values() for item in service["endpoints"]
+        item
+        for service in raw["services"].values()
+        for item in service.get("endpoints", [])
     ]
     return list(raw["engines"].values()) + endpoints
 
@@ -168,7 +172,7 @@
     for name, engine in raw["engines"].items():
         rows.append(_row(name, "engine", urlsplit(engine["url"]).port, engine["zone"]))
     for service in raw["services"].values():
-        for item in service["endpoints"]:
+        for item in service.get("endpoints", []):
             port = urlsplit(item["url"]).port
             rows.append(_row(item["name"], "endpoint", port, item["zone"]))
     return rows
@@ -212,7 +216,7 @@
         "service": service,
         "lookup_path": places[True],
         "booking_path": places[False],
-        "service_urls": [item["url"] for item in described["endpoints"]],
+        "service_urls": [item["url"] for item in described.get("endpoints", [])],
         "customers": [
             {"name": name, "key": f"demo-key-{name}", "weight": weight}
             for name, weight in weights.items()
@@ -244,7 +248,7 @@
         fencing = "" if engine.get("checks_fencing", True) else " --no-checks-fencing"
         lines.append(f"{name} standin engine {options}{fencing}")
     for service in raw["services"].values():
-        for item in service["endpoints"]:
+        for item in service.get("endpoints", []):
             port = urlsplit(item["url"]).port
             lines.append(f"{item['name']} standin service --port {port}")
     lines += [f"{node['name']} node {folder}/{node['name']}.json" for node in nodes]
--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -21,6 +21,8 @@
     "standin engine": "peridotcove.standins.commands:StandinEngineCommand",
     "standin service": "peridotcove.standins.commands:StandinServiceCommand",
     "standin platform": "peridotcove.standins.commands:StandinPlatformCommand",
+    "demo-caller": "peridotcove.standins.commands:DemoCallerCommand",
+    "bench relay": "peridotcove.bench.relay:BenchRelayCommand",
 }
 
 
--- a/peridotcove/standins/batching.py
+++ b/peridotcove/standins/batching.py
@@ -33,6 +33,8 @@
         Length of the answer.
     priority : int
         Class in the queue; 0 goes first.
+    token_ms : float or None
+        Time per token in ms; None for the engine's own.
     cached_tokens : int
         Tokens of the prompt found in the cache.
     tokens : list of str
@@ -48,6 +50,7 @@
     answer: Answer
     max_tokens: int
     priority: int = 1
+    token_ms: float | None = None
     cached_tokens: int = 0
     tokens: list = field(factory=list)
     state: str = "waiting"
@@ -190,21 +193,16 @@
         due = asyncio.get_running_loop().time()
         for index in range(stream.max_tokens):
             if index:
-                due += self._token_s()
-                await self._pace(index, due)
+                token_ms = self._token_ms(stream)
+                due += token_ms / MS_PER_S
+                await _pace(index, due, token_ms)
             stream.tokens.append(stream.answer.token(index))
             stream.changes.notify()
 
-    async def _pace(self, index, due):
-        wait = due - asyncio.get_running_loop().time()
-        if wait > 0:
-            await asyncio.sleep(wait)
-        elif index % YIELD_EVERY_TOKENS == 0 or self.options.token_ms:
-            await asyncio.sleep(0)
-
-    def _token_s(self):
-        ms = self.options.token_ms * (1 + self.options.batch_slowdown * self.running)
-        return ms / MS_PER_S
+    def _token_ms(self, stream):
+        if stream.token_ms is not None:
+            return stream.token_ms
+        return self.options.token_ms * (1 + self.options.batch_slowdown * self.running)
 
     def _store(self, stream):
         reply = flatten([{"role": "assistant", "content": "".join(stream.tokens)}])
@@ -212,5 +210,13 @@
         self.cache.store(hashes, _now_ms())
 
 
+async def _pace(index, due, token_ms):
+    wait = due - asyncio.get_running_loop().time()
+    if wait > 0:
+        await asyncio.sleep(wait)
+    elif token_ms or index % YIELD_EVERY_TOKENS == 0:
+        await asyncio.sleep(0)
+
+
 def _now_ms():
     return asyncio.get_running_loop().time() * MS_PER_S
--- a/peridotcove/standins/engine.py
+++ b/peridotcove/standins/engine.py
@@ -210,6 +210,7 @@
             answer=Answer(model, body.get("messages", [])),
             max_tokens=int(limit or DEFAULT_MAX_TOKENS),
             priority=int(body.get("priority", 1)),
+            token_ms=body.get("token_ms"),
         )
 
     async def answer(self, body):
