--- a/demo/run.sh
+++ b/demo/run.sh
@@ -3,6 +3,7 @@
 # stand-ins, nodes and a caller. One node of each is killed and one is shut down
 # gracefully on the way. Prints a table for each and stops everything it started.
 # Usage: PYTHON=... demo/run.sh [cake-stands:8 gloves:7]
+# LOGS names a folder that keeps the logs; SECONDS_HELD sets the length of the calls.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 export PYTHONPATH=$PWD
@@ -26,6 +27,7 @@
     done
     kill -KILL "${pids[@]}" 2>/dev/null
     wait 2>/dev/null
+    [ -n "${LOGS:-}" ] && mkdir -p "$LOGS" && cp -r "$work"/* "$LOGS"
     rm -rf "$work"
 }
 trap stop_all EXIT
