--- a/tests/bench/__init__.py
+++ b/tests/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the benches."""
+"""Tests of the measurements."""
