--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -121,7 +121,9 @@
         self.write(reply.body)
 
     async def _stream(self, chat):
-        sink = self.sink = Sink(self._open, self.desk.stream_buffer_bytes)
+        chunked = self.request.version == "HTTP/1.1"
+        limit = self.desk.stream_buffer_bytes
+        sink = self.sink = Sink(self._open, limit, chunked)
         self._chat = chat
         reply, engine = await self.desk.run_chat(chat, self.request_id, sink)
         if not sink.started:
@@ -142,6 +144,7 @@
         self.set_header(VERDICT, Verdict.RAN.value)
         self._set_continuation(self.desk.engine_of(self.request_id), self._chat)
         self.flush()
+        self.request.connection.stream.set_nodelay(True)
         return self.request.connection
 
     def _set_head(self, reply, engine, chat):
--- a/peridotcove/callers/sink.py
+++ b/peridotcove/callers/sink.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
+from tornado.iostream import StreamClosedError
+
 
 class Sink:
     """Writes reads of an endpoint's body to a caller and says when to pause.
 
-    One write is in progress at a time; what arrives meanwhile waits in one buffer.
+    A read goes to the socket at once when nothing waits there; this is the path of
+    nearly every token. What the socket does not take waits in the connection's buffer,
+    one write at a time, and what arrives meanwhile waits in one buffer here.
 
     Parameters
     ----------
@@ -15,6 +19,8 @@
         once, with the first bytes of the body at hand.
     limit_bytes : int
         Most bytes that wait for the caller.
+    chunked : bool
+        Whether the body is sent in chunks, as HTTP/1.1 wants it.
 
     Attributes
     ----------
@@ -24,10 +30,11 @@
         The transfer that feeds the sink.
     """
 
-    def __init__(self, open_answer, limit_bytes):
+    def __init__(self, open_answer, limit_bytes, chunked=True):
         self._open_answer = open_answer
-        self._connection = None
+        self._stream = None
         self._limit = limit_bytes
+        self._chunked = chunked
         self._buffer = bytearray()
         self._writing = False
         self._idle = asyncio.Event()
@@ -38,7 +45,7 @@
     @property
     def started(self):
         """Whether the caller has got the head of the answer."""
-        return self._connection is not None
+        return self._stream is not None
 
     def write(self, data):
         """Pass on one read; return true when the endpoint is to pause.
@@ -53,15 +60,31 @@
         if self._writing:
             self._buffer += data
             return len(self._buffer) >= self._limit
+        if self._stream is None:
+            self._stream = self._open_answer().stream
         self._start(data)
         return self.closed
 
     def _start(self, data):
-        if self._connection is None:
-            self._connection = self._open_answer()
-        future = self._connection.write(data)
-        if future.done():
-            self._check(future)
+        if self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        taken = self._send_now(data)
+        if taken < len(data):
+            self._send_later(data[taken:])
+
+    def _send_now(self, data):
+        if self._stream.writing() or self._stream.closed():
+            return 0
+        try:
+            return self._stream.write_to_fd(memoryview(data))
+        except OSError:
+            return 0
+
+    def _send_later(self, data):
+        try:
+            future = self._stream.write(data)
+        except StreamClosedError:
+            self.close()
             return
         self._writing = True
         self._idle.clear()
@@ -69,7 +92,9 @@
 
     def _written(self, future):
         self._writing = False
-        self._check(future)
+        if future.cancelled() or future.exception() is not None:
+            self.close()
+            return
         if self._buffer and not self.closed:
             data = bytes(self._buffer)
             self._buffer.clear()
@@ -79,10 +104,6 @@
         if self.transfer is not None and not self.closed:
             self.transfer.resume()
 
-    def _check(self, future):
-        if future.cancelled() or future.exception() is not None:
-            self.close()
-
     async def drain(self):
         """Wait until the caller has taken everything, or is gone."""
         await self._idle.wait()
--- a/peridotcove/endpoints/client.py
+++ b/peridotcove/endpoints/client.py
@@ -9,35 +9,20 @@
 
 import pycurl
 from attrs import define, field, frozen
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
 
+from peridotcove.endpoints.curl import CurlClient
 from peridotcove.exceptions import EndpointFailed
 from peridotcove.verdict import Verdict
 
-MAX_TRANSFERS = 512
+MAX_TRANSFERS = 4_096
 CONNECT_MS = 1_000
 CONNECTION_AGE_S = 60
 CONNECTION_IDLE_S = 20
 
 
-class CurlClient(CurlAsyncHTTPClient):
-    """The curl client with a way to end one transfer."""
-
-    def cancel(self, curl):
-        """End a transfer and close its connection.
-
-        Parameters
-        ----------
-        curl : pycurl.Curl
-            Handle of the transfer; nothing happens if it has ended.
-        """
-        if getattr(curl, "info", None) is not None:
-            self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
-            self._process_queue()
-
-
 @frozen
 class Reply:
     """Head of an answer, and its body when the answer was not streamed.
@@ -143,7 +128,7 @@
 
     def __init__(self, clock):
         self._clock = clock
-        self._client = CurlClient(force_instance=True, max_clients=MAX_TRANSFERS)
+        self._client = CurlClient(force_instance=True, max_transfers=MAX_TRANSFERS)
 
     def close(self):
         """Close every connection."""
