--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -8,10 +8,12 @@
 from peridotcove.callers.answers import (
     CONTINUATION,
     REQUEST_ID,
+    TICKET,
     VERDICT,
     describe_error,
     set_error,
 )
+from peridotcove.callers.body import BodyWriter
 from peridotcove.callers.chats import find_customer, read_chat
 from peridotcove.callers.sink import Sink
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
@@ -63,9 +65,16 @@
         error : RequestError
             The error and its verdict.
         """
+        if self._may_have_run_before(error):
+            error.verdict = Verdict.MAY_HAVE_RUN
         self.desk.count(self._span, error.code, error.verdict)
         set_error(self, error, self.request_id.hex())
 
+    def _may_have_run_before(self, error):
+        # Only who decides about a ticket knows what became of its earlier calls.
+        known = hasattr(error, "ticket") or error.verdict is not Verdict.NOT_RUN
+        return TICKET in self.request.headers and not known
+
     def write_error(self, status_code, **kwargs):
         """Answer a fault that no handler foresaw.
 
@@ -121,9 +130,7 @@
         self.write(reply.body)
 
     async def _stream(self, chat):
-        chunked = self.request.version == "HTTP/1.1"
-        limit = self.desk.stream_buffer_bytes
-        sink = self.sink = Sink(self._open, limit, chunked)
+        sink = self.sink = Sink(self._open, self.desk.stream_buffer_bytes)
         self._chat = chat
         reply, engine = await self.desk.run_chat(chat, self.request_id, sink)
         if not sink.started:
@@ -144,8 +151,8 @@
         self.set_header(VERDICT, Verdict.RAN.value)
         self._set_continuation(self.desk.engine_of(self.request_id), self._chat)
         self.flush()
-        self.request.connection.stream.set_nodelay(True)
-        return self.request.connection
+        stream = self.request.connection.stream
+        return BodyWriter(stream, self.request.version == "HTTP/1.1")
 
     def _set_head(self, reply, engine, chat):
         self.desk.note_first_byte(self._span)
--- a/peridotcove/endpoints/client.py
+++ b/peridotcove/endpoints/client.py
@@ -14,7 +14,7 @@
 from tornado.httputil import HTTPHeaders
 
 from peridotcove.endpoints.curl import CurlClient
-from peridotcove.exceptions import EndpointFailed
+from peridotcove.exceptions import EndpointFailed, RequestError
 from peridotcove.verdict import Verdict
 
 MAX_TRANSFERS = 4_096
@@ -55,6 +55,9 @@
         the sink while it keeps the transfer paused.
     sink : callable or None
         Takes each read of the body; returns true to pause the transfer.
+    check : callable or None
+        Called right before the request is sent; the `RequestError` that it raises stops
+        the request.
     status : int
         HTTP status of the answer; 0 before its head.
     headers : tornado.httputil.HTTPHeaders
@@ -65,6 +68,8 @@
     gap_ms: int
     stall_ms: int
     sink: object = None
+    check: object = None
+    refused: object = None
     status: int = 0
     headers: HTTPHeaders = field(factory=HTTPHeaders)
     connected: bool = False
@@ -109,6 +114,14 @@
         *addresses : object
             Both ends of the connection.
         """
+        if self.cancelled or self.connected:
+            return pycurl.PREREQFUNC_ABORT
+        try:
+            if self.check is not None:
+                self.check()
+        except RequestError as error:
+            self.refused = error
+            return pycurl.PREREQFUNC_ABORT
         self.connected = True
         return pycurl.PREREQFUNC_OK
 
@@ -236,7 +249,8 @@
 def _explain(url, error, transfer):
     if not transfer.connected:
         message = f"no connection to {url}"
-        return EndpointFailed("unreachable", message, Verdict.NOT_RUN)
+        unreachable = EndpointFailed("unreachable", message, Verdict.NOT_RUN)
+        return transfer.refused or unreachable
     if transfer.timed_out and transfer.paused:
         message = "the caller does not read its answer"
         return EndpointFailed("slow-caller", message, Verdict.MAY_HAVE_RUN, 408)
--- a/peridotcove/endpoints/curl.py
+++ b/peridotcove/endpoints/curl.py
@@ -39,7 +39,7 @@
         curl : pycurl.Curl
             Handle of the transfer; nothing happens if it has ended.
         """
-        if getattr(curl, "info", None) is not None:
+        if self._multi is not None and getattr(curl, "info", None) is not None:
             self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
             self._process_queue()
 
--- a/peridotcove/parts.py
+++ b/peridotcove/parts.py
@@ -6,6 +6,7 @@
 from attrs import field, frozen
 
 from peridotcove.exceptions import ProtocolError
+from peridotcove.fragments import compact
 
 DIGEST_BYTES = 16
 
@@ -72,8 +73,7 @@
     value : object
         A JSON value.
     """
-    text = json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False)
-    return text.encode("utf-8", "surrogatepass")
+    return compact(value).encode("utf-8", "surrogatepass")
 
 
 def digest(data):
@@ -129,10 +129,8 @@
     Raises
     ------
     ProtocolError
-        If the content has another digest or is no part.
+        If the content is no part.
     """
-    if digest(data) != published:
-        raise ProtocolError("does not match its digest")
     form = canonical(load(data))
     return Part(name, Pointer(revision, published, digest(form)), form)
 
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from peridotcove.exceptions import RequestError, RequestRefused
+from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
 from peridotcove.models import LeaseRequest
 from peridotcove.retries import RetryBudget, backoff, may_repeat
 from peridotcove.verdict import Verdict
@@ -121,7 +121,10 @@
         self._timeline.record("request-retried", request_id=request_id, detail=detail)
 
     async def _try_chat(self, chat, request_id, hint, sink, end_ms):
-        shard = self._pick_shard(chat)
+        shard = self._fleet.pick_shard(chat.base, chat.key, hint)
+        if not shard:
+            text = f"no engine of this region serves {chat.base!r}"
+            raise RequestRefused("no-engine", text, 503, 5000)
         left = max(1, end_ms - self._clock.now())
         request = LeaseRequest(
             request_id,
@@ -148,12 +151,14 @@
                 "request-sent", request_id=request_id, peer=engine.name
             )
             name = request_id.hex()
-            reply = await self._engines.run(engine, chat.body, name, sink)
+            reply = await self._engines.run(
+                engine, chat.body, name, sink, lambda: self._states.check(engine.name)
+            )
             outcome = "done"
             cached = self._count_blocks(chat, reply)
             return reply, engine.name
-        except RequestError:
-            outcome = "failed"
+        except EndpointFailed as error:
+            outcome = "cancelled" if error.code == "slow-caller" else "failed"
             raise
         finally:
             self._leases.release(request_id, outcome, cached)
@@ -202,10 +207,3 @@
             The request.
         """
         return ""
-
-    def _pick_shard(self, chat):
-        shards = self._fleet.shards_by_model.get(chat.base)
-        if not shards:
-            text = f"no engine of this region serves {chat.base!r}"
-            raise RequestRefused("no-engine", text, 503, 5000)
-        return shards[0].name
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -1,21 +1,21 @@
 """Runs a node: its servers, its periodic work and its graceful shutdown."""
 
 import asyncio
+import contextlib
 import signal
 
 from peridotcove.callers.server import listen
 from peridotcove.clock import Clock
 from peridotcove.drain import Stage
-from peridotcove.limits import REPORT_MS
+from peridotcove.limits import REPORT_MS, URGENT_MS
 from peridotcove.logs import get_logger, start_logs
-from peridotcove.membership_events import LinkSilent, NodeJoined, NodeLost
+from peridotcove.membership_events import LinkSilent, NodeJoined, NodeLost, Woke
 from peridotcove.node import Node
 from peridotcove.platform.watch import watch_configuration, watch_instances
 
 CONTROL_MS = 250
-LEASE_MS = 50
+WAITING_MS = 20
 DRAIN_MS = 100
-TICKET_MS = 250
 ANNOUNCE_MS = 10_000
 
 log = get_logger("node")
@@ -62,10 +62,8 @@
     reader = node.control.reader
     jobs = [
         _every(CONTROL_MS, lambda: tick_control(node)),
-        _every(LEASE_MS, node.lease_server.tick),
-        _every(REPORT_MS, node.usage.tick),
-        _every(TICKET_MS, node.once.tick),
-        _every(CONTROL_MS, lambda: tick_endpoints(node)),
+        _tick_leases(node.lease_server),
+        _report_usage(node),
         _every(ANNOUNCE_MS, node.lease_client.announce),
         watch_configuration(
             node.platform, reader, lambda item: _send_and_follow(node, item)
@@ -81,6 +79,29 @@
     node.follow_configuration()
 
 
+async def _report_usage(node):
+    elapsed_ms = 0
+    while True:
+        await asyncio.sleep(URGENT_MS / 1000)
+        elapsed_ms += URGENT_MS
+        if elapsed_ms >= REPORT_MS:
+            node.usage.tick()
+            elapsed_ms = 0
+        elif node.entry_limits.urgent:
+            node.usage.tick(urgent_only=True)
+
+
+async def _tick_leases(server):
+    while True:
+        server.tick()
+        if server.waiting:
+            await asyncio.sleep(WAITING_MS / 1000)
+            continue
+        server.queued.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(server.queued.wait(), CONTROL_MS / 1000)
+
+
 async def _every(period_ms, work):
     while True:
         try:
@@ -99,7 +120,10 @@
         The node.
     """
     control = node.control
-    control.membership.publish(node.lease_server.loads())
+    own = node.lease_server.loads()
+    control.membership.publish(own)
+    node.fleet.set_loads({**control.membership.shards(), **own})
+    node.lease_server.set_loads()
     node.send_all(control.tick())
     node.follow_configuration()
     for event in control.membership.events():
@@ -108,10 +132,16 @@
         elif isinstance(event, NodeLost):
             node.lease_server.drop_entry(event.node)
             node.timeline.record("peer-down", peer=event.node)
+        elif isinstance(event, Woke):
+            node.timeline.record("node-paused", detail=f"{event.paused_ms} ms")
+            log.warning("the process was paused for %d ms", event.paused_ms)
         elif isinstance(event, NodeJoined):
             node.timeline.record("peer-up", peer=event.node)
             node.send_all(node.delivery.greet(event.node))
     node.follow_nodes()
+    node.once.tick()
+    tick_endpoints(node)
+    tick_orders(node)
 
 
 def tick_endpoints(node):
@@ -127,6 +157,19 @@
     node.tickets.expire()
 
 
+def tick_orders(node):
+    """Read engines and order them, if this node's view is fresh.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    """
+    if node.control.membership.fresh() and node.drain.ready:
+        engine_by_name = node.fleet.configuration.engine_by_name
+        node.order_client.tick(engine_by_name)
+
+
 async def drain(node):
     """Leave the balancer, let every request end, and hand everything over.
 
