--- a/peridotcove/endpoints/curl.py
+++ b/peridotcove/endpoints/curl.py
@@ -31,6 +31,12 @@
         first = min(FIRST_HANDLES, max_transfers)
         super().initialize(max_clients=first, **kwargs)
 
+    def close(self):
+        """Close every connection, and the timer that closing them may set."""
+        super().close()
+        if self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
+
     def cancel(self, curl):
         """End a transfer and close its connection.
 
