Carry frames on asyncio's transports in place of tasks and queues

Change: nodes/sockets.py drives the websockets library's protocol from a plain asyncio protocol; fields of messages are looked up once a class.

--- a/peridotcove/nodes/handshake.py
+++ b/peridotcove/nodes/handshake.py
@@ -71,7 +71,7 @@
 
     Parameters
     ----------
-    socket : websockets connection
+    socket : FrameSocket
         The link.
 
     Raises
@@ -79,9 +79,7 @@
     ProtocolError
         If it is something else.
     """
-    frame = await socket.recv()
-    if not isinstance(frame, bytes):
-        raise ProtocolError("a frame is text")
+    frame = await socket.read()
     hello, _ = decode(frame)
     if not isinstance(hello, Hello) or len(hello.nonce) != NONCE_BYTES:
         raise ProtocolError("a link does not begin with a greeting")
@@ -98,7 +96,7 @@
 
     Parameters
     ----------
-    socket : websockets connection
+    socket : FrameSocket
         The link.
     identity : Identity
         This node.
@@ -111,11 +109,11 @@
         If the other side is malformed or does not know the secret.
     """
     mine = greet(identity)
-    await socket.send(encode(mine, 0))
+    socket.send(encode(mine, 0))
     theirs = await read_hello(socket)
     _check(secret, mine.nonce, b"dial", theirs)
     proof = prove(secret, theirs.nonce, b"accept", mine)
-    await socket.send(encode(evolve(mine, proof=proof), 0))
+    socket.send(encode(evolve(mine, proof=proof), 0))
     return theirs
 
 
@@ -124,7 +122,7 @@
 
     Parameters
     ----------
-    socket : websockets connection
+    socket : FrameSocket
         The link.
     identity : Identity
         This node.
@@ -141,7 +139,7 @@
     first = await read_hello(socket)
     mine = greet(identity)
     proof = prove(secret, first.nonce, b"dial", mine)
-    await socket.send(encode(evolve(mine, proof=proof), 0))
+    socket.send(encode(evolve(mine, proof=proof), 0))
     theirs = await read_hello(socket)
     _check(secret, mine.nonce, b"accept", theirs)
     if theirs.node != peer:
--- a/peridotcove/nodes/links.py
+++ b/peridotcove/nodes/links.py
@@ -7,20 +7,19 @@
 """
 
 import asyncio
+import collections
 
 from attrs import define, field
-from websockets.asyncio.client import connect
-from websockets.asyncio.server import serve
-from websockets.exceptions import WebSocketException
 
-from peridotcove.exceptions import LinkDown, ProtocolError
+from peridotcove.exceptions import LinkDown
 from peridotcove.logs import get_logger
 from peridotcove.nodes.handshake import accept, dial
 from peridotcove.nodes.messages import MAX_FRAME_BYTES, decode, encode
 from peridotcove.nodes.network import Network
+from peridotcove.nodes.sockets import SOCKET_ERRORS, make_client, make_server
 
 OPEN_MS = 1_000
-QUEUE_FRAMES = 1_024
+WAITING_FRAMES = 1_024
 REDIAL_MS = 250
 TCP_IP_BYTES = 52
 CLIENT_FRAME_BYTES = 8
@@ -30,13 +29,14 @@
 
 @define(eq=False)
 class Link:
-    """The dialed connection to one peer and the frames that wait for it."""
+    """The dialed connection to one peer, and frames that wait until it is open."""
 
     peer: str
     host: str
     port: int
-    queue: asyncio.Queue = field(factory=lambda: asyncio.Queue(QUEUE_FRAMES))
+    socket: object = None
     task: asyncio.Task | None = None
+    waiting: collections.deque = field(factory=collections.deque)
     failed_ms: int = -REDIAL_MS
 
 
@@ -72,6 +72,8 @@
         self._traffic = traffic
         self._link_by_peer = {}
         self._server = None
+        self._accepted = set()
+        self._tasks = set()
 
     async def listen(self, host, port):
         """Accept links and return the port.
@@ -83,17 +85,9 @@
         port : int
             Port; 0 takes one from the system.
         """
-        self._server = await serve(
-            self._receive,
-            host,
-            port,
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            ping_interval=None,
-            open_timeout=OPEN_MS / 1000,
-            close_timeout=OPEN_MS / 1000,
-            server_header=None,
-        )
+        make = make_server(MAX_FRAME_BYTES, self._accept, self._accepted.discard)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(make, host, port)
         return self._server.sockets[0].getsockname()[1]
 
     def set_peers(self, instances):
@@ -131,15 +125,22 @@
         link = self._link_by_peer.get(peer)
         if link is None:
             raise LinkDown(f"no address of {peer!r}")
+        frame = encode(message, self.revision)
+        kind = type(message).__name__
+        if link.socket is not None:
+            self._put(link, kind, frame)
+            return
         if link.task is None:
             if self._clock.now() - link.failed_ms < REDIAL_MS:
                 raise LinkDown(f"{peer!r} is not reachable")
-            link.task = asyncio.create_task(self._write(link))
-        try:
-            frame = encode(message, self.revision)
-            link.queue.put_nowait((type(message).__name__, frame))
-        except asyncio.QueueFull:
-            raise LinkDown(f"the queue to {peer!r} is full") from None
+            link.task = asyncio.create_task(self._dial(link))
+        if len(link.waiting) >= WAITING_FRAMES:
+            raise LinkDown(f"too much waits for {peer!r}")
+        link.waiting.append((kind, frame))
+
+    def _put(self, link, kind, frame):
+        link.socket.send(frame)
+        self._traffic("out", kind, len(frame) + CLIENT_FRAME_BYTES + TCP_IP_BYTES)
 
     def renew(self, peer):
         """Give up the open connection to a peer and dial another on the next send.
@@ -158,6 +159,10 @@
         """Close every link."""
         for link in list(self._link_by_peer.values()):
             self._close(link)
+        for socket in list(self._accepted):
+            socket.close()
+        for task in list(self._tasks):
+            task.cancel()
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
@@ -166,71 +171,55 @@
         self._link_by_peer.pop(link.peer, None)
         if link.task is not None:
             link.task.cancel()
-
-    async def _write(self, link):
-        url = f"ws://{link.host}:{link.port}"
+        if link.socket is not None:
+            link.socket.close()
+
+    async def _dial(self, link):
+        socket = None
+        loop = asyncio.get_running_loop()
+        make = make_client(
+            link.host, link.port, MAX_FRAME_BYTES, lambda _: self._lose(link)
+        )
         try:
-            async with connect(
-                url,
-                compression=None,
-                max_size=MAX_FRAME_BYTES,
-                ping_interval=None,
-                open_timeout=OPEN_MS / 1000,
-                close_timeout=OPEN_MS / 1000,
-                user_agent_header=None,
-                proxy=None,
-            ) as socket:
-                hello = dial(socket, self.identity, self._secret, link.peer)
-                await asyncio.wait_for(hello, OPEN_MS / 1000)
-                await self._pump(link, socket)
-        except (OSError, TimeoutError, WebSocketException, ProtocolError) as error:
+            async with asyncio.timeout(OPEN_MS / 1000):
+                _, socket = await loop.create_connection(make, link.host, link.port)
+                await socket.open()
+                await dial(socket, self.identity, self._secret, link.peer)
+            link.socket = socket
+            while link.waiting:
+                self._put(link, *link.waiting.popleft())
+        except SOCKET_ERRORS as error:
             log.warning("link to %s closed: %s", link.peer, error)
+            self._lose(link)
         finally:
-            link.failed_ms = self._clock.now()
             link.task = None
-            _empty(link.queue)
+            if socket is not None and link.socket is not socket:
+                socket.close()
 
-    async def _pump(self, link, socket):
-        closed = asyncio.create_task(socket.wait_closed())
-        closed.add_done_callback(lambda _: _wake(link.queue))
-        try:
-            while True:
-                item = await link.queue.get()
-                if item is None or closed.done():
-                    return
-                kind, frame = item
-                await socket.send(frame)
-                size = len(frame) + CLIENT_FRAME_BYTES + TCP_IP_BYTES
-                self._traffic("out", kind, size)
-        finally:
-            closed.cancel()
+    def _lose(self, link):
+        link.socket = None
+        link.failed_ms = self._clock.now()
+        link.waiting.clear()
+
+    def _accept(self, socket):
+        self._accepted.add(socket)
+        task = asyncio.create_task(self._greet(socket))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-    async def _receive(self, socket):
+    async def _greet(self, socket):
         try:
-            hello = accept(socket, self.identity, self._secret)
-            peer = (await asyncio.wait_for(hello, OPEN_MS / 1000)).node
-            async for frame in socket:
-                self._take(peer, frame)
-        except (TimeoutError, ProtocolError) as error:
+            async with asyncio.timeout(OPEN_MS / 1000):
+                await socket.open()
+                hello = await accept(socket, self.identity, self._secret)
+            socket.hand_over(lambda frame: self._take(hello.node, socket, frame))
+        except SOCKET_ERRORS as error:
             log.warning("link refused: %s", error)
-        except WebSocketException:
-            pass
+            socket.close()
 
-    def _take(self, peer, frame):
-        if not isinstance(frame, bytes):
-            raise ProtocolError(f"{peer!r} sent text")
+    def _take(self, peer, socket, frame):
         message, revision = decode(frame)
         size = len(frame) + CLIENT_FRAME_BYTES + TCP_IP_BYTES
         self._traffic("in", type(message).__name__, size)
         if self.on_message is not None:
             self.on_message(peer, message, revision)
-
-
-def _empty(queue):
-    while not queue.empty():
-        queue.get_nowait()
-
-
-def _wake(queue):
-    if not queue.full():
-        queue.put_nowait(None)
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -31,7 +31,11 @@
     """
 
     def enter(cls):
+        specs = attrs.fields(cls)
         cls.CODE = code
+        cls.NAMES = tuple(spec.name for spec in specs)
+        cls.TYPES = tuple(spec.type for spec in specs)
+        cls.REQUIRED = sum(spec.default is attrs.NOTHING for spec in specs)
         return messages.register(code)(cls)
 
     return enter
@@ -210,7 +214,7 @@
     revision : int
         Sender's configuration revision.
     """
-    values = [getattr(item, spec.name) for spec in attrs.fields(type(item))]
+    values = [getattr(item, name) for name in item.NAMES]
     return cbor2.dumps([VERSION, item.CODE, revision, *values])
 
 
@@ -245,11 +249,10 @@
 
 
 def _build(cls, values):
-    specs = attrs.fields(cls)
-    required = sum(spec.default is attrs.NOTHING for spec in specs)
-    if len(values) < required:
-        raise ProtocolError(f"{cls.__name__} has {len(values)} of {required} fields")
-    for spec, value in zip(specs, values, strict=False):
-        if type(value) is not spec.type:
-            raise ProtocolError(f"{cls.__name__}.{spec.name} is {value!r}")
-    return cls(*values[: len(specs)])
+    if len(values) < cls.REQUIRED:
+        text = f"{cls.__name__} has {len(values)} of {cls.REQUIRED} fields"
+        raise ProtocolError(text)
+    for name, kind, value in zip(cls.NAMES, cls.TYPES, values, strict=False):
+        if type(value) is not kind:
+            raise ProtocolError(f"{cls.__name__}.{name} is {value!r}")
+    return cls(*values[: len(cls.NAMES)])
