--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Modules whose properties are generated histories.
 SOAK = tests.test_control_histories
 
-.PHONY: test soak lint format env demo
+.PHONY: test soak lint format env demo bench-relay binary
 
 env: $(STAMP)
 
@@ -33,4 +33,10 @@
 	$(PY) -m ruff check --fix .
 
 demo: $(STAMP)
-	PYTHON=$(PY) bash demo/run.sh
+	@PYTHON=$(abspath $(PY)) demo/run.sh
+
+bench-relay: $(STAMP)
+	@PYTHON=$(abspath $(PY)) tools/bench_relay.sh
+
+binary: $(STAMP)
+	$(PY) tools/build_binary.py dist/peridotcove
