--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -26,6 +26,7 @@
     "standin engine": "peridotcove.standins.commands:StandinEngineCommand",
     "standin service": "peridotcove.standins.commands:StandinServiceCommand",
     "standin platform": "peridotcove.standins.commands:StandinPlatformCommand",
+    "bench relay": "peridotcove.bench.relay:BenchRelayCommand",
 }
 
 
