--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -52,6 +52,7 @@
 from peridotcove.orders import OrderIssuer
 from peridotcove.platform.client import PlatformClient
 from peridotcove.ranking import rank
+from peridotcove.revision_events import RevisionEvents
 from peridotcove.router import Router
 from peridotcove.tickets import Tickets
 from peridotcove.timeline import Timeline
@@ -121,6 +122,7 @@
         self.control = Control(me, settings.region, self.clock, self.rng)
         self.incarnation = self.control.membership.incarnation
         self.timeline = Timeline(self.clock, self.name, incarnation=self.incarnation)
+        self.revision_events = RevisionEvents(self.timeline)
         self.platform = PlatformClient(settings.platform, self.name)
 
     def _wire_leases(self):
@@ -229,6 +231,7 @@
             self.control.revisions.notice(peer, revision)
             receiver(peer, message)
         else:
+            self.revision_events.receive(peer, message)
             self.send_all(self.control.receive(peer, message, revision))
         self.follow_configuration()
 
@@ -243,11 +246,13 @@
         for item in outgoing:
             try:
                 self.links.send(item.peer, item.message)
+                self.revision_events.send(item.peer, item.message)
             except LinkDown as error:
                 log.debug("not sent: %s", error)
 
     def follow_configuration(self):
         """Put a new revision into force in all parts."""
+        self.revision_events.follow(self.control.revisions.refused)
         current = self.control.revisions.current()
         if current.revision == self.links.revision:
             return
@@ -257,7 +262,7 @@
         self.tickets.ticket_ms = current.bounds.ticket_ms
         self.lease_server.follow()
         self.follow_orders()
-        self.timeline.record("revision-in-force", revision=current.revision)
+        self.revision_events.put_in_force(current.revision)
         log.info("revision %d is in force", current.revision)
 
     def follow_nodes(self):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,7 @@
 
 from peridotcove.clock import Clock
 from peridotcove.node import Node
+from peridotcove.operators.collect import collect
 from peridotcove.running import close, drain, start
 from peridotcove.schema import build
 from peridotcove.settings import Settings
@@ -20,6 +21,7 @@
 from peridotcove.standins.engine import EngineOptions, EngineStandin
 from peridotcove.standins.platform import PlatformStandin
 from peridotcove.standins.service import ServiceStandin
+from peridotcove.timeline_view import follow, merge
 
 NAMES = ("n1", "n2", "n3")
 KEY = "key-of-the-bakery"
@@ -153,6 +155,35 @@
             **options,
         )
 
+    async def collect(self):
+        addresses = [f"{HOST}:{ports[2]}" for ports in self.ports.values()]
+        rings, missing = await collect(addresses, Clock())
+        self.assertEqual((len(rings), missing), (3, []))
+        return merge(rings)
+
+    async def test_the_time_line_follows_a_revision_and_a_request(self):
+        self.publish(2)
+        nodes = self.node_by_name.values()
+        await self.wait_for(lambda: all(node.links.revision == 2 for node in nodes))
+        entries = follow(await self.collect(), revision=2)
+        kinds = [entry.event.kind for entry in entries]
+        self.assertEqual(kinds.count("revision-in-force"), 3, kinds)
+        self.assertEqual(kinds[0], "revision-read")
+        received = [one for one in entries if one.event.kind == "revision-received"]
+        for entry in received:
+            self.assertEqual(entry.cause.event.kind, "revision-sent")
+        body = json.dumps({"model": "m", "messages": MESSAGES})
+        owners = set()
+        for name in NAMES:
+            answer = await self.call(name, "/v1/chat/completions", body)
+            request_id = bytes.fromhex(answer.headers["X-Request-Id"])
+            entries = follow(await self.collect(), request_id)
+            granted = next(e for e in entries if e.event.kind == "lease-granted")
+            owners.add(granted.node)
+            if granted.node != name:
+                self.assertEqual(granted.cause.node, name)
+        self.assertEqual(len(owners), 1)
+
     async def get_ticket(self, node):
         answer = await self.call(node)
         self.assertEqual((answer.code, answer.headers[VERDICT]), (428, "not-run"))
--- /dev/null
+++ b/tests/test_revision_events.py
@@ -0,0 +1,53 @@
+"""Tests of what the time line says of a revision's way."""
+
+import unittest
+
+from peridotcove.clock import FakeClock
+from peridotcove.nodes.configuration_messages import AskConfiguration, Delta, Offer
+from peridotcove.revision_events import RevisionEvents
+from peridotcove.revisions import Refused
+from peridotcove.timeline import Timeline
+
+
+def steps(*calls):
+    """Return kind, revision and peer of the events that calls leave."""
+    ring = Timeline(FakeClock(), "n1")
+    events = RevisionEvents(ring)
+    for name, *arguments in calls:
+        getattr(events, name)(*arguments)
+    return [(event.kind, event.revision, event.peer) for event in ring.events()]
+
+
+CASES = (
+    ([("put_in_force", 3)], [("revision-read", 3, ""), ("revision-in-force", 3, "")]),
+    (
+        [("receive", "n2", Delta(2, 3, [], [])), ("put_in_force", 3)],
+        [("revision-received", 3, "n2"), ("revision-in-force", 3, "")],
+    ),
+    (
+        [("receive", "n2", Offer(3, [])), ("receive", "n3", Delta(2, 3, [], []))],
+        [("revision-received", 3, "n2")],
+    ),
+    (
+        [("send", "n2", Delta(2, 3, [], [])), ("put_in_force", 3)],
+        [
+            ("revision-read", 3, ""),
+            ("revision-sent", 3, "n2"),
+            ("revision-in-force", 3, ""),
+        ],
+    ),
+    ([("send", "n2", Offer(0, [])), ("send", "n2", AskConfiguration(1))], []),
+    (
+        [("follow", None), ("follow", Refused(4, ("x",))), ("follow", Refused(4, ()))],
+        [("revision-refused", 4, "")],
+    ),
+)
+
+
+class RevisionEventsTest(unittest.TestCase):
+    """Each step of a revision leaves one event."""
+
+    def test_steps(self):
+        for calls, expected in CASES:
+            with self.subTest(calls=calls):
+                self.assertEqual(steps(*calls), expected)
