Name faults of references and of certificates with all others

Cause: an engine with a field out of range hid its unknown zone, and check passed over certificates that can't be loaded. Change: references of engines that can't be built are checked too; check loads certificate and key. Conclusion: all faults of a file are named at once.

--- a/peridotcove/configuration.py
+++ b/peridotcove/configuration.py
@@ -1,9 +1,9 @@
 """Reads and checks one revision of the configuration."""
 
 from peridotcove.checks import find_faults
-from peridotcove.exceptions import InvalidSettings
+from peridotcove.exceptions import InvalidSettings, SettingError
 from peridotcove.models import Configuration
-from peridotcove.schema import build_partly
+from peridotcove.schema import build_partly, suggest
 
 
 def parse_configuration(raw, path="configuration"):
@@ -23,6 +23,8 @@
     """
     configuration, faults = build_partly(Configuration, raw, path)
     broken = _broken_names(raw, configuration) if faults else ()
+    if faults:
+        faults.extend(_broken_references(raw, configuration, path))
     for fault in find_faults(configuration, path):
         if fault.found not in broken:
             faults.append(fault)
@@ -43,3 +45,18 @@
         (set(group), built) for group, built in groups if isinstance(group, dict)
     ]
     return {name for names, built in described for name in names - set(built)}
+
+
+def _broken_references(raw, configuration, path):
+    """Yield the faults of references of engines that have other faults too."""
+    engines = raw.get("engines") if isinstance(raw, dict) else None
+    for name, engine in engines.items() if isinstance(engines, dict) else ():
+        if name in configuration.engine_by_name or not isinstance(engine, dict):
+            continue
+        for word in ("zone", "model"):
+            found = engine.get(word)
+            known = raw.get(f"{word}s")
+            known = known if isinstance(known, dict) else {}
+            if isinstance(found, str) and found not in known:
+                allowed = f"a described {word}: {suggest(found, known)}"
+                yield SettingError(f"{path}.engines.{name}.{word}", found, allowed)
--- a/peridotcove/operators/commands.py
+++ b/peridotcove/operators/commands.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import ssl
 
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
@@ -91,10 +92,9 @@
     raw = read_whole(file)
     if isinstance(raw, dict) and SETTINGS_KEYS & raw.keys():
         settings = build(Settings, raw, str(file))
-        try:
-            settings.secret.read(f"{file}.secret")
-        except SettingError as fault:
-            raise InvalidSettings(f"{file} is not valid", [fault]) from None
+        faults = list(_check_secrets(settings, str(file)))
+        if faults:
+            raise InvalidSettings(f"{file} is not valid", faults)
         return f"valid settings of node {settings.node}"
     made = parse_configuration(raw, str(file))
     counts = (
@@ -104,6 +104,20 @@
     return f"a valid configuration, revision {made.revision}, {counts}"
 
 
+def _check_secrets(settings, path):
+    try:
+        settings.secret.read(f"{path}.secret")
+    except SettingError as fault:
+        yield fault
+    if settings.tls is not None:
+        files = (settings.tls.certificate_file, settings.tls.key_file)
+        try:
+            ssl.create_default_context(ssl.Purpose.CLIENT_AUTH).load_cert_chain(*files)
+        except (OSError, ssl.SSLError) as error:
+            allowed = "a certificate chain and its key in PEM files"
+            yield SettingError(f"{path}.tls", str(error), allowed)
+
+
 def list_changes(previous, file):
     """Return the differences between two configurations in words.
 
--- a/tests/operators/test_commands.py
+++ b/tests/operators/test_commands.py
@@ -26,6 +26,7 @@
     "secret": {"variable": "PERIDOTCOVE_TEST_UNSET"},
     "platform": {"configuration_url": "http://a", "instances_url": "http://b"},
 }
+TLS = {"certificate_file": "no-such-file", "key_file": "no-such-file"}
 # Content of the file, exit code, words that are printed.
 FILES = (
     ("{zones: {z1: {region: 'r'}}, revision: 4} // fine", 0, "revision 4"),
@@ -35,6 +36,8 @@
     ("{", 1, "JSON with comments"),
     (json.dumps({**SETTINGS, "node": 5}), 1, "node: found 5, allowed: a string"),
     (json.dumps({**SETTINGS, "secret": "hidden-word"}), 1, "secret: found 'a hidden"),
+    (json.dumps({**SETTINGS, "tls": TLS}), 1, "tls: found"),
+    (json.dumps({**SETTINGS, "tls": TLS}), 1, "2 fault(s)"),
     (json.dumps(SETTINGS), 1, "PERIDOTCOVE_TEST_UNSET is short"),
 )
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -94,6 +94,12 @@
         self.assertLessEqual(expected, places)
         self.assertIn("c.customers.c1.key_digests[0]", places)
 
+    def test_a_broken_engine_shows_its_references_too(self):
+        raw = put(GOOD, "engines", "e1", "zone", "west-9")
+        raw = put(raw, "engines", "e1", "capacity", 0)
+        places = {fault.path for fault in faults_of(raw)}
+        self.assertEqual(places, {"c.engines.e1.zone", "c.engines.e1.capacity"})
+
     def test_a_broken_zone_is_one_fault(self):
         faults = faults_of(put(GOOD, "zones", "east-1", "region", 5))
         self.assertEqual([fault.path for fault in faults], ["c.zones.east-1.region"])
