Give callers a continuation token and read it on the next turn

Cause: the signed token was written and wired to nothing; what an owner knows of caches is lost with it. Change: an answer carries the token, a chat's next turn may bring it back as the hint of its last engine.

--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -6,6 +6,7 @@
 from peridotcove.callers.server import CallerDesk
 from peridotcove.callers.server import make_server as make_caller_server
 from peridotcove.calls import ServiceRouter
+from peridotcove.continuation import ContinuationCodec
 from peridotcove.control import Control
 from peridotcove.delivery import Delivery
 from peridotcove.drain import Drain
@@ -17,7 +18,7 @@
 from peridotcove.engine_reports import EngineReports
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet import Fleet
-from peridotcove.keys import LINKS, TICKETS, derive_key
+from peridotcove.keys import CONTINUATIONS, LINKS, TICKETS, derive_key
 from peridotcove.lease_client import LeaseClient
 from peridotcove.lease_server import LeaseServer
 from peridotcove.leaving_news import LeavingNews
@@ -164,6 +165,10 @@
         self.send_all(self.leaving_news.receive(peer, message))
         self.follow_endpoints()
 
+    def _make_continuations(self):
+        secret = self.settings.secret.read("secret")
+        return ContinuationCodec(derive_key(secret, CONTINUATIONS), self.clock)
+
     def _wire_requests(self):
         settings = self.settings
         self.endpoint_client = EndpointClient(self.clock)
@@ -180,6 +185,7 @@
             self.states,
             engines,
             self.entry_limits,
+            self._make_continuations(),
             self.clock,
             self.rng,
             self.metrics,
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -29,6 +29,8 @@
         HTTP towards engines.
     limits : EntryLimits
         Customers' rates.
+    continuations : ContinuationCodec
+        Tokens that callers send back with a chat's next turn.
     clock : Clock
         Source of time.
     rng : random.Random
@@ -48,6 +50,7 @@
         states,
         engines,
         limits,
+        continuations,
         clock,
         rng,
         metrics,
@@ -60,6 +63,7 @@
         self._states = states
         self._engines = engines
         self._limits = limits
+        self._continuations = continuations
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
@@ -194,7 +198,10 @@
         chat : Chat
             The request.
         """
-        return ""
+        if not chat.continuation:
+            return ""
+        found = self._continuations.decode(chat.continuation, chat.key)
+        return found.engine if found is not None else ""
 
     def make_hint(self, engine, chat):
         """Return the token for the chat's next turn, or an empty one.
@@ -206,4 +213,4 @@
         chat : Chat
             The request.
         """
-        return ""
+        return self._continuations.encode(engine, chat.key, len(chat.prefixes))
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -9,6 +9,7 @@
 
 from peridotcove.callers.chats import Chat
 from peridotcove.configuration import parse_configuration
+from peridotcove.continuation import ContinuationCodec
 from peridotcove.endpoint_states import EndpointStates
 from peridotcove.endpoints.client import Reply
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
@@ -96,6 +97,7 @@
         states,
         engines,
         EntryLimits(clock),
+        ContinuationCodec(b"secret of the tests", clock),
         clock,
         random.Random(1),
         Metrics(),
