Let no node that is cut off from its zone speak for it

Cause: a node cut off from its zone told other zones that all nodes there were dead (the new test failed so for one of nine nodes). Change: heartbeats say that the sender hears few of its zone; another contact is taken, unless all tried say so.

--- a/peridotcove/contacts.py
+++ b/peridotcove/contacts.py
@@ -100,6 +100,21 @@
         one = self.instance_by_name.get(name)
         return None if one is None else one.zone
 
+    def count_zone(self):
+        """Return how many other nodes of this node's zone are listed."""
+        return sum(self.zone(name) == self.node.zone for name in self.listed)
+
+    def tried_enough(self, zone):
+        """Return whether all contacts that may be tried in a zone are.
+
+        Parameters
+        ----------
+        zone : str
+            Another zone of the region.
+        """
+        limit = min(CONTACTS_TRIED, len(self._ranked_by_zone.get(zone, ())))
+        return len(self.contacts_by_zone.get(zone, ())) >= limit
+
     def in_region(self, name):
         """Return whether a node is in this node's region.
 
--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -18,6 +18,7 @@
 from peridotcove.models import State
 from peridotcove.nodes.membership_messages import (
     LEAVING,
+    MINORITY,
     READS_FAIL,
     AskView,
     Heartbeat,
@@ -25,7 +26,7 @@
 )
 from peridotcove.nodes.network import Outgoing
 from peridotcove.ranking import rank
-from peridotcove.zone_views import Record, ZoneView, digest_records
+from peridotcove.zone_views import Record, ZoneViews, digest_records
 
 PAUSE_MS = 2_000
 SETTLE_MS = 3_000
@@ -73,11 +74,12 @@
         self.layout = Layout(node, region)
         self.heartbeats = Heartbeats(clock, self.layout, self.incarnation)
         self._shards = {}
-        self._view_by_zone = {}
+        self._views = ZoneViews(clock, self.layout, self.heartbeats)
         self._live = {}
         self._left = frozenset()
         self._own = ()
         self._own_digest = b""
+        self._minority = False
         self._readers = (node.name,)
         self._events = []
         self._ran_ms = clock.now()
@@ -112,6 +114,7 @@
         self._listed_ms = now if asked_ms is None else asked_ms
         self.layout.set_listed(nodes, self.heartbeats.hears)
         self._update_live(now)
+        self._summarize()
 
     def set_zones(self, zone_by_name):
         """Take the zones of all regions.
@@ -201,10 +204,8 @@
     def shards(self):
         """Return the load total by shard over the live nodes of the region."""
         merged = {}
-        now = self.clock.now()
-        for view in self._view_by_zone.values():
-            if view.current(now):
-                merged.update(view.shards)
+        for view in self._views.current():
+            merged.update(view.shards)
         merged.update(self._collect_shards())
         return merged
 
@@ -238,7 +239,7 @@
         self._ran_ms = now
         beats = self.heartbeats
         far = self._readers[0] == self.node.name
-        self.layout.choose(beats.hears, beats.gave_up, far)
+        self.layout.choose(self._views.informed, beats.gave_up, far)
         due = beats.tick()
         if now - self._forgot_ms >= FORGET_EVERY_MS:
             self._forgot_ms = now
@@ -266,7 +267,8 @@
             records = [[one.name, one.incarnation, one.flags] for one in self._own]
             return [Outgoing(peer, View(records))]
         if isinstance(message, View):
-            self._receive_view(peer, message, now)
+            self._views.take(peer, message)
+            self._update_live(now)
         return []
 
     def _receive_heartbeat(self, name, message, now):
@@ -277,34 +279,14 @@
         if (peer.live, peer.incarnation, peer.leaving) != before:
             self._update_live(now)
         if news and message.view:
-            outgoing += self._hear_zone(name, message, now)
+            outgoing += self._views.hear(name, message)
         if wanted:
             outgoing.append(self._heartbeat(peer, now, answer=True))
         return outgoing
 
-    def _hear_zone(self, name, message, now):
-        zone = self.layout.zone(name)
-        if self._find_primary(zone) != name:
-            return []
-        view = self._view_by_zone.setdefault(zone, ZoneView())
-        if not view.hear(message, now):
-            return []
-        return [Outgoing(name, AskView(view.digest))]
-
-    def _find_primary(self, zone):
-        for name in self.layout.contacts_by_zone.get(zone, ()):
-            if self.heartbeats.hears(name):
-                return name
-        return None
-
-    def _receive_view(self, name, message, now):
-        view = self._view_by_zone.get(self.layout.zone(name))
-        if view is not None:
-            view.replace(Record(*record) for record in message.records)
-            self._update_live(now)
-
     def _heartbeat(self, peer, now, answer=False):
         flags = LEAVING * self.leaving + READS_FAIL * self.reads_fail
+        flags += MINORITY * self._minority
         shards, view = self._shards, b""
         if peer.name not in self.layout.neighbours:
             near = self.layout.in_region(peer.name)
@@ -330,13 +312,12 @@
                 live[peer.name] = peer.incarnation
                 if peer.leaving or known[peer.name].state is State.LEAVING:
                     left.add(peer.name)
-        for view in self._view_by_zone.values():
-            for record in view.records if view.current(now) else ():
-                name = record.name
-                if name in known and name not in self.layout.neighbours:
-                    live[name] = record.incarnation
-                    if record.leaving or known[name].state is State.LEAVING:
-                        left.add(name)
+        for record in self._views.records():
+            name = record.name
+            if name in known and name not in self.layout.neighbours:
+                live[name] = record.incarnation
+                if record.leaving or known[name].state is State.LEAVING:
+                    left.add(name)
         known_leaving = bool(self._own) and self._own[0].leaving
         if (
             not self._own
@@ -365,6 +346,7 @@
                 own.append(Record(name, incarnation, LEAVING * (name in self._left)))
         self._own = tuple(own)
         self._own_digest = digest_records(own)
+        self._minority = 2 * len(own) <= self.layout.count_zone()
         names = [one.name for one in own if not one.leaving] or [self.node.name]
         zone = f"reader {self.node.zone}"
         self._readers = tuple(rank(zone, dict.fromkeys(names, 1.0)))
--- a/peridotcove/nodes/membership_messages.py
+++ b/peridotcove/nodes/membership_messages.py
@@ -7,6 +7,7 @@
 LEAVING = 1
 REPLY_WANTED = 2
 READS_FAIL = 4
+MINORITY = 8
 
 
 @message(20)
@@ -23,7 +24,7 @@
     ack : int
         Highest sequence that the sender has from the receiver; 0 for none.
     flags : int
-        Sum of `LEAVING`, `REPLY_WANTED` and `READS_FAIL`.
+        Sum of `LEAVING`, `REPLY_WANTED`, `READS_FAIL` and `MINORITY`.
     shards : dict
         Load total by shard: the sender's own, or its zone's towards other zones.
     unheard : list
--- a/peridotcove/peers.py
+++ b/peridotcove/peers.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from peridotcove.nodes.membership_messages import LEAVING, READS_FAIL
+from peridotcove.nodes.membership_messages import LEAVING, MINORITY, READS_FAIL
 
 HEARTBEAT_MS = 1_000
 CONTACT_HEARTBEAT_MS = 2_000
@@ -41,9 +41,9 @@
         Time since which a heartbeat waits to be acknowledged.
     silent_ms : int or None
         Time at which its link was last reported as silent.
-    live, leaving, reads_fail : bool
-        Whether it is believed live, says that it is leaving, and says that its reads
-        of the configuration service fail.
+    live, leaving, reads_fail, minority : bool
+        Whether it is believed live; and whether it says that it is leaving, that its
+        reads of the configuration service fail, that it hears few of its zone.
     shards : dict
         Load total by shard.
     unheard : frozenset of str
@@ -64,6 +64,7 @@
     live: bool = False
     leaving: bool = False
     reads_fail: bool = False
+    minority: bool = False
     shards: dict = field(factory=dict)
     unheard: frozenset = frozenset()
 
@@ -152,6 +153,7 @@
         self.heard_ms = now
         self.leaving = bool(message.flags & LEAVING)
         self.reads_fail = bool(message.flags & READS_FAIL)
+        self.minority = bool(message.flags & MINORITY)
         self.shards = message.shards
         self.unheard = frozenset(message.unheard)
         return True
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -193,6 +193,20 @@
         fleet.links.run(10_000)
         self.assertEqual(len(fleet.node_by_name["a-0"].live()), 12)
 
+    def test_a_node_cut_off_from_its_zone_does_not_speak_for_it(self):
+        for number in range(9):
+            fleet = start_fleet(TWO_REGIONS)
+            lonely = f"b-{number}"
+            others = [name for name in fleet.node_by_name if name[0] == "b"]
+            pairs = [(lonely, name) for name in others]
+            pairs += [(name, lonely) for name in others]
+            fleet.links.set_faults(pairs, drop=1.0)
+            fleet.noted.clear()
+            fleet.links.run(10_000)
+            losses = noted(fleet, NodeLost)
+            lost = {event.node for _, one, event in losses if one[0] != "b"}
+            self.assertLessEqual(lost, {lonely})
+
 
 class TodayTest(unittest.TestCase):
     """The sizes of today are one mesh."""
