Generate histories for zones that know of each other by contacts

Cause: four nodes are one mesh, so the histories passed by contacts and views. Change: a second machine with the mesh limited to the zone.

--- a/tests/test_control_histories.py
+++ b/tests/test_control_histories.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+from unittest import mock
 
 from hypothesis import settings, strategies
 from hypothesis.stateful import (
@@ -14,6 +15,7 @@
     rule,
 )
 
+from peridotcove import contacts
 from peridotcove.standins.fleet import MemoryFleet, describe_zones
 from tests.fakes import count_history, make_links
 
@@ -168,5 +170,24 @@
         return max(node.revision for node in self.fleet.up())
 
 
+class ContactHistories(Histories):
+    """The same where zones know of each other by contacts, as in a large region."""
+
+    @initialize(seed=strategies.integers(0, 1 << 30))
+    def start(self, seed):
+        self.patch = mock.patch.object(contacts, "MESH_NODES", 1)
+        self.patch.start()
+        super().start(seed)
+
+    def teardown(self):
+        try:
+            super().teardown()
+        finally:
+            if hasattr(self, "patch"):
+                self.patch.stop()
+
+
 Histories.TestCase.settings = settings(stateful_step_count=STEPS)
+ContactHistories.TestCase.settings = settings(stateful_step_count=STEPS)
 HistoriesTest = Histories.TestCase
+ContactHistoriesTest = ContactHistories.TestCase
