--- a/peridotcove/callers/sink.py
+++ b/peridotcove/callers/sink.py
@@ -11,8 +11,8 @@
     Parameters
     ----------
     open_answer : callable
-        Writes the head of the answer and returns the caller's HTTP connection; called
-        once, with the first bytes of the body at hand.
+        Writes the head of the answer and returns its `BodyWriter`; called once, with
+        the first bytes of the body at hand.
     limit_bytes : int
         Most bytes that wait for the caller.
 
