Show control bytes by direction, and moved calls apart

Cause: the demo's table added both directions and the calls that nodes move for callers to the control traffic. Change: rows for sent and received, and for moved calls.

--- a/peridotcove/standins/report.py
+++ b/peridotcove/standins/report.py
@@ -8,6 +8,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 CONTROL_BYTES = "peridotcove_control_bytes"
+MOVED_CALLS = ("RunTicketed", "TicketedAnswer")
 SAMPLE_S = 0.2
 MIN_MEAN = 2.0
 
@@ -94,27 +95,45 @@
         seconds = asyncio.get_running_loop().time() - self._start
         engines = await self._read_all(self.plan["engine_urls"])
         services = await self._read_all(self.plan["service_urls"])
-        rates = await self._control_rates(seconds)
+        now = await self._read_control()
         rows = list(_chat_rows(tally))
         rows += _engine_rows(engines, self.samples, self.plan["load_bound"])
-        rows.append(("control bytes per node and second, mean", _mean(rates)))
-        rows.append(("control bytes per node and second, highest", _highest(rates)))
+        rows += self._traffic_rows(now, seconds)
         runs = _sum_runs(services)
         faults = find_faults(tally, runs)
         rows += _booking_rows(tally, runs, faults)
         return Report(rows, faults)
 
-    async def _control_rates(self, seconds):
-        now = await self._read_control()
+    def _traffic_rows(self, now, seconds):
         both = now.keys() & self._control_at_start.keys()
-        return [(now[x] - self._control_at_start[x]) / seconds for x in both]
+        for name, kind in (("control", False), ("moved calls'", True)):
+            for way, words in (("out", "sent"), ("in", "received")):
+                rates = [
+                    (now[x][kind, way] - self._control_at_start[x][kind, way]) / seconds
+                    for x in both
+                ]
+                title = f"{name} bytes {words} per node and second"
+                yield f"{title}, mean", _mean(rates)
+                if not kind:
+                    yield f"{title}, highest", _highest(rates)
 
     async def _read_control(self):
         bytes_by_node = {}
         for node in self.balancer.nodes:
             body = await self.balancer.get(f"{node.operators_url}/metrics")
             if body is not None:
-                bytes_by_node[node.name] = sum_metric(body.decode(), CONTROL_BYTES)
+                bytes_by_node[node.name] = {
+                    (moved, way): sum_metric(
+                        body.decode(),
+                        CONTROL_BYTES,
+                        lambda labels, moved=moved, way=way: (
+                            labels["way"] == way
+                            and (labels["message"] in MOVED_CALLS) == moved
+                        ),
+                    )
+                    for moved in (False, True)
+                    for way in ("in", "out")
+                }
         return bytes_by_node
 
     async def _read_all(self, urls):
@@ -124,8 +143,8 @@
         return [json.loads(body) for body in bodies if body is not None]
 
 
-def sum_metric(text, name):
-    """Return the sum of a counter over its labels.
+def sum_metric(text, name, keep=lambda labels: True):
+    """Return the sum of a counter over those of its labels that count.
 
     Parameters
     ----------
@@ -133,11 +152,13 @@
         Metrics in the text format of Prometheus.
     name : str
         Name of the counter without its ending.
+    keep : callable
+        Takes the labels of a sample; returns whether it counts.
     """
     total = 0.0
     for family in text_string_to_metric_families(text):
         for sample in family.samples:
-            if sample.name == f"{name}_total":
+            if sample.name == f"{name}_total" and keep(sample.labels):
                 total += sample.value
     return total
 
