Check only what a revision can have broken

Cause: each change was checked as if all were new. Change: a check names the sections that it reads and is left out where they are the same objects; names are checked by one expression; marks and indexes of sections that stay are kept.

--- a/peridotcove/assembly.py
+++ b/peridotcove/assembly.py
@@ -65,7 +65,7 @@
                     raw.setdefault(section, {}).update(entries)
         fresh = build(Configuration, raw, PATH)
         configuration = self._merge(fresh, change_by_part)
-        faults = list(find_faults(configuration, PATH))
+        faults = list(find_faults(configuration, PATH, self.configuration))
         if faults:
             raise InvalidSettings(f"{PATH} is not valid", faults)
         return Assembly(configuration, part_by_key, plain)
--- a/peridotcove/checks.py
+++ b/peridotcove/checks.py
@@ -5,11 +5,14 @@
 import re
 from urllib.parse import urlsplit
 
+from attrs import frozen
+
 from peridotcove.exceptions import SettingError
 from peridotcove.registry import Registry
 from peridotcove.schema import suggest
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+NAMES = re.compile(f"(?:{NAME.pattern}\n)*+")
 NAME_RULE = "1 to 64 letters, digits, dots, dashes, underscores; no dash or dot first"
 DIGEST = re.compile(r"[0-9a-f]{64}")
 URLS_KEPT = 8_192
@@ -20,7 +23,41 @@
 checks = Registry("check of the configuration")
 
 
-def find_faults(configuration, path):
+@frozen
+class Check:
+    """One check.
+
+    Attributes
+    ----------
+    run : callable
+        Takes a configuration and a path, and yields faults.
+    reads : tuple of str
+        Sections on which the outcome depends.
+    """
+
+    run: object
+    reads: tuple[str, ...]
+
+
+def check(name, *reads):
+    """Return a decorator that registers a check.
+
+    Parameters
+    ----------
+    name : str
+        Name of the check.
+    *reads : str
+        Attributes of `Configuration` on which the outcome depends.
+    """
+
+    def enter(run):
+        checks.register(name)(Check(run, reads))
+        return run
+
+    return enter
+
+
+def find_faults(configuration, path, before=None):
     """Yield a `SettingError` for each fault of a configuration.
 
     Parameters
@@ -29,9 +66,16 @@
         A configuration whose fields are well typed.
     path : str
         Where it stands, for error messages.
+    before : Configuration or None
+        An earlier one without faults; checks that read only sections which are the
+        same objects as there are left out.
     """
-    for check in checks.by_name.values():
-        yield from check(configuration, path)
+    for item in checks.by_name.values():
+        if before is None or any(
+            getattr(configuration, part) is not getattr(before, part)
+            for part in item.reads
+        ):
+            yield from item.run(configuration, path)
 
 
 def _groups(configuration):
@@ -40,7 +84,6 @@
         ("models", configuration.model_by_name),
         ("engines", configuration.engine_by_name),
         ("services", configuration.service_by_name),
-        ("customers", configuration.customer_by_name),
     )
 
 
@@ -56,7 +99,7 @@
     yield from _endpoints(configuration, path)
 
 
-@checks.register("names")
+@check("names", "zone_by_name", "model_by_name", "engine_by_name", "service_by_name")
 def check_names(configuration, path):
     """Yield faults of names that don't fit a header, a URL or a metric label.
 
@@ -69,15 +112,36 @@
     """
     fits = NAME.fullmatch
     for group, by_name in _groups(configuration):
-        for name in by_name:
-            if not fits(name):
-                yield SettingError(f"{path}.{group}.{name}.name", name, NAME_RULE)
+        yield from _name_faults(f"{path}.{group}", by_name)
     for place, endpoint in _endpoints(configuration, path):
         if not fits(endpoint.name):
             yield SettingError(f"{place}.name", endpoint.name, NAME_RULE)
 
 
-@checks.register("adapters and regions")
+@check("names of customers", "customer_by_name")
+def check_customer_names(configuration, path):
+    """Yield faults of customers' names that don't fit a metric label.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields are well typed.
+    path : str
+        Where it stands, for error messages.
+    """
+    yield from _name_faults(f"{path}.customers", configuration.customer_by_name)
+
+
+def _name_faults(place, by_name):
+    text = "".join([f"{name}\n" for name in by_name])
+    if NAMES.fullmatch(text) and text.count("\n") == len(by_name):
+        return
+    for name in by_name:
+        if not NAME.fullmatch(name):
+            yield SettingError(f"{place}.{name}.name", name, NAME_RULE)
+
+
+@check("adapters and regions", "model_by_name", "zone_by_name")
 def check_inner_names(configuration, path):
     """Yield faults of names of adapters and regions.
 
@@ -99,7 +163,9 @@
             yield SettingError(place, zone.region, NAME_RULE)
 
 
-@checks.register("references")
+@check(
+    "references", "zone_by_name", "model_by_name", "engine_by_name", "service_by_name"
+)
 def check_references(configuration, path):
     """Yield faults of references that lead nowhere.
 
@@ -122,7 +188,7 @@
             yield SettingError(f"{place}.model", model, allowed)
 
 
-@checks.register("addresses")
+@check("addresses", "engine_by_name", "service_by_name")
 def check_addresses(configuration, path):
     """Yield faults of URLs that are malformed or stand twice.
 
@@ -160,7 +226,7 @@
     return parts.scheme in ("http", "https") and bool(port) and bare
 
 
-@checks.register("roles")
+@check("roles", "engine_by_name")
 def check_roles(configuration, path):
     """Yield faults of roles that no engine knows.
 
@@ -177,7 +243,7 @@
             yield SettingError(place, engine.role, suggest(engine.role, ROLES))
 
 
-@checks.register("routes")
+@check("routes", "service_by_name")
 def check_routes(configuration, path):
     """Yield faults of rules about repeatable calls.
 
@@ -205,7 +271,7 @@
                     yield SettingError(place, found, allowed)
 
 
-@checks.register("keys")
+@check("keys", "customer_by_name")
 def check_keys(configuration, path):
     """Yield faults of API keys that are malformed or shared.
 
--- a/peridotcove/fleet.py
+++ b/peridotcove/fleet.py
@@ -6,6 +6,8 @@
 from peridotcove.ownership import owner_rank, shards_of
 from peridotcove.shares import ShardLoad, ShardPicker
 
+MARKED = ("engine_by_name", "service_by_name")
+
 
 class Fleet:
     """The node's view, from which every role follows.
@@ -47,7 +49,11 @@
             The revision.
         """
         before, self._described = self._described, configuration
-        self._apply()
+        if all(_same(before, configuration, part) for part in MARKED):
+            marked = {part: getattr(self.configuration, part) for part in MARKED}
+            self.configuration = evolve(configuration, **marked)
+        else:
+            self._apply()
         if not _same(before, configuration, "customer_by_name"):
             self._index_customers()
         parts = ("engine_by_name", "zone_by_name", "model_by_name", "bounds")
--- /dev/null
+++ b/tests/test_checks.py
@@ -0,0 +1,55 @@
+"""Tests that checks of a change find what checks of the whole find."""
+
+import unittest
+
+from attrs import evolve
+
+from peridotcove.checks import find_faults
+from peridotcove.configuration import parse_configuration
+from peridotcove.models import Customer, Endpoint, Engine, Model, Route, Service, Zone
+from tests.test_leases import RAW
+
+URL = "http://127.0.0.1:7"
+BROKEN = {
+    "zone_by_name": {"a": Zone("a", "no such region!")},
+    "model_by_name": {"m": Model("m", adapters=("x", "x"))},
+    "engine_by_name": {
+        "e1": Engine("e1", URL, "nowhere", "m", role="idle"),
+        "e2": Engine("e2", URL, "a", "no-model"),
+        "bad name": Engine("bad name", "ftp://x", "a", "m"),
+    },
+    "service_by_name": {
+        "s": Service("s", (Endpoint("x y", "no url", "b"),), (Route("no-slash"),))
+    },
+    "customer_by_name": {
+        "c": Customer("c", ("ab",)),
+        "d e": Customer("d e", ("cd" * 32, "cd" * 32)),
+    },
+}
+
+
+class ChecksTest(unittest.TestCase):
+    """A check may be left out only where its outcome can't have changed."""
+
+    def test_change_of_each_section(self):
+        base = parse_configuration(RAW)
+        for section, broken in BROKEN.items():
+            with self.subTest(section=section):
+                changed = evolve(base, **{section: broken})
+                whole = [str(fault) for fault in find_faults(changed, "x")]
+                found = [str(fault) for fault in find_faults(changed, "x", base)]
+                self.assertEqual(found, whole)
+                self.assertTrue(found)
+
+    def test_dropped_sections_break_references(self):
+        base = parse_configuration(RAW)
+        for section in ("zone_by_name", "model_by_name"):
+            with self.subTest(section=section):
+                changed = evolve(base, **{section: {}})
+                self.assertTrue(list(find_faults(changed, "x", base)))
+
+    def test_a_line_end_in_a_name_is_found(self):
+        base = parse_configuration(RAW)
+        customers = {"good\nname": Customer("good\nname")}
+        changed = evolve(base, customer_by_name=customers)
+        self.assertEqual(len(list(find_faults(changed, "x"))), 1)
