--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SOAK = tests.test_control_histories tests.test_delivery tests.test_drain \
     tests.test_orders tests.test_endpoint_states tests.test_whole
 
-.PHONY: test soak lint format env demo
+.PHONY: test soak lint format env demo bench-relay binary
 
 env: $(STAMP)
 
@@ -34,4 +34,10 @@
 	$(PY) -m ruff check --fix .
 
 demo: $(STAMP)
-	PYTHON=$(PY) bash demo/run.sh
+	@PYTHON=$(abspath $(PY)) demo/run.sh
+
+bench-relay: $(STAMP)
+	@PYTHON=$(abspath $(PY)) tools/bench_relay.sh
+
+binary: $(STAMP)
+	$(PY) tools/build_binary.py dist/peridotcove
--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -13,6 +13,7 @@
     describe_error,
     set_error,
 )
+from peridotcove.callers.body import BodyWriter
 from peridotcove.callers.chats import find_customer, read_chat
 from peridotcove.callers.sink import Sink
 from peridotcove.exceptions import (
@@ -152,7 +153,8 @@
         self.set_header(VERDICT, Verdict.RAN.value)
         self._set_continuation(self.desk.engine_of(self.request_id), self._chat)
         self.flush()
-        return self.request.connection
+        stream = self.request.connection.stream
+        return BodyWriter(stream, self.request.version == "HTTP/1.1")
 
     def _set_head(self, reply, engine, chat):
         self.desk.note_first_byte(self._span)
--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -16,6 +16,7 @@
 EXIT_USAGE = 2
 
 COMMANDS = {
+    "bench routing": "peridotcove.bench.commands:BenchRoutingCommand",
     "bench fleet": "peridotcove.bench.fleet:BenchFleetCommand",
     "bench capacity": "peridotcove.bench.capacity:BenchCapacityCommand",
     "bench operators": "peridotcove.bench.operators:BenchOperatorsCommand",
@@ -25,6 +26,7 @@
     "standin engine": "peridotcove.standins.commands:StandinEngineCommand",
     "standin service": "peridotcove.standins.commands:StandinServiceCommand",
     "standin platform": "peridotcove.standins.commands:StandinPlatformCommand",
+    "bench relay": "peridotcove.bench.relay:BenchRelayCommand",
 }
 
 
--- a/peridotcove/fleet.py
+++ b/peridotcove/fleet.py
@@ -6,6 +6,8 @@
 from peridotcove.ownership import owner_rank, shards_of
 from peridotcove.shares import ShardLoad, ShardPicker
 
+MARKED = ("engine_by_name", "service_by_name")
+
 
 class Fleet:
     """The node's view, from which every role follows.
@@ -46,9 +48,27 @@
         configuration : Configuration
             The revision.
         """
-        self._described = configuration
-        self._apply()
-        shards = shards_of(configuration, self.region)
+        before, self._described = self._described, configuration
+        if all(_same(before, configuration, part) for part in MARKED):
+            marked = {part: getattr(self.configuration, part) for part in MARKED}
+            self.configuration = evolve(configuration, **marked)
+        else:
+            self._apply()
+        if not _same(before, configuration, "customer_by_name"):
+            self._index_customers()
+        parts = ("engine_by_name", "zone_by_name", "model_by_name", "bounds")
+        if not all(_same(before, configuration, part) for part in parts):
+            self._index_shards()
+
+    def _index_customers(self):
+        self._customer_by_digest = {
+            digest: customer
+            for customer in self._described.customer_by_name.values()
+            for digest in customer.key_digests
+        }
+
+    def _index_shards(self):
+        shards = shards_of(self._described, self.region)
         self.shard_by_name = {shard.name: shard for shard in shards}
         self.shards_by_model = {}
         for shard in shards:
@@ -57,11 +77,6 @@
             model: ShardPicker(shards, self._weigh(shards))
             for model, shards in self.shards_by_model.items()
         }
-        self._customer_by_digest = {
-            digest: customer
-            for customer in configuration.customer_by_name.values()
-            for digest in customer.key_digests
-        }
         self._rank_by_shard = {}
 
     def _weigh(self, shards):
@@ -206,3 +221,8 @@
         if rank is None:
             rank = self._rank_by_shard[shard] = owner_rank(shard, self.nodes)
         return rank
+
+
+def _same(before, after, part):
+    # A revision keeps the objects of the sections that it does not change.
+    return getattr(before, part) is getattr(after, part)
--- /dev/null
+++ b/tests/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what faces callers."""
