Show that the histories find variants that are too simple

Cause: a property that nothing fails proves little. Change: four naive variants, each must be found.

--- a/tests/test_control_histories.py
+++ b/tests/test_control_histories.py
@@ -4,18 +4,23 @@
 """
 
 import logging
+import unittest
 from unittest import mock
 
-from hypothesis import settings, strategies
+from hypothesis import Phase, settings, strategies
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     invariant,
     precondition,
     rule,
+    run_state_machine_as_test,
 )
 
 from peridotcove import contacts
+from peridotcove.peers import Peer
+from peridotcove.pulls import Pulls
+from peridotcove.revisions import Revisions
 from peridotcove.standins.fleet import MemoryFleet, describe_zones
 from tests.fakes import count_history, make_links
 
@@ -191,3 +196,40 @@
 ContactHistories.TestCase.settings = settings(stateful_step_count=STEPS)
 HistoriesTest = Histories.TestCase
 ContactHistoriesTest = ContactHistories.TestCase
+
+
+def due_if_live(peer, now):
+    """Say whether a heartbeat is due, but leave lost nodes alone."""
+    if peer.heard_ms is not None and not peer.live:
+        return False
+    return peer.sent_ms is None or now - peer.sent_ms >= peer.period_ms
+
+
+NAIVE = {
+    "takes any other revision": (
+        Revisions,
+        "_wants",
+        lambda self, other: other != self.revision,
+    ),
+    "takes none before a refused one": (
+        Revisions,
+        "_wants",
+        lambda self, other: other > self.watch_after,
+    ),
+    "pulls nothing": (Pulls, "tick", lambda self, revision, wants: []),
+    "leaves lost nodes alone": (Peer, "due", due_if_live),
+}
+
+
+class NaiveVariantsTest(unittest.TestCase):
+    """The histories find the fault of each variant that is too simple."""
+
+    def test_each_is_found(self):
+        phases = settings(stateful_step_count=STEPS, phases=[Phase.generate])
+        for name, (cls, method, variant) in NAIVE.items():
+            with (
+                self.subTest(variant=name),
+                mock.patch.object(cls, method, variant),
+                self.assertRaises(AssertionError),
+            ):
+                run_state_machine_as_test(Histories, settings=phases)
