--- a/peridotcove/choice.py
+++ b/peridotcove/choice.py
@@ -33,7 +33,7 @@
 
     load: float = 40.0
     zone: float = 1.0
-    rank: float = 10.0
+    rank: float = 15.0
     hint: float = 0.75
     patience_ms: float = 8.0
     max_patience_ms: int = 800
