--- a/peridotcove/cache_index.py
+++ b/peridotcove/cache_index.py
@@ -10,7 +10,7 @@
 from bisect import bisect_right
 from collections import deque
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from peridotcove.compact_table import CompactTable
 from peridotcove.prefixes import LADDER, select_depths
@@ -44,34 +44,6 @@
 RUNGS = frozenset(LADDER)
 
 
-@frozen
-class CacheEvent:
-    """News of an engine's prefix cache.
-
-    Attributes
-    ----------
-    engine : str
-        Name of the engine.
-    sequence : int
-        Number of the event; the next one has the next number.
-    at_ms : int
-        Wall time in ms at which it happened.
-    stored : tuple
-        Pairs of prefix hash and depth in blocks that entered the cache.
-    removed : tuple of int
-        Prefix hashes that left it.
-    full : bool
-        Whether `stored` is all that the cache holds.
-    """
-
-    engine: str
-    sequence: int
-    at_ms: int
-    stored: tuple = ()
-    removed: tuple = ()
-    full: bool = False
-
-
 @define
 class _Cache:
     number: int
--- a/tests/test_cache_index.py
+++ b/tests/test_cache_index.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies as st
 
 from peridotcove.bench.state import measure_state
-from peridotcove.cache_index import CacheEvent, CacheIndex
+from peridotcove.cache_events import CacheEvent
+from peridotcove.cache_index import CacheIndex
 from peridotcove.compact_table import CompactTable
 from peridotcove.models import Engine
 from peridotcove.prefixes import select_depths, thin
