--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import os
+import pathlib
 import socket
 import unittest
 from unittest import mock
@@ -13,6 +14,7 @@
 
 from peridotcove.clock import Clock
 from peridotcove.node import Node
+from peridotcove.operators.collect import collect
 from peridotcove.running import close, drain, start
 from peridotcove.schema import build
 from peridotcove.settings import Settings
@@ -20,6 +22,7 @@
 from peridotcove.standins.engine import EngineOptions, EngineStandin
 from peridotcove.standins.platform import PlatformStandin
 from peridotcove.standins.service import ServiceStandin
+from peridotcove.timeline_view import follow, merge
 
 NAMES = ("n1", "n2", "n3")
 KEY = "key-of-the-bakery"
@@ -153,6 +156,35 @@
             **options,
         )
 
+    async def collect(self):
+        addresses = [f"{HOST}:{ports[2]}" for ports in self.ports.values()]
+        rings, missing = await collect(addresses, Clock())
+        self.assertEqual((len(rings), missing), (3, []))
+        return merge(rings)
+
+    async def test_the_time_line_follows_a_revision_and_a_request(self):
+        self.publish(2)
+        nodes = self.node_by_name.values()
+        await self.wait_for(lambda: all(node.links.revision == 2 for node in nodes))
+        entries = follow(await self.collect(), revision=2)
+        kinds = [entry.event.kind for entry in entries]
+        self.assertEqual(kinds.count("revision-in-force"), 3, kinds)
+        self.assertEqual(kinds[0], "revision-read")
+        received = [one for one in entries if one.event.kind == "revision-received"]
+        for entry in received:
+            self.assertEqual(entry.cause.event.kind, "revision-sent")
+        body = json.dumps({"model": "m", "messages": MESSAGES})
+        owners = set()
+        for name in NAMES:
+            answer = await self.call(name, "/v1/chat/completions", body)
+            request_id = bytes.fromhex(answer.headers["X-Request-Id"])
+            entries = follow(await self.collect(), request_id)
+            granted = next(e for e in entries if e.event.kind == "lease-granted")
+            owners.add(granted.node)
+            if granted.node != name:
+                self.assertEqual(granted.cause.node, name)
+        self.assertEqual(len(owners), 1)
+
     async def get_ticket(self, node):
         answer = await self.call(node)
         self.assertEqual((answer.code, answer.headers[VERDICT]), (428, "not-run"))
@@ -187,6 +219,24 @@
                 for node in NAMES:
                     await self.check_call(node, ticket, 409, "may-have-run", 1)
 
+    async def test_example_for_callers(self):
+        page = pathlib.Path(__file__).parent.parent / "docs" / "callers.md"
+        code = page.read_text(encoding="utf-8").split("```python\n")[1].split("```")[0]
+        self.assertLessEqual(len(code[code.index("def ") :].splitlines()), 20)
+        names = {}
+        exec(code, names)  # noqa: S102
+        url = f"http://{HOST}:{self.ports['n1'][0]}{PATH}"
+        expected = {"ok": "ran", "run-then-close": "may-have-run", "error500": "ran"}
+        for mode, verdict in expected.items():
+            with self.subTest(mode):
+                self.service.faults.set(mode, 1)
+                body = {"reference": mode}
+                found = await asyncio.to_thread(
+                    names["call_once"], url, KEY, body, tries=4, pause_s=0
+                )
+                self.assertEqual(found[0], verdict)
+                self.assertLessEqual(self.service.runs_by_reference[mode], 1)
+
     async def test_refused_is_spent_and_brings_a_new_ticket(self):
         ticket = await self.get_ticket("n1")
         self.list("s1")
