--- /dev/null
+++ b/tests/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the build tools."""
--- /dev/null
+++ b/tools/binary_main.py
@@ -0,0 +1,82 @@
+"""Entry of the one-file program: imports C extensions straight from the archive.
+
+Each shared library is copied into a file that exists in memory only
+(``memfd_create``) and loaded from ``/proc/self/fd``; no disk and no other process is
+needed. The archive's ``libraries.json`` names, for each extension, the libraries that
+must be loaded before it, in order.
+"""
+
+import ctypes
+import importlib.machinery
+import importlib.util
+import json
+import os
+import sys
+import zipfile
+
+ARCHIVE = sys.path[0]
+INDEX = "libraries.json"
+
+
+class MemoryImporter:
+    """Finds C extensions in the archive.
+
+    Parameters
+    ----------
+    archive : zipfile.ZipFile
+        The program's own file.
+    """
+
+    def __init__(self, archive):
+        self._archive = archive
+        self._loaded = set()
+        index = json.loads(archive.read(INDEX))
+        self._extension_by_module = index["extensions"]
+        self._libraries_by_module = index["libraries"]
+
+    def find_spec(self, fullname, path=None, target=None):
+        """Return the spec of an extension in the archive, or None.
+
+        Parameters
+        ----------
+        fullname : str
+            Dotted name of the module.
+        path : object
+            Not used.
+        target : object
+            Not used.
+        """
+        member = self._extension_by_module.get(fullname)
+        if member is None:
+            return None
+        for library in self._libraries_by_module.get(fullname, ()):
+            self._preload(library)
+        place = self._copy(member)
+        loader = importlib.machinery.ExtensionFileLoader(fullname, place)
+        return importlib.util.spec_from_file_location(fullname, place, loader=loader)
+
+    def _preload(self, library):
+        if library not in self._loaded:
+            self._loaded.add(library)
+            ctypes.CDLL(self._copy(library), ctypes.RTLD_GLOBAL)
+
+    def _copy(self, member):
+        # The descriptor stays open: the loader knows a library by its path, which
+        # must not come to mean another one.
+        number = os.memfd_create(os.path.basename(member), os.MFD_CLOEXEC)
+        with open(number, "wb", closefd=False) as file:
+            file.write(self._archive.read(member))
+        return f"/proc/self/fd/{number}"
+
+
+def main():
+    """Run the program."""
+    sys.meta_path.insert(0, MemoryImporter(zipfile.ZipFile(ARCHIVE)))
+    from peridotcove.__main__ import main as run
+
+    sys.argv[0] = "peridotcove"
+    run()
+
+
+if __name__ == "__main__":
+    main()
