--- a/peridotcove/cache_index.py
+++ b/peridotcove/cache_index.py
@@ -6,6 +6,7 @@
 entries doubtful, and a full list brings them back.
 """
 
+from array import array
 from bisect import bisect_right
 from collections import deque
 
@@ -21,10 +22,10 @@
 LOWEST_REACH = 0.2
 HIGHEST_REACH = 1.5
 LEAST_BLOCKS = 4
-MARK_MS = 500
-MAX_MARKS = 64
+MARK_MS = 1_000
+MAX_MARKS = 16
 MAX_WIDE = 1024
-WIDE_LOOKS = 2
+WIDE_LOOKS = 1
 OLDER_BLOCKS = 16
 SAMPLE_MASK = 3
 MIN_SLOTS = 4_096
@@ -76,9 +77,10 @@
     number: int
     size: int
     reach: float
-    clock: int = 0
+    clock: int = 1
     floor: int = 0
     doubt: int = 0
+    horizon: float = 0.0
     sequence: int | None = None
     marks: deque = field(factory=lambda: deque(maxlen=MAX_MARKS))
 
@@ -100,7 +102,8 @@
     blocks: int
     pairs: tuple
     blocks_by_engine: dict
-    _match_by_engine: dict
+    _age_by_engine: dict
+    _leaf_by_engine: dict
     _rungs: list
 
 
@@ -135,11 +138,13 @@
                 self._forget_if_full()
                 number = len(self._engine_by_number)
                 cache = _Cache(number, size, float(size))
+                _follow(cache)
                 self._cache_by_engine[engine.name] = cache
                 self._engine_by_number.append((engine.name, cache))
             elif cache.size != size:
                 cache.size = size
                 cache.reach = float(size)
+                _follow(cache)
         total = sum(cache.size for cache in self._cache_by_engine.values())
         slots = max(MIN_SLOTS, min(MAX_SLOTS, total // BLOCKS_PER_SLOT))
         self._table.limit(slots)
@@ -152,7 +157,7 @@
             self._table = CompactTable(MIN_SLOTS, self._age)
 
     def __len__(self):
-        return len(self._table)
+        return sum(1 for value in self._table.values() if value & LEAF_BIT)
 
     @property
     def slots(self):
@@ -180,7 +185,7 @@
             blocks = len(prefixes)
             depths = select_depths(blocks)
             pairs = tuple([(depth, prefixes[depth - 1]) for depth in depths])
-        lookup = Lookup(blocks, pairs, {}, {}, [])
+        lookup = Lookup(blocks, pairs, {}, {}, {}, [])
         rungs = lookup._rungs
         wide = self._wide
         get = self._table.get
@@ -199,8 +204,7 @@
             value = get(key)
             if not value:
                 continue
-            number = (value >> ENGINE_SHIFT) & ENGINE_MASK
-            self._match(lookup, depth, key, number, value)
+            self._match(lookup, depth, key, value)
             if value & LEAF_BIT:
                 lowest = lowest or depth - OLDER_BLOCKS
             elif depth in RUNGS:
@@ -210,22 +214,24 @@
     def _match_wide(self, lookup, depth, key, stamp_by_number):
         found = lookup.blocks_by_engine
         engines = self._engine_by_number
-        for number, stamp in stamp_by_number.items():
-            if engines[number][0] not in found:
-                self._match(lookup, depth, key, number, stamp)
+        for number, stamp in enumerate(stamp_by_number):
+            name, cache = engines[number]
+            age = (cache.clock - stamp) & CLOCK_MASK
+            if stamp and age < cache.horizon and name not in found:
+                self._enter(lookup, depth, key, name, cache, age)
 
-    def _match(self, lookup, depth, key, number, stamp):
+    def _match(self, lookup, depth, key, value):
+        number = (value >> ENGINE_SHIFT) & ENGINE_MASK
         name, cache = self._engine_by_number[number]
-        if name in lookup.blocks_by_engine:
-            return
-        age = (cache.clock - stamp) & CLOCK_MASK
-        if age > cache.reach or age >= (cache.clock - cache.floor) & CLOCK_MASK:
-            return
-        blocks = depth
-        if age >= (cache.clock - cache.doubt) & CLOCK_MASK:
-            blocks = depth * DOUBT_SHARE
-        lookup.blocks_by_engine[name] = blocks
-        lookup._match_by_engine[name] = (key, age, bool(stamp & LEAF_BIT))
+        age = (cache.clock - value) & CLOCK_MASK
+        if age < cache.horizon and name not in lookup.blocks_by_engine:
+            self._enter(lookup, depth, key, name, cache, age)
+            lookup._leaf_by_engine[name] = key if value & LEAF_BIT else 0
+
+    def _enter(self, lookup, depth, key, name, cache, age):
+        doubtful = age >= (cache.clock - cache.doubt) & CLOCK_MASK
+        lookup.blocks_by_engine[name] = depth * DOUBT_SHARE if doubtful else depth
+        lookup._age_by_engine[name] = age
 
     def record(self, lookup, engine, wall_ms):
         """Take in that a chat goes to an engine.
@@ -243,10 +249,10 @@
         if cache is None or not lookup.pairs:
             return
         self._advance(cache, lookup, engine, wall_ms)
-        match = lookup._match_by_engine.get(engine)
+        old_leaf = lookup._leaf_by_engine.get(engine, 0)
         leaf_depth, leaf = lookup.pairs[-1]
-        if match is not None and match[2] and match[0] != leaf:
-            self._table.remove(match[0])
+        if old_leaf and old_leaf != leaf:
+            self._table.remove(old_leaf)
         stamp = _pack(cache, leaf_depth) | LEAF_BIT
         known = self._table.get(leaf)
         if known and not known & LEAF_BIT or leaf in self._wide:
@@ -257,17 +263,17 @@
         for depth, key, value in lookup._rungs:
             stamps = self._wide.get(key)
             if stamps is not None:
-                stamps[number] = clock
+                _stamp(stamps, number, clock)
             elif key != leaf:
                 self._touch(key, value, cache, depth)
-        if (match is None or not match[2]) and not leaf & SAMPLE_MASK:
+        if not old_leaf and not leaf & SAMPLE_MASK:
             self._extend(lookup, cache)
 
     def _advance(self, cache, lookup, engine, wall_ms):
         cached = int(lookup.blocks_by_engine.get(engine, 0))
         entered = lookup.blocks - cached
         if cached:
-            age = lookup._match_by_engine[engine][1]
+            age = lookup._age_by_engine[engine]
             entered += int(cached * age / (cache.reach + 1))
         if not cache.marks or wall_ms - cache.marks[-1][0] >= MARK_MS:
             cache.marks.append((wall_ms, cache.clock))
@@ -277,7 +283,7 @@
     def _touch(self, key, value, cache, depth):
         stamp_by_number = self._wide.get(key)
         if stamp_by_number is not None:
-            stamp_by_number[cache.number] = cache.clock
+            _stamp(stamp_by_number, cache.number, cache.clock)
             return
         number = (value >> ENGINE_SHIFT) & ENGINE_MASK
         if number == cache.number:
@@ -286,7 +292,9 @@
         self._table.remove(key)
         if len(self._wide) >= MAX_WIDE:
             del self._wide[next(iter(self._wide))]
-        stamps = {number: value & CLOCK_MASK, cache.number: cache.clock}
+        stamps = array("Q")
+        _stamp(stamps, number, value & CLOCK_MASK)
+        _stamp(stamps, cache.number, cache.clock)
         self._wide[key] = stamps
 
     def _extend(self, lookup, cache):
@@ -313,6 +321,7 @@
             cache.reach = max(cache.reach * MISS_FACTOR, cache.size * LOWEST_REACH)
         else:
             cache.reach = min(cache.reach * HIT_FACTOR, cache.size * HIGHEST_REACH)
+        _follow(cache)
 
     def apply(self, event):
         """Take an engine's cache event, which may be late or follow a gap.
@@ -330,10 +339,12 @@
         gap = cache.sequence is not None and event.sequence != cache.sequence + 1
         cache.sequence = event.sequence
         then = self._clock_at(cache, event.at_ms)
+        cache.clock = (cache.clock + 1) & CLOCK_MASK
         if event.full:
             cache.floor = cache.doubt = then
         elif gap:
             cache.doubt = then
+        _follow(cache)
         for key in event.removed:
             self._remove(key, cache, then)
         for key, depth in event.stored:
@@ -350,10 +361,10 @@
         number = (value >> ENGINE_SHIFT) & ENGINE_MASK
         if value and number == cache.number and _not_after(value, then, cache):
             self._table.remove(key)
-        stamps = self._wide.get(key, {})
-        stamp = stamps.get(cache.number)
-        if stamp is not None and _not_after(stamp, then, cache):
-            del stamps[cache.number]
+        stamps = self._wide.get(key, ())
+        known = cache.number < len(stamps) and stamps[cache.number]
+        if known and _not_after(known, then, cache):
+            stamps[cache.number] = 0
 
     def _store(self, key, depth, cache):
         value = self._table.get(key)
@@ -370,6 +381,8 @@
         cache.floor = oldest
     if (cache.clock - cache.doubt) & CLOCK_MASK > MAX_AGE:
         cache.doubt = oldest
+    # Entries of this age or older are not expected in the cache any more.
+    cache.horizon = min(cache.reach + 1, (cache.clock - cache.floor) & CLOCK_MASK)
 
 
 def _pack(cache, depth):
@@ -378,5 +391,12 @@
     return SET_BIT | engine | depth << DEPTH_SHIFT | cache.clock
 
 
+def _stamp(stamp_by_number, number, clock):
+    missing = number + 1 - len(stamp_by_number)
+    if missing > 0:
+        stamp_by_number.extend([0] * missing)
+    stamp_by_number[number] = SET_BIT | clock
+
+
 def _not_after(stamp, then, cache):
     return (cache.clock - stamp) & CLOCK_MASK >= (cache.clock - then) & CLOCK_MASK
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -6,6 +6,7 @@
 from peridotcove.callers.server import CallerDesk
 from peridotcove.callers.server import make_server as make_caller_server
 from peridotcove.calls import ServiceRouter
+from peridotcove.continuation import ContinuationCodec
 from peridotcove.control import Control
 from peridotcove.delivery import Delivery
 from peridotcove.drain import Drain
@@ -17,7 +18,7 @@
 from peridotcove.engine_reports import EngineReports
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet import Fleet
-from peridotcove.keys import LINKS, TICKETS, derive_key
+from peridotcove.keys import CONTINUATIONS, LINKS, TICKETS, derive_key
 from peridotcove.lease_client import LeaseClient
 from peridotcove.lease_server import LeaseServer
 from peridotcove.leaving_news import LeavingNews
@@ -52,6 +53,7 @@
 from peridotcove.orders import OrderIssuer
 from peridotcove.platform.client import PlatformClient
 from peridotcove.ranking import rank
+from peridotcove.revision_events import RevisionEvents
 from peridotcove.router import Router
 from peridotcove.tickets import Tickets
 from peridotcove.timeline import Timeline
@@ -121,6 +123,7 @@
         self.control = Control(me, settings.region, self.clock, self.rng)
         self.incarnation = self.control.membership.incarnation
         self.timeline = Timeline(self.clock, self.name, incarnation=self.incarnation)
+        self.revision_events = RevisionEvents(self.timeline)
         self.platform = PlatformClient(settings.platform, self.name)
 
     def _wire_leases(self):
@@ -162,6 +165,10 @@
         self.send_all(self.leaving_news.receive(peer, message))
         self.follow_endpoints()
 
+    def _make_continuations(self):
+        secret = self.settings.secret.read("secret")
+        return ContinuationCodec(derive_key(secret, CONTINUATIONS), self.clock)
+
     def _wire_requests(self):
         settings = self.settings
         self.endpoint_client = EndpointClient(self.clock)
@@ -178,6 +185,7 @@
             self.states,
             engines,
             self.entry_limits,
+            self._make_continuations(),
             self.clock,
             self.rng,
             self.metrics,
@@ -229,6 +237,7 @@
             self.control.revisions.notice(peer, revision)
             receiver(peer, message)
         else:
+            self.revision_events.receive(peer, message)
             self.send_all(self.control.receive(peer, message, revision))
         self.follow_configuration()
 
@@ -243,11 +252,13 @@
         for item in outgoing:
             try:
                 self.links.send(item.peer, item.message)
+                self.revision_events.send(item.peer, item.message)
             except LinkDown as error:
                 log.debug("not sent: %s", error)
 
     def follow_configuration(self):
         """Put a new revision into force in all parts."""
+        self.revision_events.follow(self.control.revisions.refused)
         current = self.control.revisions.current()
         if current.revision == self.links.revision:
             return
@@ -257,7 +268,7 @@
         self.tickets.ticket_ms = current.bounds.ticket_ms
         self.lease_server.follow()
         self.follow_orders()
-        self.timeline.record("revision-in-force", revision=current.revision)
+        self.revision_events.put_in_force(current.revision)
         log.info("revision %d is in force", current.revision)
 
     def follow_nodes(self):
