Answer oversized and slow requests, and test bad input end to end

Cause: a head or body over the limit, or a body that came too slowly, ended in a closed connection or a bare 400: no error that a client can read, and no verdict. Change: bodies are taken as they arrive; heads up to 4 times the limit get 431, bodies 413, slow bodies 408, each with a code and the verdict not-run. Beyond that the connection is closed.

--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -1,9 +1,10 @@
 """The HTTP handlers towards callers."""
 
+import asyncio
 import os
 
 from tornado.iostream import StreamClosedError
-from tornado.web import RequestHandler
+from tornado.web import RequestHandler, stream_request_body
 
 from peridotcove.callers.answers import (
     CONTINUATION,
@@ -15,7 +16,9 @@
 )
 from peridotcove.callers.body import BodyWriter
 from peridotcove.callers.chats import find_customer, read_chat
+from peridotcove.callers.intake import Intake
 from peridotcove.callers.sink import Sink
+from peridotcove.clock import MS_PER_S
 from peridotcove.exceptions import (
     EndpointFailed,
     RequestError,
@@ -30,6 +33,7 @@
 log = get_logger("callers")
 
 
+@stream_request_body
 class Handler(RequestHandler):
     """What all handlers towards callers share.
 
@@ -51,13 +55,63 @@
         self.request_id = os.urandom(REQUEST_ID_BYTES)
         self.sink = None
         self._span = desk.begin(self.request_id)
+        self._intake = Intake(desk.limits)
+        self._timer = None
+
+    def prepare(self):
+        """Check the head, and give the body its time."""
+        body_s = self.desk.limits.body_ms / MS_PER_S
+        late = RequestRefused("slow-body", "the body took too long to arrive", 408)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(body_s, self._refuse_early, late)
+        try:
+            self._intake.check_head(self.request)
+        except RequestRefused as error:
+            self._refuse_early(error)
+
+    def data_received(self, chunk):
+        """Take a part of the body.
+
+        Parameters
+        ----------
+        chunk : bytes
+            The part.
+        """
+        if self._finished:
+            return
+        try:
+            self._intake.add(chunk)
+        except RequestRefused as error:
+            self._refuse_early(error)
+
+    def read_body(self):
+        """Give the request its whole body.
+
+        Raises
+        ------
+        RequestRefused
+            If it is too large.
+        """
+        self._stop_timer()
+        self.request.body = self._intake.take()
 
     def on_finish(self):
         """Count the request as ended."""
+        self._stop_timer()
         self.desk.end(self._span)
 
+    def _refuse_early(self, error):
+        if not self._finished:
+            self.refuse(error)
+            self.finish()
+
+    def _stop_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+
     def on_connection_close(self):
         """Cancel the work of a caller that went away."""
+        self._stop_timer()
         if self.sink is not None:
             self.sink.close()
         self.desk.end(self._span)
@@ -113,6 +167,7 @@
     async def post(self):
         """Run one turn of a chat."""
         try:
+            self.read_body()
             self.desk.check_open()
             chat = read_chat(self.desk.fleet, self.request.headers, self.request.body)
             if chat.stream:
@@ -199,6 +254,7 @@
             Path below the service.
         """
         try:
+            self.read_body()
             self.desk.check_open()
             customer = find_customer(self.desk.fleet, self.request.headers)
             reply = await self.desk.run_call(
@@ -225,8 +281,8 @@
 
     def prepare(self):
         """Refuse the request."""
-        self.refuse(RequestRefused("unknown-path", "there is no such path", 404))
-        self.finish()
+        error = RequestRefused("unknown-path", "there is no such path", 404)
+        self._refuse_early(error)
 
 
 class _Watch:
--- a/peridotcove/callers/server.py
+++ b/peridotcove/callers/server.py
@@ -16,6 +16,10 @@
 from peridotcove.exceptions import RequestRefused
 
 CHUNK_BYTES = 65_536
+# Heads up to this many times the limit get an answer; larger ones are cut.
+HEAD_FACTOR = 4
+# The handlers bound the body; tornado's own bound would close without an answer.
+MOST_BODY_BYTES = 1 << 62
 
 
 @define(eq=False)
@@ -67,6 +71,7 @@
         timeline,
     ):
         self.fleet = fleet
+        self.limits = limits
         self.stream_buffer_bytes = limits.stream_buffer_bytes
         self._router = router
         self._calls = calls
@@ -217,9 +222,8 @@
     return HTTPServer(
         Application(routes),
         ssl_options=_make_context(tls),
-        max_header_size=limits.header_bytes,
-        max_body_size=limits.body_bytes,
-        body_timeout=limits.body_ms / 1000,
+        max_header_size=limits.header_bytes * HEAD_FACTOR,
+        max_body_size=MOST_BODY_BYTES,
         idle_connection_timeout=limits.body_ms / 1000,
         chunk_size=CHUNK_BYTES,
     )
--- /dev/null
+++ b/tests/callers/test_bad_input.py
@@ -0,0 +1,199 @@
+"""Bad input from callers and engines: a clear error, a verdict, nothing disturbed."""
+
+import asyncio
+import hashlib
+import json
+import os
+import unittest
+from unittest import mock
+
+from peridotcove.clock import Clock
+from peridotcove.node import Node
+from peridotcove.running import close, start
+from peridotcove.schema import build
+from peridotcove.settings import Settings
+from peridotcove.standins.answers import Answer
+from peridotcove.standins.engine import EngineOptions, EngineStandin
+from peridotcove.standins.platform import PlatformStandin
+from tests.test_node import free_port
+
+HOST = "127.0.0.1"
+KEY = "key-of-the-bakery"
+CHAT = "POST /v1/chat/completions"
+MESSAGES = [{"role": "user", "content": "Which gloves suit parchment?"}]
+GOOD = {"model": "m", "messages": MESSAGES, "max_tokens": 8}
+HEADER_BYTES, BODY_BYTES = 2_048, 4_096
+LIMITS = {
+    "header_bytes": HEADER_BYTES,
+    "body_bytes": BODY_BYTES,
+    "body_ms": 500,
+    "first_byte_ms": 300,
+    "gap_ms": 300,
+}
+
+
+def make_chat(**extra):
+    return json.dumps(GOOD | extra).encode()
+
+
+def make_request(line, body=b"", key=KEY, length=None, extra=""):
+    """Return the bytes of a request that asks for the connection to be closed."""
+    length = len(body) if length is None else length
+    head = f"{line} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+    head += f"Authorization: Bearer {key}\r\nContent-Length: {length}\r\n{extra}\r\n"
+    return head.encode() + body
+
+
+def make_chunked(parts):
+    head = make_request(CHAT).replace(
+        b"Content-Length: 0", b"Transfer-Encoding: chunked"
+    )
+    return head + b"".join(b"%x\r\n%b\r\n" % (len(x), x) for x in parts) + b"0\r\n\r\n"
+
+
+CALLER_CASES = {
+    "head": (make_request(CHAT, extra=f"X: {'a' * 3_000}\r\n"), 431, "large-head"),
+    "body": (make_request(CHAT, b"a" * (BODY_BYTES + 1)), 413, "large-body"),
+    "announced": (make_request(CHAT, length=1 << 40), 413, "large-body"),
+    "chunks": (make_chunked([b"a" * 3_000] * 3), 413, "large-body"),
+    "slow": (make_request(CHAT, b"{", length=100), 408, "slow-body"),
+    "no JSON": (make_request(CHAT, b"{]"), 400, "bad-json"),
+    "deep": (make_request(CHAT, b"[" * BODY_BYTES), 400, "bad-json"),
+    "a list": (make_request(CHAT, b"[]"), 400, "bad-json"),
+    "model": (make_request(CHAT, make_chat(model="no")), 404, "unknown-model"),
+    "model's type": (make_request(CHAT, make_chat(model=1)), 400, "bad-model"),
+    "messages": (make_request(CHAT, make_chat(messages=1)), 400, "bad-messages"),
+    "stream": (make_request(CHAT, make_chat(stream=1)), 400, "bad-stream"),
+    "customer": (make_request(CHAT, make_chat(), "no"), 401, "unknown-customer"),
+    "path": (make_request("GET /nothing"), 404, "unknown-path"),
+    "method": (make_request("PUT /v1/chat/completions"), 405, "unknown-path"),
+    "service": (make_request("GET /services/no/a"), 404, "unknown-service"),
+}
+# Status, verdict and code of an answer in one piece and of a streamed one; a code of
+# None stands for a whole answer.
+ENGINE_CASES = {
+    "garbage": ((502, "may-have-run"), (502, "may-have-run")),
+    "garbage-raw": ((502, "may-have-run"), (502, "may-have-run")),
+    "half": ((502, "may-have-run"), (200, "ran")),
+    "two-answers": ((200, "ran"), (200, "ran")),
+    "nothing": ((502, "may-have-run"), (502, "may-have-run")),
+    "silent": ((504, "may-have-run"), (504, "may-have-run")),
+    "error500": ((502, "may-have-run"), (502, "may-have-run")),
+}
+
+
+def read_answer(raw):
+    """Return status, header fields and body of an answer."""
+    head, _, body = raw.partition(b"\r\n\r\n")
+    status, *lines = head.decode().split("\r\n")
+    fields = dict(line.split(": ", 1) for line in lines)
+    return int(status.split()[1]), fields, body
+
+
+class TestBadInput(unittest.IsolatedAsyncioTestCase):
+    """One node before one engine; a good stream runs beside each bad request."""
+
+    async def asyncSetUp(self):
+        variable = mock.patch.dict(os.environ, {"TEST_SECRET": "s" * 32})
+        variable.start()
+        self.addCleanup(variable.stop)
+        self.engine = EngineStandin(EngineOptions("m", token_ms=1.0))
+        self.engine.start()
+        self.addAsyncCleanup(self.engine.close)
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        configuration = {
+            "revision": 1,
+            "bounds": {"retry_share": 0.0},
+            "zones": {"z1": {"region": "r1"}},
+            "models": {"m": {}},
+            "engines": {"e1": {"url": self.engine.url, "zone": "z1", "model": "m"}},
+            "customers": {"bakery": {"key_digests": [digest]}},
+        }
+        ports = [free_port() for _ in "123"]
+        place = {"host": HOST, "zone": "z1", "state": "live"}
+        instances = [
+            place | {"name": "n1", "kind": "node", "port": ports[1]},
+            place | {"name": "e1", "kind": "engine", "port": self.engine.port},
+        ]
+        self.platform = PlatformStandin(configuration, instances)
+        self.platform.start()
+        self.addAsyncCleanup(self.platform.close)
+        self.port = ports[0]
+        await self.start_node(ports)
+
+    async def start_node(self, ports):
+        url = self.platform.url
+        raw = {
+            "node": "n1",
+            "zone": "z1",
+            "region": "r1",
+            "secret": {"variable": "TEST_SECRET"},
+            "platform": {"configuration_url": url, "instances_url": url},
+            "limits": LIMITS,
+        }
+        for name, port in zip(("callers", "nodes", "operators"), ports, strict=True):
+            raw[name] = {"host": HOST, "port": port}
+        self.node = Node(build(Settings, raw, "test"), Clock())
+        self.tasks = await start(self.node)
+        self.addAsyncCleanup(self.stop)
+        async with asyncio.timeout(60):
+            while self.node.links.revision != 1 or not self.engine.orders.fence:
+                await asyncio.sleep(0.01)
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await close(self.node)
+
+    async def send(self, raw):
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(raw)
+        answer = await reader.read()
+        writer.close()
+        return read_answer(answer)
+
+    async def check_neighbour(self, bad):
+        """Run a good stream and, once it has begun, something bad beside it."""
+        body = make_chat(max_tokens=100, stream=True)
+        good = asyncio.create_task(self.send(make_request(CHAT, body)))
+        while not self.engine.batch.running:
+            await asyncio.sleep(0.001)
+        await bad
+        status, _, answer = await good
+        self.assertEqual((status, answer.count(b"data: ")), (200, 101))
+
+    async def check_refused(self, raw, status, code):
+        before = self.engine.requests
+        found, fields, body = await self.send(raw)
+        self.assertEqual(found, status, body)
+        error = json.loads(body)["error"]
+        self.assertEqual((error["code"], error["verdict"]), (code, "not-run"))
+        self.assertEqual(fields["Peridotcove-Verdict"], "not-run")
+        self.assertEqual(self.engine.requests, before)
+
+    async def test_callers(self):
+        for name, (raw, status, code) in CALLER_CASES.items():
+            with self.subTest(name):
+                await self.check_neighbour(self.check_refused(raw, status, code))
+
+    async def check_engine(self, mode, stream, status, verdict):
+        self.engine.faults.set(mode)
+        body = make_chat(stream=stream)
+        found, fields, answer = await self.send(make_request(CHAT, body))
+        self.engine.faults.set("ok")
+        self.assertEqual((found, fields["Peridotcove-Verdict"]), (status, verdict))
+        if status != 200:
+            self.assertEqual(json.loads(answer)["error"]["verdict"], verdict)
+        elif stream:
+            self.assertEqual(answer.count(b'"content"'), 8)
+            self.assertTrue(answer.rstrip(b"0\r\n").endswith(b"[DONE]"), answer)
+        else:
+            text = json.loads(answer)["choices"][0]["message"]["content"]
+            self.assertEqual(text, Answer("m", MESSAGES).text(8))
+
+    async def test_engines(self):
+        for mode, cases in ENGINE_CASES.items():
+            for stream, case in zip((False, True), cases, strict=True):
+                with self.subTest(mode, stream=stream):
+                    await self.check_neighbour(self.check_engine(mode, stream, *case))
