Notice the end of a transfer when it comes; one curl client; ports from the system

Cause: the lean curl client looked for ended transfers only when libcurl's count differed from the last one seen in an event. A short answer that began in a timer and ended in one event left the count as it was, and its end was noticed at the next timer, up to seconds later. Ruled out: the order in which nodes are listed. Tests bind port 0 in place of a port that was free a moment ago. Keys are compared in constant time. Conclusion: answers of one piece no longer wait for a timer.

--- a/peridotcove/callers/chats.py
+++ b/peridotcove/callers/chats.py
@@ -1,6 +1,7 @@
 """Reads chat requests of callers into typed values."""
 
 import hashlib
+import hmac
 import json
 
 from attrs import frozen
@@ -70,11 +71,17 @@
         key = authorization[len(BEARER) :]
     digest = hashlib.sha256(key.strip().encode()).hexdigest()
     customer = fleet.find_customer(digest) if key else None
-    if customer is None:
+    if customer is None or not _has_digest(customer, digest):
         raise RequestRefused("unknown-customer", "the API key is not known", 401)
     return customer
 
 
+def _has_digest(customer, digest):
+    # In constant time, whatever the look-up by digest took.
+    matches = [hmac.compare_digest(digest, item) for item in customer.key_digests]
+    return any(matches)
+
+
 def read_object(body):
     """Return the JSON object in a body.
 
--- a/peridotcove/endpoints/curl.py
+++ b/peridotcove/curl.py
@@ -27,7 +27,6 @@
             Further options of tornado's client.
         """
         self._max_transfers = max_transfers
-        self._active = 0
         first = min(FIRST_HANDLES, max_transfers)
         super().initialize(max_clients=first, **kwargs)
 
@@ -60,7 +59,7 @@
 
     def _handle_events(self, fd, events):
         # One call per read of a stream: look for ended transfers only when libcurl
-        # says that their number has changed.
+        # runs fewer than were begun.
         action = pycurl.CSELECT_IN if events & IOLoop.READ else 0
         if events & IOLoop.WRITE:
             action |= pycurl.CSELECT_OUT
@@ -68,6 +67,5 @@
             _, active = self._multi.socket_action(fd, action)
         except pycurl.error:
             active = None
-        if active != self._active:
-            self._active = active
+        if active is None or active < len(self._curls) - len(self._free_list):
             self._finish_pending_requests()
--- a/peridotcove/endpoints/client.py
+++ b/peridotcove/endpoints/client.py
@@ -13,7 +13,7 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
 
-from peridotcove.endpoints.curl import CurlClient
+from peridotcove.curl import CurlClient
 from peridotcove.exceptions import EndpointFailed, RequestError
 from peridotcove.verdict import Verdict
 
--- a/peridotcove/endpoints/services.py
+++ b/peridotcove/endpoints/services.py
@@ -7,11 +7,12 @@
 
 import pycurl
 from attrs import frozen
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
 from peridotcove.clock import MS_PER_S
+from peridotcove.curl import CurlClient
 from peridotcove.exceptions import EndpointFailed, RequestError
 from peridotcove.ledger import Answer
 from peridotcove.verdict import Verdict
@@ -60,9 +61,9 @@
 
     def __init__(self, connect_ms=CONNECT_MS):
         self._connect_ms = connect_ms
-        self._client = CurlAsyncHTTPClient(
+        self._client = CurlClient(
             force_instance=True,
-            max_clients=MAX_CALLS,
+            max_transfers=MAX_CALLS,
             defaults={"decompress_response": False},
         )
         self._client.max_body_size = MAX_ANSWER_BYTES
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -79,9 +79,15 @@
         Settings of the node.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    ports : tuple of int
+        Ports of callers, nodes and operators, once the node listens.
     """
 
     def __init__(self, settings, clock):
+        self.ports = ()
         self.settings = settings
         self.clock = clock
         self.rng = random.Random()
--- a/peridotcove/platform/client.py
+++ b/peridotcove/platform/client.py
@@ -4,9 +4,9 @@
 import logging
 
 from attrs import fields, frozen
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError
 
+from peridotcove.curl import CurlClient
 from peridotcove.exceptions import InvalidSettings, PlatformDown
 from peridotcove.manifests import Manifest
 from peridotcove.models import Instance
@@ -61,7 +61,7 @@
         self._configuration_url = platform.configuration_url.rstrip("/")
         self._instances_url = platform.instances_url.rstrip("/")
         self._headers = {"X-Node": node}
-        self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CALLS)
+        self._http = CurlClient(force_instance=True, max_transfers=MAX_CALLS)
 
     def close(self):
         """Close all connections."""
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -46,8 +46,8 @@
         await close(node)
 
 
-async def start(node):
-    """Let a node listen and begin its periodic work; return the tasks.
+async def open_ports(node):
+    """Let a node listen; its ports are known after that.
 
     Parameters
     ----------
@@ -55,9 +55,25 @@
         The node.
     """
     settings = node.settings
-    await node.links.listen(settings.nodes.host, settings.nodes.port)
-    listen(node.operator_server, settings.operators.host, settings.operators.port)
-    listen(node.caller_server, settings.callers.host, settings.callers.port)
+    callers, nodes = settings.callers, settings.nodes
+    operators = settings.operators
+    node.ports = (
+        listen(node.caller_server, callers.host, callers.port),
+        await node.links.listen(nodes.host, nodes.port),
+        listen(node.operator_server, operators.host, operators.port),
+    )
+
+
+async def start(node):
+    """Let a node listen, unless it does, and begin its work; return the tasks.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    """
+    if not node.ports:
+        await open_ports(node)
     node.timeline.record("node-started")
     reader = node.control.reader
     jobs = [
--- a/peridotcove/settings.py
+++ b/peridotcove/settings.py
@@ -20,11 +20,11 @@
     host : str
         IP number.
     port : int
-        Port.
+        Port; 0 takes one from the system, for trials.
     """
 
     host: str
-    port: int = within(1, 65_535)
+    port: int = within(0, 65_535)
 
 
 @frozen
--- a/tests/callers/test_bad_input.py
+++ b/tests/callers/test_bad_input.py
@@ -15,7 +15,6 @@
 from peridotcove.standins.answers import Answer
 from peridotcove.standins.engine import EngineOptions, EngineStandin
 from peridotcove.standins.platform import PlatformStandin
-from tests.test_node import free_port
 
 HOST = "127.0.0.1"
 KEY = "key-of-the-bakery"
@@ -109,19 +108,14 @@
             "engines": {"e1": {"url": self.engine.url, "zone": "z1", "model": "m"}},
             "customers": {"bakery": {"key_digests": [digest]}},
         }
-        ports = [free_port() for _ in "123"]
         place = {"host": HOST, "zone": "z1", "state": "live"}
-        instances = [
-            place | {"name": "n1", "kind": "node", "port": ports[1]},
-            place | {"name": "e1", "kind": "engine", "port": self.engine.port},
-        ]
+        instances = [place | {"name": "e1", "kind": "engine", "port": self.engine.port}]
         self.platform = PlatformStandin(configuration, instances)
         self.platform.start()
         self.addAsyncCleanup(self.platform.close)
-        self.port = ports[0]
-        await self.start_node(ports)
+        await self.start_node()
 
-    async def start_node(self, ports):
+    async def start_node(self):
         url = self.platform.url
         raw = {
             "node": "n1",
@@ -131,10 +125,11 @@
             "platform": {"configuration_url": url, "instances_url": url},
             "limits": LIMITS,
         }
-        for name, port in zip(("callers", "nodes", "operators"), ports, strict=True):
-            raw[name] = {"host": HOST, "port": port}
+        for name in ("callers", "nodes", "operators"):
+            raw[name] = {"host": HOST, "port": 0}
         self.node = Node(build(Settings, raw, "test"), Clock())
         self.tasks = await start(self.node)
+        self.port = self.node.ports[0]
         self.addAsyncCleanup(self.stop)
         async with asyncio.timeout(60):
             while self.node.links.revision != 1 or not self.engine.orders.fence:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,7 +5,6 @@
 import json
 import os
 import pathlib
-import socket
 import unittest
 from unittest import mock
 
@@ -15,7 +14,7 @@
 from peridotcove.clock import Clock
 from peridotcove.node import Node
 from peridotcove.operators.collect import collect
-from peridotcove.running import close, drain, start
+from peridotcove.running import close, drain, open_ports, start
 from peridotcove.schema import build
 from peridotcove.settings import Settings
 from peridotcove.standins.answers import Answer
@@ -33,13 +32,6 @@
 MESSAGES = [{"role": "user", "content": "Which stands are free on Saturday?"}]
 
 
-def free_port():
-    """Return a port that the operating system says is free."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
-
 class TestNode(unittest.IsolatedAsyncioTestCase):
     """Promises that only whole nodes can keep."""
 
@@ -57,17 +49,23 @@
             force_instance=True, max_clients=100
         )
         self.addCleanup(self.http.close)
-        self.ports = {name: [free_port() for _ in "123"] for name in NAMES}
+        self.ports = {}
         self.publish(1)
-        self.list()
         self.node_by_name, self.tasks = {}, {}
+        await self.start(*NAMES)
         for name in NAMES:
-            node = Node(self.settings(name), Clock())
-            self.node_by_name[name] = node
-            self.tasks[name] = await start(node)
             self.addAsyncCleanup(self.stop, name)
         await self.wait_for(self.is_settled)
 
+    async def start(self, *names):
+        for name in names:
+            self.node_by_name[name] = node = Node(self.settings(name), Clock())
+            await open_ports(node)
+            self.ports[name] = node.ports
+        self.list()
+        for name in names:
+            self.tasks[name] = await start(self.node_by_name[name])
+
     async def stop(self, name):
         if not self.tasks[name]:
             return
@@ -78,14 +76,13 @@
         self.tasks[name] = []
 
     def settings(self, name):
-        caller, nodes, operators = self.ports[name]
         raw = {
             "node": name,
             "zone": "z1",
             "region": "r1",
-            "callers": {"host": HOST, "port": caller},
-            "nodes": {"host": HOST, "port": nodes},
-            "operators": {"host": HOST, "port": operators},
+            "callers": {"host": HOST, "port": 0},
+            "nodes": {"host": HOST, "port": 0},
+            "operators": {"host": HOST, "port": 0},
             "secret": {"variable": "TEST_SECRET"},
             "platform": {
                 "configuration_url": self.platform.url,
@@ -265,8 +262,7 @@
         await self.stop("n1")
         with mock.patch("peridotcove.calls.TICKET_WAIT_MS", 300):
             await self.check_call("n2", ticket, 503, "may-have-run", 1)
-        self.node_by_name["n1"] = node = Node(self.settings("n1"), Clock())
-        self.tasks["n1"] = await start(node)
+        await self.start("n1")
         await self.wait_for(self.is_settled)
         for name in NAMES:
             await self.check_call(name, ticket, 409, "may-have-run", 1)
