Remove the owner's side that the split of leases left in the client

Cause: the split kept the old module under the client's name, with a dead copy of LeaseServer; an engine that began to leave after the grant ended its request. Change: the copy is gone; a refusal for a leaving engine is tried again, within the budget, since nothing was sent.

--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -1,26 +1,22 @@
-"""Leases between entry nodes and the owners of shards.
+"""The entry's side of leases: asks owners, gives back, and tells new owners.
 
-`LeaseClient` is the entry's side, `LeaseServer` the owner's. Both pass plain messages
-through a `Network`, which may lose, delay or double them.
+Messages pass through a `Network`, which may lose, delay or double them.
 """
 
 import asyncio
 
 from attrs import frozen
 
-from peridotcove.dispatch import Dispatcher
 from peridotcove.exceptions import LinkDown, RequestRefused
 from peridotcove.logs import get_logger
-from peridotcove.models import Grant, LeaseRequest
+from peridotcove.models import Grant
 from peridotcove.nodes.messages import (
     AskLease,
     GiveLease,
     HoldLeases,
     QueueLease,
-    RefuseLease,
     ReleaseLease,
     pack,
-    unpack,
 )
 from peridotcove.prefixes import thin
 
@@ -29,7 +25,6 @@
 MAX_OWNERS = 2
 NOT_OWNER = "not-owner"
 MOVED = "moved"
-DEFAULT_PRIORITY = 1
 
 log = get_logger("leases")
 
@@ -209,187 +204,6 @@
             log.info("a message to %s was not sent: %s", owner, error)
 
 
-class LeaseServer:
-    """Answers entries for the shards that this node owns.
-
-    Parameters
-    ----------
-    node : str
-        Name of this node.
-    fleet : Fleet
-        The node's view.
-    network : Network
-        Links to the other nodes.
-    clock : Clock
-        Source of time.
-
-    Attributes
-    ----------
-    client : LeaseClient
-        This node's own side as an entry.
-    dispatcher_by_shard : dict
-        A `Dispatcher` for each shard in use here.
-    queued : asyncio.Event
-        Set when a request begins to wait here.
-    """
-
-    def __init__(self, node, fleet, network, clock):
-        self._node = node
-        self._fleet = fleet
-        self._network = network
-        self._clock = clock
-        self._owed_by_id = {}
-        self.queued = asyncio.Event()
-        self.client = None
-        self.dispatcher_by_shard = {}
-
-    def receive(self, peer, message):
-        """Take a message of an entry.
-
-        Parameters
-        ----------
-        peer : str
-            Name of the entry.
-        message : AskLease, ReleaseLease or HoldLeases
-            The message.
-        """
-        if isinstance(message, AskLease):
-            self._ask(peer, message)
-        elif isinstance(message, ReleaseLease):
-            self._release(message)
-        elif message.shard in self._fleet.shard_by_name:
-            leases = [tuple(item) for item in message.leases]
-            self._dispatcher(message.shard).hold(peer, leases)
-
-    def _ask(self, peer, message):
-        owners = self._fleet.rank_owners(message.shard)[:MAX_OWNERS]
-        if message.shard not in self._fleet.shard_by_name or self._node not in owners:
-            self._answer(peer, RefuseLease(message.request_id, NOT_OWNER, 0))
-            return
-        request = self._read(peer, message)
-        self._owed_by_id[message.request_id] = (peer, message.shard)
-        decisions = self._dispatcher(message.shard).ask(request)
-        self._tell(decisions)
-        if not any(item.request_id == message.request_id for item in decisions):
-            self._answer(peer, QueueLease(message.request_id))
-            self.queued.set()
-
-    def _read(self, peer, message):
-        customer = self._fleet.configuration.customer_by_name.get(message.customer)
-        model = self._fleet.shard_by_name[message.shard].model
-        return LeaseRequest(
-            message.request_id,
-            peer,
-            message.customer,
-            message.model or model,
-            unpack(message.prefixes),
-            message.hint,
-            self._fleet.zone_of(peer),
-            message.deadline_ms,
-            customer.priority if customer else DEFAULT_PRIORITY,
-            message.chat_key,
-            message.blocks,
-        )
-
-    def _release(self, message):
-        _, shard = self._owed_by_id.pop(message.request_id, (None, None))
-        dispatchers = self.dispatcher_by_shard
-        chosen = [dispatchers[shard]] if shard in dispatchers else dispatchers.values()
-        for dispatcher in list(chosen):
-            decisions = dispatcher.release(
-                message.request_id, message.outcome, message.cached_blocks
-            )
-            self._tell(decisions)
-
-    def _dispatcher(self, shard):
-        dispatcher = self.dispatcher_by_shard.get(shard)
-        if dispatcher is None:
-            entries = [one.name for one in self._fleet.nodes if one.name != self._node]
-            dispatcher = Dispatcher(
-                self._fleet.shard_by_name[shard],
-                self._fleet.configuration,
-                self._clock,
-                entries,
-            )
-            self.dispatcher_by_shard[shard] = dispatcher
-        return dispatcher
-
-    def follow(self):
-        """Take over what the node's view now says: shards, engines and owners."""
-        for name, dispatcher in list(self.dispatcher_by_shard.items()):
-            shard = self._fleet.shard_by_name.get(name)
-            if shard is None or self._fleet.rank_owners(name)[:1] != [self._node]:
-                del self.dispatcher_by_shard[name]
-                self._tell(dispatcher.close())
-                continue
-            dispatcher.shard = shard
-            self._tell(dispatcher.set_configuration(self._fleet.configuration))
-        for name in self._fleet.shard_by_name:
-            if self._fleet.rank_owners(name)[:1] == [self._node]:
-                self._dispatcher(name)
-
-    def loads(self):
-        """Return the load of each shard that this node owns, for heartbeats."""
-        dispatchers = self.dispatcher_by_shard
-        return {name: int(item.load) for name, item in dispatchers.items()}
-
-    def set_loads(self):
-        """Let each shard here know the load of its model's other shards."""
-        for name, dispatcher in self.dispatcher_by_shard.items():
-            loads = self._fleet.loads_of(dispatcher.shard.model)
-            others = [load for shard, load in loads.items() if shard != name]
-            total = sum(load.total for load in others)
-            dispatcher.set_others(total, sum(load.weight for load in others))
-
-    @property
-    def waiting(self):
-        """Requests that wait for an engine here."""
-        return sum(item.waiting for item in self.dispatcher_by_shard.values())
-
-    def tick(self):
-        """Send the decisions whose time has come."""
-        for dispatcher in list(self.dispatcher_by_shard.values()):
-            self._tell(dispatcher.tick())
-
-    def drop_entry(self, entry):
-        """Free what a dead entry node held.
-
-        Parameters
-        ----------
-        entry : str
-            Name of the node.
-        """
-        for dispatcher in list(self.dispatcher_by_shard.values()):
-            self._tell(dispatcher.drop_entry(entry))
-        for request_id, (peer, _) in list(self._owed_by_id.items()):
-            if peer == entry:
-                del self._owed_by_id[request_id]
-
-    def _tell(self, decisions):
-        for decision in decisions:
-            entry, _ = self._owed_by_id.get(decision.request_id, (None, None))
-            if isinstance(decision, Grant):
-                message = GiveLease(
-                    decision.request_id, decision.engine, decision.cached_blocks
-                )
-            else:
-                self._owed_by_id.pop(decision.request_id, None)
-                message = RefuseLease(
-                    decision.request_id, decision.code, decision.retry_after_ms
-                )
-            if entry is not None:
-                self._answer(entry, message)
-
-    def _answer(self, entry, message):
-        if entry == self._node:
-            self.client.receive(self._node, message)
-            return
-        try:
-            self._network.send(entry, message)
-        except LinkDown as error:
-            log.info("an answer to %s was not sent: %s", entry, error)
-
-
 def to_message(shard, model, request, left_ms):
     """Return the message that asks for a lease.
 
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -111,7 +111,7 @@
                     doubt = error
                 started = sink is not None and sink.started
                 again = tries < MAX_TRIES and self._clock.now() < end_ms
-                again = again and not isinstance(error, RequestRefused)
+                again = again and not _is_final(error)
                 again = again and may_repeat(error, chat.repeatable, started)
                 if not again or not self._budget.withdraw():
                     raise doubt or error from None
@@ -214,3 +214,8 @@
             The request.
         """
         return self._continuations.encode(engine, chat.key, len(chat.prefixes))
+
+
+def _is_final(error):
+    # An engine that began to leave after its lease was granted is no reason to give up.
+    return isinstance(error, RequestRefused) and error.code != "leaving"
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -24,7 +24,7 @@
 from tests.virtual import LoopClock, run
 
 NOT_RUN, MAY, RAN = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN
-OUTCOMES = ("ok", "unreachable", "cut", "no-lease", "started-cut")
+OUTCOMES = ("ok", "unreachable", "cut", "no-lease", "started-cut", "leaving")
 
 
 class ScriptedEngines:
@@ -44,6 +44,8 @@
         check()
         self.tries += 1
         outcome = self.script.pop(0) if self.script else "ok"
+        if outcome == "leaving":
+            raise RequestRefused("leaving", "x")
         if outcome == "unreachable":
             raise EndpointFailed("unreachable", "x", NOT_RUN)
         self.may_have_run += 1
@@ -128,6 +130,8 @@
             (["cut", "unreachable", "unreachable"], True, 5, MAY, 3),
             (["started-cut", "ok"], True, 2, MAY, 1),
             (["no-lease"], True, 2, NOT_RUN, 0),
+            (["leaving", "ok"], False, 2, RAN, 2),
+            (["leaving"] * 9, False, 9, NOT_RUN, MAX_TRIES),
             (["unreachable"] * 9, True, 9, NOT_RUN, MAX_TRIES),
         ]
         for script, repeatable, budget, verdict, tries in cases:
