Remove a second copy of the chat's key and an unused list

Cause: hash_chat in prefixes.py did what hash_opening does, and nothing called it; nothing called Membership.leaving_nodes either. Change: both are gone; behaviour is the same. Conclusion: the key of a chat has one definition.

--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -174,10 +174,6 @@
         """Return the listed nodes, and those that were and are still heard."""
         return list(self.layout.instance_by_name.values())
 
-    def leaving_nodes(self):
-        """Return the names of live nodes that are leaving."""
-        return self._left
-
     def reaches(self, name):
         """Return whether this node itself hears another.
 
--- a/peridotcove/prefixes.py
+++ b/peridotcove/prefixes.py
@@ -82,27 +82,6 @@
     return tuple(hashes)
 
 
-def hash_chat(model, messages):
-    """Return a 64-bit key of a chat that stays the same on each of its turns.
-
-    It covers the messages up to the first of the user, system prompt included.
-
-    Parameters
-    ----------
-    model : str
-        Model and adapter.
-    messages : list of dict
-        Messages with ``role`` and ``content``.
-    """
-    opening = []
-    for item in messages:
-        opening.append(item)
-        if item.get("role") == "user":
-            break
-    text = model + FIELD_END + flatten(opening)
-    return xxhash.xxh3_64_intdigest(text.encode("utf-8", "surrogatepass"))
-
-
 @functools.lru_cache(maxsize=4096)
 def select_depths(blocks):
     """Return the depths in blocks at which prefixes are compared, ascending.
