Run every request through one retry loop; move the client of our own service aside

The package name platform is needed for the adapter. Ruled out: a base class for both routers; they share nothing but the loop. Change: retries.run_tries with RetryPolicy; platform/ of our own service is publisher/.

--- a/peridotcove/calls.py
+++ b/peridotcove/calls.py
@@ -1,18 +1,24 @@
 """Routes calls of plain services: which endpoint, and whether again."""
 
-import asyncio
-
 from attrs import frozen
 
 from peridotcove.endpoints.services import Call
-from peridotcove.exceptions import RequestError, RequestRefused, TicketRefused
+from peridotcove.exceptions import RequestRefused, TicketRefused
 from peridotcove.models import Status
-from peridotcove.retries import RetryBudget, backoff, may_repeat
+from peridotcove.retries import (
+    MAX_TRIES,
+    RetryBudget,
+    RetryPolicy,
+    backoff,
+    may_repeat,
+    never_free,
+    run_tries,
+)
 from peridotcove.ticketed_calls import TicketedCall
 from peridotcove.verdict import Verdict
 
-MAX_TRIES = 3
 TICKET_WAIT_MS = 10_000
+NO_ENDPOINT = "no-endpoint"
 OWN_PREFIX = "peridotcove-"
 TICKET = "Peridotcove-Ticket"
 SENTENCES = {
@@ -187,22 +193,26 @@
 
     async def _send_somewhere(self, service, call, repeatable):
         self._budget.share = self._fleet.configuration.bounds.retry_share
-        self._budget.deposit()
-        tries, doubt, tried = 0, None, set()
-        while True:
-            tries += 1
+        tried = set()
+
+        def attempt(number):
             endpoint = self._pick_endpoint(service, tried)
             tried.add(endpoint.name)
-            try:
-                return await self._send(endpoint, call, repeatable)
-            except RequestError as error:
-                if error.verdict is not Verdict.NOT_RUN:
-                    doubt = error
-                again = tries < MAX_TRIES and may_repeat(error, repeatable, False)
-                if not again or not self._budget.withdraw():
-                    raise doubt or error from None
-                self._metrics.retries.inc()
-            await asyncio.sleep(backoff(tries, self._rng) / 1000)
+            return self._send(endpoint, call, repeatable)
+
+        policy = RetryPolicy(
+            self._budget,
+            self._rng,
+            lambda error, tries: (
+                tries < MAX_TRIES
+                and error.code != NO_ENDPOINT
+                and may_repeat(error, repeatable, False)
+            ),
+            never_free,
+            lambda error, tries: self._metrics.retries.inc(),
+            backoff,
+        )
+        return await run_tries(policy, attempt)
 
     async def _send(self, endpoint, call, repeatable):
         load = self._load_by_endpoint
@@ -224,7 +234,7 @@
         usable = [item for item in usable if item.status is Status.IN_SERVICE]
         if not usable:
             text = f"no endpoint of {service.name!r} is in service"
-            raise RequestRefused("no-endpoint", text, 503, 5000)
+            raise RequestRefused(NO_ENDPOINT, text, 503, 5000)
         fresh = [item for item in usable if item.name not in tried] or usable
         return min(fresh, key=self._cost)
 
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -51,7 +51,7 @@
 from peridotcove.operators.desk import OperatorDesk
 from peridotcove.operators.server import make_server as make_operator_server
 from peridotcove.orders import OrderIssuer
-from peridotcove.platform.client import PlatformClient
+from peridotcove.publisher.client import PlatformClient
 from peridotcove.ranking import rank
 from peridotcove.revision_events import RevisionEvents
 from peridotcove.router import Router
--- a/peridotcove/retries.py
+++ b/peridotcove/retries.py
@@ -1,10 +1,16 @@
 """The one layer that retries: a budget, the verdict, and backoff with jitter."""
 
+import asyncio
+
+from attrs import frozen
+
+from peridotcove.exceptions import RequestError
 from peridotcove.verdict import Verdict
 
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 1_000
 MAX_BALANCE = 20.0
+MAX_TRIES = 3
 
 
 class RetryBudget:
@@ -14,6 +20,8 @@
     ----------
     share : float
         Retries allowed for each first try.
+    most : float
+        Most retries that may be saved up.
 
     Attributes
     ----------
@@ -21,13 +29,14 @@
         Retries that may be made now; it starts at nothing.
     """
 
-    def __init__(self, share):
+    def __init__(self, share, most=MAX_BALANCE):
         self.share = share
+        self.most = most
         self.balance = 0.0
 
     def deposit(self):
         """Count a first try."""
-        self.balance = min(MAX_BALANCE, self.balance + self.share)
+        self.balance = min(self.most, self.balance + self.share)
 
     def withdraw(self):
         """Take one retry from the budget; return whether there was one."""
@@ -37,6 +46,87 @@
         return True
 
 
+@frozen
+class RetryPolicy:
+    """What decides whether one request is tried again.
+
+    Attributes
+    ----------
+    budget : RetryBudget
+        Retries that the node may make.
+    rng : random.Random
+        Source of the backoff's jitter.
+    may_repeat : callable
+        Takes the `RequestError` of a try and the number of tries made; returns whether
+        the request may be tried again.
+    is_free : callable
+        Takes the `RequestError` of a try; returns whether the next try takes nothing
+        from the budget, as after one that reached no endpoint.
+    note : callable
+        Told of each retry: the error before it, and the number of tries made.
+    pause_ms : callable
+        Takes the number of tries made and `rng`; returns the wait in ms before the
+        next one.
+    """
+
+    budget: RetryBudget
+    rng: object
+    may_repeat: object
+    is_free: object
+    note: object
+    pause_ms: object
+
+
+def never_free(error):
+    """Return that a retry takes from the budget, whatever the error.
+
+    Parameters
+    ----------
+    error : RequestError
+        How the last try failed.
+    """
+    return False
+
+
+async def run_tries(policy, attempt):
+    """Run a request until a try succeeds or no further one is allowed.
+
+    Parameters
+    ----------
+    policy : RetryPolicy
+        Whether to try again.
+    attempt : callable
+        Takes the number of the try, from 1, and returns an awaitable result.
+
+    Returns
+    -------
+    object
+        The result of the try that succeeded.
+
+    Raises
+    ------
+    RequestError
+        Of the last try that may have run the request, else of the last try, so that
+        the verdict "not run" holds for all tries together.
+    """
+    policy.budget.deposit()
+    tries, doubt = 0, None
+    while True:
+        tries += 1
+        try:
+            return await attempt(tries)
+        except RequestError as error:
+            if error.verdict is not Verdict.NOT_RUN:
+                doubt = error
+            again = policy.may_repeat(error, tries) and (
+                policy.is_free(error) or policy.budget.withdraw()
+            )
+            if not again:
+                raise doubt or error from None
+            policy.note(error, tries)
+        await asyncio.sleep(policy.pause_ms(tries, policy.rng) / 1000)
+
+
 def may_repeat(error, repeatable, started):
     """Return whether a failed request may be sent again.
 
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -1,13 +1,16 @@
 """Takes a request from its arrival to its one verdict."""
 
-import asyncio
-
-from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
+from peridotcove.exceptions import EndpointFailed, RequestRefused
 from peridotcove.models import LeaseRequest
-from peridotcove.retries import RetryBudget, backoff, may_repeat
-from peridotcove.verdict import Verdict
-
-MAX_TRIES = 3
+from peridotcove.retries import (
+    MAX_TRIES,
+    RetryBudget,
+    RetryPolicy,
+    backoff,
+    may_repeat,
+    never_free,
+    run_tries,
+)
 
 
 class Router:
@@ -99,25 +102,29 @@
         self._limits.admit(chat.customer)
         bounds = self._fleet.configuration.bounds
         self._budget.share = bounds.retry_share
-        self._budget.deposit()
         end_ms = self._clock.now() + bounds.queue_ms
-        tries, doubt = 0, None
-        while True:
-            tries += 1
-            try:
-                return await self._try_chat(chat, request_id, hint, sink, end_ms)
-            except RequestError as error:
-                if error.verdict is not Verdict.NOT_RUN:
-                    doubt = error
-                started = sink is not None and sink.started
-                again = tries < MAX_TRIES and self._clock.now() < end_ms
-                again = again and not _is_final(error)
-                again = again and may_repeat(error, chat.repeatable, started)
-                if not again or not self._budget.withdraw():
-                    raise doubt or error from None
-                self._note_retry(request_id, error, tries)
-            hint = ""
-            await asyncio.sleep(backoff(tries, self._rng) / 1000)
+
+        def may_try_again(error, tries):
+            started = sink is not None and sink.started
+            in_time = tries < MAX_TRIES and self._clock.now() < end_ms
+            return (
+                in_time
+                and not _is_final(error)
+                and may_repeat(error, chat.repeatable, started)
+            )
+
+        def note(error, tries):
+            self._note_retry(request_id, error, tries)
+
+        policy = RetryPolicy(
+            self._budget, self._rng, may_try_again, never_free, note, backoff
+        )
+
+        def attempt(number):
+            tried_hint = hint if number == 1 else ""
+            return self._try_chat(chat, request_id, tried_hint, sink, end_ms)
+
+        return await run_tries(policy, attempt)
 
     def _note_retry(self, request_id, error, tries):
         self._metrics.retries.inc()
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -11,7 +11,7 @@
 from peridotcove.logs import get_logger, start_logs
 from peridotcove.membership_events import LinkSilent, NodeJoined, NodeLost, Woke
 from peridotcove.node import Node
-from peridotcove.platform.watch import watch_configuration, watch_instances
+from peridotcove.publisher.watch import watch_configuration, watch_instances
 
 CONTROL_MS = 250
 WAITING_MS = 20
--- a/tests/platform/test_client.py
+++ b/tests/publisher/test_client.py
@@ -8,8 +8,8 @@
 from peridotcove.control import Control
 from peridotcove.exceptions import PlatformDown
 from peridotcove.models import Instance
-from peridotcove.platform.client import PlatformClient, parse_instances, parse_manifest
-from peridotcove.platform.watch import watch_configuration, watch_instances
+from peridotcove.publisher.client import PlatformClient, parse_instances, parse_manifest
+from peridotcove.publisher.watch import watch_configuration, watch_instances
 from peridotcove.settings import Platform
 from peridotcove.standins.platform import PlatformStandin
 from tests.standins.case import StandinCase
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -17,7 +17,8 @@
 from peridotcove.limits import EntryLimits
 from peridotcove.metrics import Metrics
 from peridotcove.models import Grant
-from peridotcove.router import MAX_TRIES, Router
+from peridotcove.retries import MAX_TRIES
+from peridotcove.router import Router
 from peridotcove.timeline import Timeline
 from peridotcove.verdict import Verdict
 from tests.test_leases import RAW
