--- a/peridotcove/checks.py
+++ b/peridotcove/checks.py
@@ -226,6 +226,31 @@
     return parts.scheme in ("http", "https") and bool(port) and bare
 
 
+@check("host routes", "host_route_by_name", "model_by_name")
+def check_host_routes(configuration, path):
+    """Yield faults of host routes that are malformed or lead nowhere.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields are well typed.
+    path : str
+        Where it stands, for error messages.
+    """
+    yield from _name_faults(f"{path}.host_routes", configuration.host_route_by_name)
+    for route in configuration.host_route_by_name.values():
+        place = f"{path}.host_routes.{route.name}"
+        prefix = route.prefix
+        if not (prefix.startswith("/") and prefix.endswith("/")):
+            yield SettingError(f"{place}.prefix", prefix, "a slash at both ends")
+        if not sum(target.weight for target in route.targets) > 0:
+            yield SettingError(f"{place}.targets", (), "a target of weight above 0")
+        for target in route.targets:
+            if target.model not in configuration.model_by_name:
+                allowed = suggest(target.model, configuration.model_by_name)
+                yield SettingError(f"{place}.targets", target.model, allowed)
+
+
 @check("roles", "engine_by_name")
 def check_roles(configuration, path):
     """Yield faults of roles that no engine knows.
--- a/peridotcove/choice.py
+++ b/peridotcove/choice.py
@@ -9,6 +9,9 @@
 
 from peridotcove.ranking import Ranking
 
+# Above any difference in cached blocks: an engine that failed comes last.
+AVOID_BLOCKS = 1e6
+
 
 @frozen
 class Weights:
@@ -123,6 +126,8 @@
                 cost -= weights.rank
             if name == hint and name not in known:
                 cost -= weights.hint * lookup.blocks
+            if name in request.avoid:
+                cost += AVOID_BLOCKS
             costs.append(cost)
         return costs
 
--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import importlib
+import os
 
 from cleo.application import Application
 from cleo.commands.command import Command
@@ -9,7 +10,7 @@
 
 from peridotcove import __version__
 from peridotcove.exceptions import InvalidSettings, SettingError
-from peridotcove.settings import read_settings
+from peridotcove.settings import PATH_VARIABLE, read_any_settings
 
 EXIT_OK = 0
 EXIT_FAULTS = 1
@@ -35,7 +36,14 @@
 
     name = "node"
     description = "Run one node until it is told to stop (SIGTERM drains it)."
-    arguments = [argument("settings", "File of settings, JSON with comments.")]
+    arguments = [
+        argument(
+            "settings",
+            "File of settings: JSON with comments, or the machines' TOML; "
+            f"by default the one that {PATH_VARIABLE} names.",
+            optional=True,
+        )
+    ]
     help = "Exit codes: 0 stopped, 1 the settings have faults, 2 wrong usage."
 
     def handle(self):
@@ -43,7 +51,8 @@
         from peridotcove.running import run_node
 
         try:
-            settings = read_settings(self.argument("settings"))
+            file = self.argument("settings") or os.environ.get(PATH_VARIABLE, "")
+            settings = read_any_settings(file)
             settings.secret.read("secret")
         except InvalidSettings as faults:
             self._print_faults(faults.exceptions)
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -17,6 +17,8 @@
 RETRY_MS = 1_000
 HASHES = 1 << 64
 MAX_HELD = 32
+# A transfer has a fixed cost of some ms; fewer blocks are read again as fast.
+MIN_FETCH_BLOCKS = 4
 
 
 @frozen
@@ -355,10 +357,25 @@
         now = self._clock.now()
         name = choice.engine
         cached = int(lookup.blocks_by_engine.get(name, 0))
+        source = self._find_source(lookup, name, cached)
         self._index.record(lookup, name, self._clock.wall())
         request_id = request.request_id
         self._add(Lease(request_id, request.entry, request.customer, name, now, cached))
-        return Grant(request_id, name, cached)
+        return Grant(request_id, name, cached, source)
+
+    def _find_source(self, lookup, name, cached):
+        """Return the engine from which it pays to fetch what another lacks."""
+        engine_by_name = self._configuration.engine_by_name
+        if not engine_by_name[name].shares_cache:
+            return ""
+        found = [
+            (blocks, other)
+            for other, blocks in lookup.blocks_by_engine.items()
+            if blocks - cached >= MIN_FETCH_BLOCKS
+            and other in self._loads.by_engine
+            and self._loads.by_engine[other].open
+        ]
+        return max(found)[1] if found else ""
 
     def _should_hold(self, item, held, choice):
         if choice.engine == choice.wanted:
--- a/peridotcove/endpoints/client.py
+++ b/peridotcove/endpoints/client.py
@@ -62,6 +62,8 @@
         HTTP status of the answer; 0 before its head.
     headers : tornado.httputil.HTTPHeaders
         Header fields of the answer.
+    connect_ms : int
+        Longest wait in ms for a connection.
     """
 
     first_byte_ms: int
@@ -78,6 +80,7 @@
     timed_out: bool = False
     cancelled: bool = False
     received: int = 0
+    connect_ms: int = CONNECT_MS
     last_ms: int = 0
     clock: object = None
     _client: object = None
@@ -170,7 +173,7 @@
             HTTP method in capitals.
         url : str
             Whole URL.
-        headers : dict
+        headers : dict or tornado.httputil.HTTPHeaders
             Header fields.
         body : bytes or None
             Body of the request.
@@ -192,7 +195,7 @@
             method=method,
             headers=headers,
             body=body,
-            connect_timeout=CONNECT_MS / 1000,
+            connect_timeout=transfer.connect_ms / 1000,
             request_timeout=0,
             follow_redirects=False,
             decompress_response=False,
@@ -220,6 +223,9 @@
         transfer.curl = curl
         transfer._client = self._client
         curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(pycurl.NOPROXY, "*")
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
         curl.setopt(pycurl.HEADERFUNCTION, transfer.take_header)
--- a/peridotcove/fleet.py
+++ b/peridotcove/fleet.py
@@ -2,6 +2,7 @@
 
 from attrs import evolve
 
+from peridotcove.host_routes import HostRoutes
 from peridotcove.models import Configuration, Status
 from peridotcove.ownership import owner_rank, shards_of
 from peridotcove.shares import ShardLoad, ShardPicker
@@ -38,6 +39,7 @@
         self._picker_by_model = {}
         self._total_by_shard = {}
         self._customer_by_digest = {}
+        self._host_routes = HostRoutes({})
         self._rank_by_shard = {}
 
     def set_configuration(self, configuration):
@@ -56,6 +58,8 @@
             self._apply()
         if not _same(before, configuration, "customer_by_name"):
             self._index_customers()
+        if not _same(before, configuration, "host_route_by_name"):
+            self._host_routes = HostRoutes(configuration.host_route_by_name)
         parts = ("engine_by_name", "zone_by_name", "model_by_name", "bounds")
         if not all(_same(before, configuration, part) for part in parts):
             self._index_shards()
@@ -209,6 +213,18 @@
         """
         return self._customer_by_digest.get(digest)
 
+    def find_route(self, host, path):
+        """Return the host route of a request, or None.
+
+        Parameters
+        ----------
+        host : str
+            Host that the caller names.
+        path : str
+            Path without its query.
+        """
+        return self._host_routes.find(host, path)
+
     def rank_owners(self, shard):
         """Return the names of the region's nodes, first owner of a shard first.
 
--- /dev/null
+++ b/peridotcove/forwarding.py
@@ -0,0 +1,486 @@
+"""Passes a request on unchanged to an engine, and its answer back.
+
+Serves requests of any form that a host route covers. Which engine, how often and for
+how long is decided here and by the owner of the engines; how a request and an answer
+are written is up to a `Dialect`.
+"""
+
+import asyncio
+import os
+
+from attrs import define, field, frozen
+from tornado.httputil import HTTPHeaders
+
+from peridotcove.endpoints.client import Transfer
+from peridotcove.events import EventCutter
+from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
+from peridotcove.host_routes import pick_model
+from peridotcove.logs import get_logger
+from peridotcove.models import LeaseRequest
+from peridotcove.retries import RetryPolicy, may_repeat, run_tries
+from peridotcove.verdict import Verdict
+
+LEASE_ID_BYTES = 8
+# Tries of one request, those that reached no engine included.
+MAX_ROUNDS = 5
+# Below this a request can't be answered over the slowest links between zones.
+LEAST_LEFT_MS = 25
+# Wait for a connection: several round trips between zones, so that a dark engine
+# leaves time for another one.
+CONNECT_MS = 250
+# Pause before another engine is tried; the next choice avoids the one that failed.
+PAUSE_MS = 10
+# Share of the time left that a repeatable request gives a silent engine.
+SILENCE_SHARE = 0.4
+# Share of the time left that a request may wait for a place.
+QUEUE_SHARE = 0.5
+MAX_ANSWER_BYTES = 16 << 20
+# Codes of errors after which no engine was reached.
+UNREACHED = frozenset(("unreachable", "leaving", "stale-view"))
+RETRY_AFTER_MS = 1_000
+
+log = get_logger("forwarding")
+
+
+@frozen
+class AnswerHead:
+    """What the head of an engine's answer says.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of tuple
+        Names and values to pass on to the caller.
+    not_run : bool
+        Whether the engine states that it did not run the request.
+    fault : str
+        Why the answer can't be this request's, or empty.
+    """
+
+    status: int
+    headers: tuple = ()
+    not_run: bool = False
+    fault: str = ""
+
+    @property
+    def success(self):
+        """Whether the status is 2xx."""
+        return 200 <= self.status < 300
+
+
+class Dialect:
+    """How requests to engines and their answers are written."""
+
+    def write_headers(self, forward, attempt):
+        """Return the header fields of one try, as pairs of name and value.
+
+        Parameters
+        ----------
+        forward : Forward
+            The request.
+        attempt : Attempt
+            The engine and what the try is to tell it.
+        """
+        raise NotImplementedError
+
+    def read_head(self, forward, status, headers):
+        """Return the `AnswerHead` of an answer.
+
+        Parameters
+        ----------
+        forward : Forward
+            The request.
+        status : int
+            HTTP status.
+        headers : tornado.httputil.HTTPHeaders
+            Header fields as the engine sent them.
+        """
+        raise NotImplementedError
+
+
+@define(eq=False)
+class Forward:
+    """A request that is to be passed on.
+
+    Attributes
+    ----------
+    name : str
+        Id that the caller gave it.
+    route : HostRoute
+        Its route.
+    customer : Customer or None
+        Who pays; None on a public route.
+    method, target : str
+        HTTP method, and path with query, as they came.
+    headers : tuple of tuple
+        Names and values to pass on.
+    body : bytes
+        Whole body.
+    end_ms : int
+        Monotonic time in ms at which the caller stops waiting.
+    prefixes : tuple of int
+        Hash of each prefix of whole blocks of its prompt, shortest first.
+    key : int
+        Key that requests which share a prompt have in common; 0 if not known.
+    head : AnswerHead or None
+        Head of the answer, once there is one.
+    """
+
+    name: str
+    route: object
+    customer: object
+    method: str
+    target: str
+    headers: tuple
+    body: bytes
+    end_ms: int
+    prefixes: tuple = ()
+    key: int = 0
+    head: AnswerHead | None = None
+
+
+@frozen
+class Attempt:
+    """One try.
+
+    Attributes
+    ----------
+    engine : Engine
+        The engine.
+    source : Engine or None
+        Engine from which it may fetch cached prefixes.
+    left_ms : int
+        Time in ms that is left.
+    resume_after : str
+        Id of the event after which it is to go on, or empty.
+    priority : int
+        Class in the engine's queue; 0 goes first.
+    """
+
+    engine: object
+    source: object
+    left_ms: int
+    resume_after: str
+    priority: int
+
+
+@frozen
+class Forwarded:
+    """The outcome of a request that was passed on.
+
+    Attributes
+    ----------
+    head : AnswerHead
+        Head of the answer.
+    body : bytes
+        Its body; empty when a sink has taken it.
+    """
+
+    head: AnswerHead
+    body: bytes = b""
+
+
+class EngineAnswered(EndpointFailed):
+    """An engine ran the request and answered with a failure of its own.
+
+    Parameters
+    ----------
+    forwarded : Forwarded
+        The whole answer.
+    """
+
+    def __init__(self, forwarded):
+        text = f"the engine answered with status {forwarded.head.status}"
+        status = forwarded.head.status
+        super().__init__("engine-error", text, Verdict.RAN, status)
+        self.forwarded = forwarded
+
+
+class Forwarder:
+    """Passes requests on.
+
+    Parameters
+    ----------
+    node, zone : str
+        Name and zone of this node.
+    fleet : Fleet
+        The node's view.
+    leases : LeaseClient
+        Leases on engines.
+    states : EndpointStates
+        Which engines take new work.
+    client : EndpointClient
+        HTTP towards engines.
+    dialect : Dialect
+        How requests and answers are written.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of jitter.
+    metrics : Metrics
+        The node's metrics.
+    timeline : Timeline
+        The node's events.
+    budget : RetryBudget
+        Retries that this node may make.
+    """
+
+    def __init__(
+        self,
+        node,
+        zone,
+        fleet,
+        leases,
+        states,
+        client,
+        dialect,
+        clock,
+        rng,
+        metrics,
+        timeline,
+        budget,
+    ):
+        self.node = node
+        self.zone = zone
+        self.fleet = fleet
+        self.leases = leases
+        self.states = states
+        self.client = client
+        self.dialect = dialect
+        self.clock = clock
+        self.rng = rng
+        self.metrics = metrics
+        self.timeline = timeline
+        self.budget = budget
+
+    async def run(self, forward, sink):
+        """Pass a request on and return its outcome.
+
+        Parameters
+        ----------
+        forward : Forward
+            The request.
+        sink : Sink
+            Takes a streamed answer.
+
+        Returns
+        -------
+        Forwarded
+            Whole answer of an engine, a failure of its own included.
+
+        Raises
+        ------
+        RequestError
+            With the verdict of all tries; "not run" only if no engine may have run it.
+        """
+        run = _Run(self, forward, sink)
+        policy = RetryPolicy(
+            self.budget,
+            self.rng,
+            run.may_try_again,
+            run.is_free,
+            run.note_retry,
+            lambda tries, rng: rng.uniform(0, PAUSE_MS),
+        )
+        try:
+            return await run_tries(policy, run.attempt)
+        except EngineAnswered as error:
+            if run.sink.started:
+                raise
+            forward.head = error.forwarded.head
+            return error.forwarded
+
+
+@define(eq=False)
+class _Run:
+    """One request on its way, over all its tries."""
+
+    owner: Forwarder
+    forward: Forward
+    sink: object
+    model: str = ""
+    sent: int = 0
+    avoid: list = field(factory=list)
+    events: EventCutter = field(factory=EventCutter)
+    body: bytearray = field(factory=bytearray)
+    head: AnswerHead | None = None
+    transfer: Transfer | None = None
+
+    def may_try_again(self, error, tries):
+        """Return whether another try is allowed after an error."""
+        forward, route = self.forward, self.forward.route
+        if tries >= MAX_ROUNDS or self.sent >= route.attempts or self.sink.closed:
+            return False
+        if forward.end_ms - self.owner.clock.now() < LEAST_LEFT_MS:
+            return False
+        if isinstance(error, RequestRefused) and error.code not in UNREACHED:
+            return False
+        if self.sink.started:
+            return route.resumable and bool(self.events.last_id)
+        return may_repeat(error, route.repeatable or route.resumable, False)
+
+    def is_free(self, error):
+        """Return whether no engine was reached, so that a retry adds no load."""
+        return error.code in UNREACHED
+
+    def note_retry(self, error, tries):
+        """Record that the request is tried again."""
+        owner = self.owner
+        owner.metrics.retries.inc()
+        log.info("%s: try %d after %s", self.forward.name, tries + 1, error.code)
+
+    async def attempt(self, number):
+        """Run one try and return its `Forwarded`."""
+        owner, forward = self.owner, self.forward
+        left_ms = forward.end_ms - owner.clock.now()
+        if left_ms < LEAST_LEFT_MS:
+            raise RequestRefused("deadline", "too little time is left", 503, 0)
+        self.model = self.model or pick_model(forward.route, owner.rng)
+        request = self._make_lease_request(left_ms)
+        shard = owner.fleet.pick_shard(self.model, forward.key, "")
+        if not shard:
+            text = f"no engine serves {self.model!r}"
+            raise RequestRefused("no-engine", text, 503, RETRY_AFTER_MS)
+        grant = await owner.leases.ask(shard, request)
+        outcome = "cancelled"
+        try:
+            forwarded = await self._send(grant)
+            outcome = "done"
+            return forwarded
+        except EndpointFailed as error:
+            outcome = "cancelled" if error.code == "slow-caller" else "failed"
+            self.avoid.append(grant.engine)
+            raise
+        except RequestRefused:
+            self.avoid.append(grant.engine)
+            raise
+        finally:
+            owner.leases.release(request.request_id, outcome)
+
+    def _make_lease_request(self, left_ms):
+        forward = self.forward
+        customer = forward.customer
+        priority = forward.route.priority if customer is None else customer.priority
+        return LeaseRequest(
+            os.urandom(LEASE_ID_BYTES),
+            self.owner.node,
+            "" if customer is None else customer.name,
+            self.model,
+            forward.prefixes,
+            zone=self.owner.zone,
+            deadline_ms=max(1, int(left_ms * QUEUE_SHARE)),
+            priority=priority,
+            chat_key=forward.key,
+            avoid=tuple(self.avoid),
+        )
+
+    async def _send(self, grant):
+        owner, forward = self.owner, self.forward
+        owner.states.check(grant.engine)
+        engine_by_name = owner.fleet.configuration.engine_by_name
+        engine = engine_by_name[grant.engine]
+        left_ms = max(1, forward.end_ms - owner.clock.now())
+        self._begin(engine, left_ms)
+        resume_after = self.events.last_id if self.sink.started else ""
+        priority = self._priority()
+        source = engine_by_name.get(grant.source)
+        attempt = Attempt(engine, source, left_ms, resume_after, priority)
+        headers = HTTPHeaders()
+        for name, value in owner.dialect.write_headers(forward, attempt):
+            headers.add(name, value)
+        url = engine.url + forward.target
+        has_body = bool(forward.body) or forward.method in ("POST", "PUT", "PATCH")
+        body = forward.body if has_body else None
+        transfer = self.transfer
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                await owner.client.fetch(forward.method, url, headers, body, transfer)
+        except TimeoutError:
+            verdict = Verdict.MAY_HAVE_RUN if transfer.connected else Verdict.NOT_RUN
+            text = f"{engine.name} did not answer in time"
+            raise EndpointFailed("timeout", text, verdict, 504) from None
+        except RequestError as error:
+            raise self._explain(error) from None
+        finally:
+            self.sent += transfer.connected
+        return self._finish(engine)
+
+    def _begin(self, engine, left_ms):
+        route = self.forward.route
+        first_ms = left_ms
+        if (route.repeatable or route.resumable) and self.sent + 1 < route.attempts:
+            first_ms = min(left_ms, max(route.goal_ms, int(left_ms * SILENCE_SHARE)))
+        self.head = None
+        self.body.clear()
+        self.events.restart()
+        transfer = Transfer(first_ms, left_ms, left_ms, self._take)
+        transfer.connect_ms = min(CONNECT_MS, left_ms)
+        transfer.check = lambda: self.owner.states.check(engine.name)
+        self.transfer = self.sink.transfer = transfer
+
+    def _priority(self):
+        customer = self.forward.customer
+        return self.forward.route.priority if customer is None else customer.priority
+
+    def _take(self, data):
+        """Take a read of the answer's body; return true to pause the transfer."""
+        head = self._read_head()
+        if head.fault:
+            self.transfer.cancel()
+            return False
+        streaming = self.forward.route.streaming and head.success and not head.not_run
+        if not streaming:
+            self.body += data
+            if len(self.body) > MAX_ANSWER_BYTES:
+                self.transfer.cancel()
+            return False
+        try:
+            whole = self.events.feed(data)
+        except ValueError as error:
+            self.head = AnswerHead(head.status, fault=str(error))
+            self.transfer.cancel()
+            return False
+        return self._pass_on(head, whole) if whole else False
+
+    def _pass_on(self, head, data):
+        if self.forward.head is None:
+            self.forward.head = head
+        return self.sink.write(data)
+
+    def _read_head(self):
+        if self.head is None:
+            transfer = self.transfer
+            dialect = self.owner.dialect
+            self.head = dialect.read_head(
+                self.forward, transfer.status, transfer.headers
+            )
+        return self.head
+
+    def _explain(self, error):
+        if self.head is not None and self.head.fault:
+            return EndpointFailed("mixed-up", self.head.fault, Verdict.MAY_HAVE_RUN)
+        return error
+
+    def _finish(self, engine):
+        head = self._read_head()
+        if head.fault:
+            raise EndpointFailed("mixed-up", head.fault, Verdict.MAY_HAVE_RUN)
+        if head.not_run:
+            text = f"{engine.name} refused the request"
+            raise EndpointFailed("engine-busy", text, Verdict.NOT_RUN, 503)
+        if not head.success:
+            forwarded = Forwarded(head, bytes(self.body))
+            if head.status >= 500:
+                raise EngineAnswered(forwarded)
+            if self.sink.started:
+                text = f"{engine.name} can't go on with the stream"
+                raise EndpointFailed("cut", text, Verdict.MAY_HAVE_RUN)
+            self.forward.head = head
+            return forwarded
+        rest = self.events.take_rest()
+        if rest:
+            self._pass_on(head, rest)
+        if self.forward.head is None:
+            self.forward.head = head
+        return Forwarded(self.forward.head, bytes(self.body))
--- a/peridotcove/fragments.py
+++ b/peridotcove/fragments.py
@@ -14,7 +14,7 @@
 
 PART_BYTES = 16_384
 MAX_PART_BYTES = 1_000_000
-KINDS = ("zones", "models", "engines", "services", "customers")
+KINDS = ("zones", "models", "engines", "services", "customers", "host_routes")
 HASH_BITS = 32
 
 
--- /dev/null
+++ b/peridotcove/host_desk.py
@@ -0,0 +1,137 @@
+"""Admits requests by host route, and runs them for as long as their caller waits."""
+
+import asyncio
+import hashlib
+
+from peridotcove.exceptions import EndpointFailed, RequestRefused
+from peridotcove.logs import get_logger
+from peridotcove.verdict import Verdict
+
+# A node that has heard neither the service nor a reader for this long may lack keys
+# and routes that are in force elsewhere, and says so rather than that there are none.
+STALE_MS = 4_000
+RETRY_AFTER_MS = 500
+
+log = get_logger("callers")
+
+
+class HostDesk:
+    """What the server towards callers works with.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The node's view.
+    revisions : Revisions
+        The configuration and its age.
+    forwarder : Forwarder
+        Passes requests on.
+    activity : Activity
+        Requests in progress.
+    drain : Drain
+        Says whether the node leaves.
+    clock : Clock
+        Source of time.
+    metrics : Metrics
+        The node's metrics.
+    """
+
+    def __init__(self, fleet, revisions, forwarder, activity, drain, clock, metrics):
+        self.fleet = fleet
+        self.clock = clock
+        self._revisions = revisions
+        self._forwarder = forwarder
+        self._activity = activity
+        self._drain = drain
+        self._metrics = metrics
+
+    @property
+    def leaving(self):
+        """Whether callers are to open no further request on their connection."""
+        return not self._drain.ready
+
+    def begin(self):
+        """Count a request as in progress."""
+        self._activity.begin()
+        self._metrics.in_progress.inc()
+
+    def end(self):
+        """Count a request as ended."""
+        self._activity.end()
+        self._metrics.in_progress.dec()
+
+    def admit(self, host, path, key):
+        """Return the route of a request and the customer who pays.
+
+        Parameters
+        ----------
+        host, path : str
+            Host and path that the caller names.
+        key : str or None
+            API key of the caller.
+
+        Returns
+        -------
+        route : HostRoute
+            The route.
+        customer : Customer or None
+            None on a public route, or where the configuration has no customers.
+
+        Raises
+        ------
+        RequestRefused
+            With status 404 or 401, or 503 while this node can't know.
+        """
+        if not self._revisions.revision:
+            text = "this node has no configuration yet"
+            raise RequestRefused("no-configuration", text, 503, RETRY_AFTER_MS)
+        route = self.fleet.find_route(host, path)
+        if route is None:
+            raise self._unknown("unknown-route", f"no route for {host}{path}", 404)
+        if route.public or not self.fleet.configuration.customer_by_name:
+            return route, None
+        digest = hashlib.sha256((key or "").encode("latin-1", "replace")).hexdigest()
+        customer = self.fleet.find_customer(digest)
+        if customer is None:
+            raise self._unknown("unknown-key", "the API key is not known", 401)
+        return route, customer
+
+    def _unknown(self, code, text, status):
+        age_ms = self._revisions.age_ms()
+        if age_ms > STALE_MS:
+            log.warning("%s, with a configuration confirmed %d ms ago", code, age_ms)
+            text = "this node's configuration may be out of date"
+            return RequestRefused("stale-configuration", text, 503, RETRY_AFTER_MS)
+        return RequestRefused(code, text, status)
+
+    async def run(self, forward, sink):
+        """Pass a request on; see `Forwarder.run`.
+
+        Parameters
+        ----------
+        forward : Forward
+            The request.
+        sink : Sink
+            Takes a streamed answer.
+        """
+        left_ms = max(1, forward.end_ms - self.clock.now())
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                return await self._forwarder.run(forward, sink)
+        except TimeoutError:
+            text = "no answer in time"
+            verdict = Verdict.MAY_HAVE_RUN
+            raise EndpointFailed("timeout", text, verdict, 504) from None
+
+    def count(self, outcome, verdict):
+        """Count a request's outcome and verdict.
+
+        Parameters
+        ----------
+        outcome : str
+            ``"ok"`` or the code of an error.
+        verdict : Verdict
+            Whether it may have run.
+        """
+        self._metrics.requests.labels("any", outcome).inc()
+        self._metrics.verdicts.labels(verdict.value).inc()
--- /dev/null
+++ b/peridotcove/interfaces.py
@@ -0,0 +1,81 @@
+"""Interfaces that a node may serve: whom it reads from, and how callers speak.
+
+The decisions between the two are the same for each interface.
+"""
+
+import importlib
+
+from peridotcove.registry import Registry
+
+interfaces = Registry("interface")
+
+MODULE_BY_NAME = {
+    "own": "peridotcove.own_interface",
+    "platform": "peridotcove.platform.interface",
+}
+
+
+class Interface:
+    """What a node does by the interface that its settings name.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    """
+
+    def __init__(self, node):
+        self.node = node
+
+    def make_publication(self, settings):
+        """Return the client that reads what operators publish.
+
+        Parameters
+        ----------
+        settings : Settings
+            Settings of the node.
+        """
+        raise NotImplementedError
+
+    def make_caller_server(self):
+        """Return the HTTP server towards callers, not yet listening."""
+        raise NotImplementedError
+
+    def jobs(self):
+        """Return the coroutines that run as long as the node, besides the common."""
+        raise NotImplementedError
+
+    def tick(self):
+        """Do the periodic work that only this interface needs."""
+        raise NotImplementedError
+
+    def receive(self, peer, message):
+        """Take a message between nodes that only this interface knows.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the sender.
+        message : object
+            The message.
+
+        Returns
+        -------
+        bool
+            Whether it was one.
+        """
+        return False
+
+
+def make_interface(name, node):
+    """Return the interface of a node; only its own module is imported.
+
+    Parameters
+    ----------
+    name : str
+        Name in the registry.
+    node : Node
+        The node.
+    """
+    importlib.import_module(MODULE_BY_NAME[name])
+    return interfaces.get(name)(node)
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -228,12 +228,16 @@
         request.hint,
         left_ms,
         request.chat_key,
+        request.priority,
+        list(request.avoid),
     )
 
 
 def _from_message(message):
     if isinstance(message, GiveLease):
-        return Grant(message.request_id, message.engine, message.cached_blocks)
+        return Grant(
+            message.request_id, message.engine, message.cached_blocks, message.source
+        )
     return message
 
 
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -122,9 +122,10 @@
             message.hint,
             self._fleet.zone_of(peer),
             message.deadline_ms,
-            customer.priority if customer else DEFAULT_PRIORITY,
+            _priority(message, customer),
             message.chat_key,
             message.blocks,
+            tuple(message.avoid),
         )
 
     def _release(self, message):
@@ -246,7 +247,10 @@
                 if owed is not None:
                     owed.engine = decision.engine
                 message = GiveLease(
-                    decision.request_id, decision.engine, decision.cached_blocks
+                    decision.request_id,
+                    decision.engine,
+                    decision.cached_blocks,
+                    decision.source,
                 )
             else:
                 self._owed_by_id.pop(decision.request_id, None)
@@ -271,3 +275,9 @@
             self._network.send(entry, message)
         except LinkDown as error:
             log.info("an answer to %s was not sent: %s", entry, error)
+
+
+def _priority(message, customer):
+    if message.priority >= 0:
+        return message.priority
+    return customer.priority if customer else DEFAULT_PRIORITY
--- a/peridotcove/manifests.py
+++ b/peridotcove/manifests.py
@@ -1,6 +1,6 @@
 """What is known of a revision beside its content."""
 
-from attrs import frozen
+from attrs import field, frozen
 
 
 @frozen
@@ -13,10 +13,13 @@
         The revision.
     pointer_by_name : dict of Pointer
         Parts by name.
+    data_by_name : dict of bytes
+        Published content of parts that came with it.
     """
 
     revision: int
     pointer_by_name: dict
+    data_by_name: dict = field(factory=dict, repr=False)
 
 
 @frozen
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -11,6 +11,7 @@
 ENGINES = key("engines")
 SERVICES = key("services")
 CUSTOMERS = key("customers")
+HOST_ROUTES = key("host_routes")
 
 
 class Status(enum.Enum):
@@ -121,6 +122,8 @@
         Stage of life.
     checks_fencing : bool
         Whether it refuses orders with an old fencing number.
+    shares_cache : bool
+        Whether it can fetch cached prefixes from another engine of its model.
     """
 
     name: str
@@ -133,6 +136,7 @@
     role: str = "mixed"
     status: Status = Status.IN_SERVICE
     checks_fencing: bool = True
+    shares_cache: bool = False
 
 
 @frozen
@@ -222,6 +226,71 @@
         return method in ("GET", "HEAD")
 
 
+@frozen
+class Target:
+    """Where a share of a host route's requests goes.
+
+    Attributes
+    ----------
+    model : str
+        Model whose engines are to answer.
+    weight : float
+        Share relative to the route's other targets.
+    """
+
+    model: str
+    weight: float = within(0, 1e6, default=1.0)
+
+
+@frozen
+class HostRoute:
+    """A rule by which requests of any form are passed on unchanged.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    host : str
+        Host that the caller names.
+    prefix : str
+        Path prefix, with a slash at both ends; the longest that matches holds.
+    targets : tuple of Target
+        Models whose engines may answer.
+    repeatable : bool
+        Whether a request may run more than once.
+    streaming : bool
+        Whether the answer is a stream of events that is passed on as it comes.
+    resumable : bool
+        Whether another engine can go on with a stream after its last event.
+    sticky : bool
+        Whether requests name the parts of their prompt.
+    public : bool
+        Whether callers need no API key.
+    attempts : int
+        Most engines to which one request may be sent.
+    priority : int
+        Class in the queue; 0 goes first.
+    timeout_ms : int
+        Longest time in ms that a caller is kept waiting.
+    goal_ms : int
+        Time in ms within which the answer, or a stream's first event, is wanted.
+    """
+
+    name: str
+    host: str
+    prefix: str = "/"
+    targets: tuple[Target, ...] = ()
+    repeatable: bool = False
+    streaming: bool = False
+    resumable: bool = False
+    sticky: bool = False
+    public: bool = False
+    attempts: int = within(1, 100, default=1)
+    priority: int = within(0, 9, default=5)
+    timeout_ms: int = within(1, 86_400_000, default=60_000)
+    goal_ms: int = within(1, 86_400_000, default=1_000)
+
+
 @frozen
 class Bounds:
     """Limits that hold for the whole fleet.
@@ -265,8 +334,8 @@
         Limits for the whole fleet.
     zone_by_name, model_by_name, engine_by_name : dict
         Zones, models and engines by name.
-    service_by_name, customer_by_name : dict
-        Services and customers by name.
+    service_by_name, customer_by_name, host_route_by_name : dict
+        Services, customers and host routes by name.
     """
 
     revision: int = within(0, 1 << 62, default=0)
@@ -276,6 +345,7 @@
     engine_by_name: dict[str, Engine] = field(factory=dict, metadata=ENGINES)
     service_by_name: dict[str, Service] = field(factory=dict, metadata=SERVICES)
     customer_by_name: dict[str, Customer] = field(factory=dict, metadata=CUSTOMERS)
+    host_route_by_name: dict[str, HostRoute] = field(factory=dict, metadata=HOST_ROUTES)
 
 
 @frozen
@@ -355,6 +425,8 @@
         Key of the chat that stays the same on each turn; 0 if not known.
     blocks : int
         Whole blocks of the chat; 0 if `prefixes` holds all.
+    avoid : tuple of str
+        Engines that failed this request before; they get it only if no other can.
     """
 
     request_id: bytes
@@ -368,6 +440,7 @@
     priority: int = 1
     chat_key: int = 0
     blocks: int = 0
+    avoid: tuple = ()
 
 
 @frozen
@@ -382,11 +455,14 @@
         Engine that is to run it.
     cached_blocks : int
         Prefix blocks that the owner expects in the engine's cache.
+    source : str
+        Engine from which the missing prefix is to be fetched, or empty.
     """
 
     request_id: bytes
     engine: str
     cached_blocks: int = 0
+    source: str = ""
 
 
 @frozen
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -3,8 +3,6 @@
 import random
 
 from peridotcove.activity import Activity
-from peridotcove.callers.server import CallerDesk
-from peridotcove.callers.server import make_server as make_caller_server
 from peridotcove.calls import ServiceRouter
 from peridotcove.continuation import ContinuationCodec
 from peridotcove.control import Control
@@ -18,6 +16,7 @@
 from peridotcove.engine_reports import EngineReports
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet import Fleet
+from peridotcove.interfaces import make_interface
 from peridotcove.keys import CONTINUATIONS, LINKS, TICKETS, derive_key
 from peridotcove.lease_client import LeaseClient
 from peridotcove.lease_server import LeaseServer
@@ -51,7 +50,6 @@
 from peridotcove.operators.desk import OperatorDesk
 from peridotcove.operators.server import make_server as make_operator_server
 from peridotcove.orders import OrderIssuer
-from peridotcove.publisher.client import PlatformClient
 from peridotcove.ranking import rank
 from peridotcove.revision_events import RevisionEvents
 from peridotcove.router import Router
@@ -130,7 +128,8 @@
         self.incarnation = self.control.membership.incarnation
         self.timeline = Timeline(self.clock, self.name, incarnation=self.incarnation)
         self.revision_events = RevisionEvents(self.timeline)
-        self.platform = PlatformClient(settings.platform, self.name)
+        self.interface = make_interface(settings.INTERFACE, self)
+        self.publication = self.interface.make_publication(settings)
 
     def _wire_leases(self):
         fleet, links, clock = self.fleet, self.links, self.clock
@@ -214,19 +213,7 @@
         self.order_client = OrderClient(self.orders, self.service_client)
 
     def _wire_servers(self):
-        settings = self.settings
-        desk = CallerDesk(
-            self.fleet,
-            self.router,
-            self.calls,
-            self.activity,
-            self.drain,
-            settings.limits,
-            self.clock,
-            self.metrics,
-            self.timeline,
-        )
-        self.caller_server = make_caller_server(desk, settings.limits, settings.tls)
+        self.caller_server = self.interface.make_caller_server()
         self.operator_server = make_operator_server(
             OperatorDesk(
                 self.drain,
@@ -242,6 +229,8 @@
         if receiver is not None:
             self.control.revisions.notice(peer, revision)
             receiver(peer, message)
+        elif self.interface.receive(peer, message):
+            self.control.revisions.notice(peer, revision)
         else:
             self.revision_events.receive(peer, message)
             self.send_all(self.control.receive(peer, message, revision))
--- a/peridotcove/nodes/membership_messages.py
+++ b/peridotcove/nodes/membership_messages.py
@@ -45,6 +45,24 @@
     refused: int = 0
 
 
+@message(10)
+@frozen
+class ShareNodes:
+    """Tells a node which others the sender knows, where no list of them is published.
+
+    Attributes
+    ----------
+    nodes : list
+        Lists of name, host, port, zone and the age in ms of the last sign of life; the
+        sender comes first.
+    reply : bool
+        Whether the receiver is to answer with those that it knows.
+    """
+
+    nodes: list
+    reply: bool
+
+
 @message(21)
 @frozen
 class AskView:
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -8,7 +8,7 @@
 
 import attrs
 import cbor2
-from attrs import frozen
+from attrs import field, frozen
 
 from peridotcove.exceptions import ProtocolError
 from peridotcove.registry import Registry
@@ -90,6 +90,10 @@
         Longest wait in ms.
     chat_key : int
         Key of the chat that stays the same on each turn, 64 bits.
+    priority : int
+        Class in the queue; below 0, that of the customer.
+    avoid : list
+        Engines that failed this request before.
     """
 
     request_id: bytes
@@ -101,6 +105,8 @@
     hint: str
     deadline_ms: int
     chat_key: int
+    priority: int = -1
+    avoid: list = field(factory=list)
 
 
 @message(3)
@@ -111,6 +117,7 @@
     request_id: bytes
     engine: str
     cached_blocks: int
+    source: str = ""
 
 
 @message(4)
--- /dev/null
+++ b/peridotcove/own_interface.py
@@ -0,0 +1,80 @@
+"""The product's own interface: chats, services, a list of instances, orders."""
+
+import asyncio
+
+from peridotcove.callers.server import CallerDesk
+from peridotcove.callers.server import make_server as make_caller_server
+from peridotcove.interfaces import Interface, interfaces
+from peridotcove.limits import REPORT_MS, URGENT_MS
+from peridotcove.publisher.client import PlatformClient
+from peridotcove.publisher.watch import watch_instances
+
+ENGINES_MS = 250
+
+
+@interfaces.register("own")
+class OwnInterface(Interface):
+    """Callers speak the usual interface for chats; instances are listed."""
+
+    def make_publication(self, settings):
+        """Return the client of the configuration service.
+
+        Parameters
+        ----------
+        settings : Settings
+            Settings of the node.
+        """
+        return PlatformClient(settings.platform, settings.node)
+
+    def make_caller_server(self):
+        """Return the HTTP server towards callers, not yet listening."""
+        node = self.node
+        desk = CallerDesk(
+            node.fleet,
+            node.router,
+            node.calls,
+            node.activity,
+            node.drain,
+            node.settings.limits,
+            node.clock,
+            node.metrics,
+            node.timeline,
+        )
+        return make_caller_server(desk, node.settings.limits, node.settings.tls)
+
+    def jobs(self):
+        """Return the coroutines that report usage, ask engines and read the list."""
+        node = self.node
+        return [
+            _report_usage(node),
+            _ask_engines(node.engine_reports),
+            watch_instances(
+                node.publication, node.clock, node.rng, node.take_instances
+            ),
+        ]
+
+    def tick(self):
+        """Read engines and order them, if this node's view is fresh."""
+        node = self.node
+        if node.control.membership.fresh() and node.drain.ready:
+            engine_by_name = node.fleet.configuration.engine_by_name
+            node.order_client.tick(engine_by_name)
+
+
+async def _report_usage(node):
+    elapsed_ms = 0
+    while True:
+        await asyncio.sleep(URGENT_MS / 1000)
+        elapsed_ms += URGENT_MS
+        if elapsed_ms >= REPORT_MS:
+            node.usage.tick()
+            elapsed_ms = 0
+        elif node.entry_limits.urgent:
+            node.usage.tick(urgent_only=True)
+
+
+async def _ask_engines(reports):
+    while True:
+        asked = [reports.ask(*pair) for pair in reports.due()]
+        await asyncio.gather(*asked, return_exceptions=True)
+        await asyncio.sleep(ENGINES_MS / 1000)
--- /dev/null
+++ b/peridotcove/platform/ingress.py
@@ -0,0 +1,276 @@
+"""The HTTP server towards the users' clients: decodes requests, encodes answers."""
+
+import asyncio
+import json
+import math
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    ResponseStartLine,
+    responses,
+)
+from tornado.iostream import StreamClosedError
+
+from peridotcove.cache_index import CHARS_PER_TOKEN
+from peridotcove.callers.body import BodyWriter
+from peridotcove.callers.sink import Sink
+from peridotcove.clock import MS_PER_S
+from peridotcove.exceptions import RequestError, RequestRefused
+from peridotcove.forwarding import Forward
+from peridotcove.logs import get_logger
+from peridotcove.platform.dialect import (
+    DEADLINE,
+    REQUEST_ID,
+    SYSTEM_FIELDS,
+    keep_fields,
+)
+from peridotcove.prefixes import hash_parts, hash_subject
+from peridotcove.verdict import Verdict
+
+KEY = "Api-Key"
+MODEL = "X-Model"
+# Parts of the prompt in order, as ID:TOKENS with the id in hexadecimal.
+PROMPT_PARTS = "X-Prompt-Prefix"
+# Longest time in s for which a client's connection may stay idle; the platform's own
+# limit is shorter, and clients close first.
+IDLE_S = 75
+BUFFER_BYTES = 131_072
+# A stream is ended this long after its route's time-out, so that one whose last event
+# is on its way is still whole.
+END_SLACK_MS = 100
+
+log = get_logger("callers")
+
+
+class Ingress(HTTPServerConnectionDelegate):
+    """Takes the connections of clients.
+
+    Parameters
+    ----------
+    desk : HostDesk
+        Admits and runs requests.
+    """
+
+    def __init__(self, desk):
+        self._desk = desk
+
+    def start_request(self, server_conn, request_conn):
+        """Return what takes the next request of a connection.
+
+        Parameters
+        ----------
+        server_conn : object
+            The connection.
+        request_conn : tornado.http1connection.HTTP1Connection
+            The request on it.
+        """
+        return _Request(self._desk, request_conn)
+
+    def on_close(self, server_conn):
+        """Take the end of a connection.
+
+        Parameters
+        ----------
+        server_conn : object
+            The connection.
+        """
+
+
+class _Request(HTTPMessageDelegate):
+    """One request of a client, from its head to the end of its answer."""
+
+    def __init__(self, desk, connection):
+        self._desk = desk
+        self._connection = connection
+        self._start_line = None
+        self._headers = None
+        self._chunks = []
+        self._arrived_ms = desk.clock.now()
+        self._task = None
+        self._sink = None
+        self._forward = None
+        self._answered = False
+
+    def headers_received(self, start_line, headers):
+        """Take the head of the request."""
+        self._start_line = start_line
+        self._headers = headers
+        self._arrived_ms = self._desk.clock.now()
+
+    def data_received(self, chunk):
+        """Take a part of the body."""
+        self._chunks.append(chunk)
+
+    def finish(self):
+        """Run the request, now that it has been read."""
+        self._connection.set_close_callback(self._give_up)
+        self._desk.begin()
+        self._task = asyncio.create_task(self._run())
+        self._task.add_done_callback(self._end)
+
+    def on_connection_close(self):
+        """Take the end of the connection before the request was read."""
+        self._give_up()
+
+    def _give_up(self):
+        if self._task is not None and not self._answered:
+            if self._sink is not None:
+                self._sink.close()
+            self._task.cancel()
+
+    def _end(self, task):
+        self._desk.end()
+        if not task.cancelled() and task.exception() is not None:
+            log.error("%s: %r", self._name(), task.exception())
+            self._cut()
+
+    def _name(self):
+        return self._headers.get(REQUEST_ID, "")
+
+    async def _run(self):
+        try:
+            forward = self._forward = self._read()
+            sink = self._sink = Sink(self._open, BUFFER_BYTES)
+            forwarded = await self._desk.run(forward, sink)
+        except RequestError as error:
+            self._fail(error)
+            return
+        except StreamClosedError:
+            return
+        self._desk.count("ok", Verdict.RAN)
+        if self._sink.started:
+            await self._sink.drain()
+            if not self._sink.closed:
+                self._answered = True
+                self._connection.finish()
+            return
+        self._answer(forwarded.head.status, forwarded.head.headers, forwarded.body)
+
+    def _read(self):
+        """Return the request as the product's own.
+
+        Raises
+        ------
+        RequestRefused
+            If it is malformed or not allowed.
+        """
+        method, target, _ = self._start_line
+        headers = self._headers
+        path = target.partition("?")[0]
+        host = headers.get("Host", "")
+        route, customer = self._desk.admit(host, path, headers.get(KEY))
+        wait_ms = min(_read_wait(headers, route), route.timeout_ms)
+        prefixes, key = self._read_parts()
+        return Forward(
+            self._name(),
+            route,
+            customer,
+            method,
+            target,
+            keep_fields(headers, SYSTEM_FIELDS),
+            b"".join(self._chunks),
+            self._arrived_ms + wait_ms,
+            prefixes,
+            key,
+        )
+
+    def _read_parts(self):
+        text = self._headers.get(PROMPT_PARTS)
+        if not text:
+            return (), 0
+        model = self._headers.get(MODEL, "")
+        try:
+            pairs = [item.split(":") for item in text.split(",")]
+            parts = [(name.strip().encode(), int(size)) for name, size in pairs]
+        except ValueError:
+            log.warning("%s: %s can't be read", self._name(), PROMPT_PARTS)
+            return (), 0
+        chars = self._desk.fleet.configuration.bounds.block_chars
+        hashes = hash_parts(model, parts, chars // CHARS_PER_TOKEN)
+        return hashes, hash_subject(model, parts)
+
+    def _open(self):
+        """Write the head of a streamed answer and return the writer of its body."""
+        head = self._forward.head
+        self._write_head(head.status, head.headers)
+        stream = self._connection.stream
+        return BodyWriter(stream, self._start_line.version == "HTTP/1.1")
+
+    def _write_head(self, status, fields, length=None):
+        headers = HTTPHeaders()
+        for name, value in fields:
+            headers.add(name, value)
+        if length is not None:
+            headers["Content-Length"] = str(length)
+        if self._desk.leaving:
+            headers["Connection"] = "close"
+        reason = responses.get(status, "Unknown")
+        line = ResponseStartLine("HTTP/1.1", status, reason)
+        self._connection.write_headers(line, headers)
+
+    def _answer(self, status, fields, body):
+        self._answered = True
+        try:
+            self._write_head(status, fields, len(body))
+            if body:
+                self._connection.write(body)
+            self._connection.finish()
+        except StreamClosedError:
+            log.info("%s: the client is gone", self._name())
+
+    def _fail(self, error):
+        self._desk.count(error.code, error.verdict)
+        log.info("%s: %s, %s", self._name(), error.code, error.verdict.value)
+        if self._sink is not None and self._sink.started:
+            self._cut()
+            return
+        status = _final_status(error)
+        fields = [("Content-Type", "application/json")]
+        if status == 503:
+            wait_ms = error.retry_after_ms or 0
+            fields.append(("Retry-After", f"{math.ceil(wait_ms) / MS_PER_S:.3f}"))
+        body = {"error": error.code, "message": error.message}
+        self._answer(status, fields, json.dumps(body).encode())
+
+    def _cut(self):
+        """Close the connection, so that the answer is seen to be incomplete."""
+        self._answered = True
+        stream = self._connection.detach()
+        stream.close()
+
+
+def _final_status(error):
+    """Return the status of a failure; 503 states that the request did not run."""
+    if error.verdict is Verdict.NOT_RUN:
+        return error.status if error.status in (401, 404) else 503
+    return error.status if error.status in (502, 504) else 502
+
+
+def _read_wait(headers, route):
+    text = headers.get(DEADLINE)
+    if text is None:
+        return route.timeout_ms
+    if not text.isdigit():
+        raise RequestRefused("bad-deadline", f"{DEADLINE} is no number", 400)
+    return int(text)
+
+
+def make_server(desk, limits):
+    """Return the HTTP server towards clients, not yet listening.
+
+    Parameters
+    ----------
+    desk : HostDesk
+        Admits and runs requests.
+    limits : Limits
+        What the node takes from strangers.
+    """
+    return HTTPServer(
+        Ingress(desk),
+        max_header_size=limits.header_bytes,
+        max_body_size=limits.body_bytes,
+        idle_connection_timeout=IDLE_S,
+    )
--- /dev/null
+++ b/peridotcove/platform/interface.py
@@ -0,0 +1,146 @@
+"""Wires a node to the users' machines."""
+
+import asyncio
+
+from peridotcove.callers.server import listen
+from peridotcove.discovery import Discovery
+from peridotcove.exceptions import InvalidSettings, ProtocolError
+from peridotcove.forwarding import Forwarder
+from peridotcove.host_desk import HostDesk
+from peridotcove.interfaces import Interface, interfaces
+from peridotcove.logs import get_logger
+from peridotcove.nodes.membership_messages import ShareNodes
+from peridotcove.platform.dialect import ServerDialect
+from peridotcove.platform.ingress import make_server
+from peridotcove.platform.publication import StorePublication
+from peridotcove.platform.settings import read_machine_settings
+from peridotcove.retries import RetryBudget
+
+# Period in s of looking at the settings file, which may change without a signal.
+SETTINGS_S = 1.0
+# Shares of the fleet's repeats that the nodes use together: the other half is for
+# windows in which traffic moves between nodes, and for leases that cross on the way.
+BUDGET_SHARE = 0.5
+
+log = get_logger("machine")
+
+
+@interfaces.register("platform")
+class MachineInterface(Interface):
+    """Clients and servers speak the platform's forms; nodes find each other by seeds.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    """
+
+    def __init__(self, node):
+        super().__init__(node)
+        me = node.control.node
+        self.discovery = Discovery(me, node.clock, node.rng)
+        self.discovery.set_seeds(node.settings.seeds)
+
+    def make_publication(self, settings):
+        """Return the client of the platform's store.
+
+        Parameters
+        ----------
+        settings : MachineSettings
+            Settings of the node.
+        """
+        return StorePublication(settings.platform)
+
+    def make_caller_server(self):
+        """Return the HTTP server towards clients, not yet listening."""
+        node = self.node
+        store = node.settings.platform
+        self.budget = RetryBudget(store.retry_share * BUDGET_SHARE)
+        self._share_budget()
+        self.budget.balance = self.budget.most
+        forwarder = Forwarder(
+            node.name,
+            node.settings.zone,
+            node.fleet,
+            node.lease_client,
+            node.states,
+            node.endpoint_client,
+            ServerDialect(),
+            node.clock,
+            node.rng,
+            node.metrics,
+            node.timeline,
+            self.budget,
+        )
+        desk = HostDesk(
+            node.fleet,
+            node.control.revisions,
+            forwarder,
+            node.activity,
+            node.drain,
+            node.clock,
+            node.metrics,
+        )
+        return make_server(desk, node.settings.limits)
+
+    def _share_budget(self):
+        nodes = max(1, len(self.node.fleet.nodes))
+        extra = self.node.settings.platform.retry_extra
+        self.budget.most = max(1.0, extra * BUDGET_SHARE / nodes)
+
+    def jobs(self):
+        """Return the coroutine that looks at the settings file."""
+        metrics = self.node.settings.metrics
+        listen(self.node.operator_server, metrics.host, metrics.port)
+        self._take_nodes()
+        return [self._watch_settings()]
+
+    async def _watch_settings(self):
+        file = self.node.settings.file
+        while True:
+            await asyncio.sleep(SETTINGS_S)
+            try:
+                settings = read_machine_settings(file)
+            except InvalidSettings as error:
+                log.error("the settings are kept as they were: %s", error.exceptions)
+                continue
+            known = self.node.settings.seeds
+            if settings.seeds != known and settings.seeds != self.discovery.seeds:
+                log.info("new seeds: %s", ", ".join(settings.seeds))
+                self.discovery.set_seeds(settings.seeds)
+                self._follow()
+
+    def tick(self):
+        """Introduce this node to others, and divide the budget of repeats."""
+        self._share_budget()
+        hears = self.node.control.membership.reaches
+        self.node.send_all(self.discovery.tick(hears))
+
+    def receive(self, peer, message):
+        """Take what another node knows of the fleet.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the sender.
+        message : object
+            A message between nodes.
+        """
+        if not isinstance(message, ShareNodes):
+            return False
+        try:
+            news, outgoing = self.discovery.receive(peer, message)
+        except ProtocolError as error:
+            log.warning("nodes that %s names left out: %s", peer, error)
+            return True
+        if news:
+            self._take_nodes()
+        self.node.send_all(outgoing)
+        return True
+
+    def _take_nodes(self):
+        self.node.take_instances(self.discovery.instances(), self.node.clock.now())
+        self._follow()
+
+    def _follow(self):
+        self.node.links.set_peers(self.discovery.places())
--- a/peridotcove/prefixes.py
+++ b/peridotcove/prefixes.py
@@ -82,6 +82,53 @@
     return tuple(hashes)
 
 
+def hash_parts(model, parts, block_tokens):
+    """Return the hash of each prefix of whole blocks of a prompt given in parts.
+
+    Parts stand for text that the node doesn't see: prompts that begin with the same
+    parts have the same hashes up to the end of these.
+
+    Parameters
+    ----------
+    model : str
+        Model and adapter; prefixes of two models are never equal.
+    parts : iterable of tuple
+        Id of each part, as bytes, and its size in tokens.
+    block_tokens : int
+        Tokens per block.
+
+    Returns
+    -------
+    tuple of int
+        64-bit hashes; hash ``i`` covers blocks ``0..i``.
+    """
+    state = xxhash.xxh3_64_digest(model.encode())
+    hashes = []
+    end = 0
+    for part_id, tokens in parts:
+        state = xxhash.xxh3_64_digest(state + part_id)
+        end += tokens
+        for block in range(len(hashes), end // block_tokens):
+            position = block.to_bytes(8, "big")
+            hashes.append(xxhash.xxh3_64_intdigest(state + position))
+    return tuple(hashes)
+
+
+def hash_subject(model, parts):
+    """Return a key that is the same for all prompts that share all but the last part.
+
+    Parameters
+    ----------
+    model : str
+        Model and adapter.
+    parts : sequence of tuple
+        Id of each part, as bytes, and its size in tokens; at least one.
+    """
+    shared = parts[:-1] or parts
+    ids = b"\x00".join(part_id for part_id, _ in shared)
+    return xxhash.xxh3_64_intdigest(model.encode() + b"\x00" + ids)
+
+
 @functools.lru_cache(maxsize=4096)
 def select_depths(blocks):
     """Return the depths in blocks at which prefixes are compared, ascending.
--- a/peridotcove/reader.py
+++ b/peridotcove/reader.py
@@ -142,10 +142,11 @@
             return []
         if first:
             self.revisions.expect(manifest.revision)
-        if not self.chosen():
+        # What came whole is used at once at the start, whoever is to read later.
+        if not self.chosen() and not (first and manifest.data_by_name):
             return []
         self._manifest = manifest
-        self._data_by_name = {}
+        self._data_by_name = dict(manifest.data_by_name)
         return self._finish()
 
     def take_part(self, name, data):
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -7,11 +7,10 @@
 from peridotcove.callers.server import listen
 from peridotcove.clock import Clock
 from peridotcove.drain import Stage
-from peridotcove.limits import REPORT_MS, URGENT_MS
 from peridotcove.logs import get_logger, start_logs
 from peridotcove.membership_events import LinkSilent, NodeJoined, NodeLost, Woke
 from peridotcove.node import Node
-from peridotcove.publisher.watch import watch_configuration, watch_instances
+from peridotcove.publisher.watch import watch_configuration
 
 CONTROL_MS = 250
 WAITING_MS = 20
@@ -29,7 +28,7 @@
     settings : Settings
         Settings of the node.
     """
-    start_logs(settings.log_level, settings.node)
+    start_logs(settings.log_level, getattr(settings, "label", "") or settings.node)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -79,13 +78,11 @@
     jobs = [
         _every(CONTROL_MS, lambda: tick_control(node)),
         _tick_leases(node.lease_server),
-        _report_usage(node),
-        _ask_engines(node.engine_reports),
         _every(ANNOUNCE_MS, node.lease_client.announce),
         watch_configuration(
-            node.platform, reader, lambda item: _send_and_follow(node, item)
+            node.publication, reader, lambda item: _send_and_follow(node, item)
         ),
-        watch_instances(node.platform, node.clock, node.rng, node.take_instances),
+        *node.interface.jobs(),
     ]
     log.info("started")
     return [asyncio.create_task(job) for job in jobs]
@@ -96,25 +93,6 @@
     node.follow_configuration()
 
 
-async def _report_usage(node):
-    elapsed_ms = 0
-    while True:
-        await asyncio.sleep(URGENT_MS / 1000)
-        elapsed_ms += URGENT_MS
-        if elapsed_ms >= REPORT_MS:
-            node.usage.tick()
-            elapsed_ms = 0
-        elif node.entry_limits.urgent:
-            node.usage.tick(urgent_only=True)
-
-
-async def _ask_engines(reports):
-    while True:
-        asked = [reports.ask(*pair) for pair in reports.due()]
-        await asyncio.gather(*asked, return_exceptions=True)
-        await asyncio.sleep(CONTROL_MS / 1000)
-
-
 async def _tick_leases(server):
     while True:
         server.tick()
@@ -166,7 +144,7 @@
     node.follow_nodes()
     node.once.tick()
     tick_endpoints(node)
-    tick_orders(node)
+    node.interface.tick()
 
 
 def tick_endpoints(node):
@@ -182,19 +160,6 @@
     node.tickets.expire()
 
 
-def tick_orders(node):
-    """Read engines and order them, if this node's view is fresh.
-
-    Parameters
-    ----------
-    node : Node
-        The node.
-    """
-    if node.control.membership.fresh() and node.drain.ready:
-        engine_by_name = node.fleet.configuration.engine_by_name
-        node.order_client.tick(engine_by_name)
-
-
 async def drain(node):
     """Leave the balancer, let every request end, and hand everything over.
 
@@ -236,4 +201,4 @@
     await node.links.close()
     node.endpoint_client.close()
     node.service_client.close()
-    node.platform.close()
+    node.publication.close()
--- a/peridotcove/settings.py
+++ b/peridotcove/settings.py
@@ -10,6 +10,9 @@
 from peridotcove.exceptions import InvalidSettings, SettingError
 from peridotcove.schema import build, within
 
+# Environment variable that holds the path of the settings file.
+PATH_VARIABLE = "PERIDOTCOVE_NODE_FILE"
+
 
 @frozen
 class Address:
@@ -158,6 +161,8 @@
         Level of the log, such as ``"INFO"``.
     """
 
+    INTERFACE = "own"
+
     node: str
     zone: str
     region: str
@@ -205,6 +210,26 @@
     return raw
 
 
+def read_any_settings(file):
+    """Return the settings of a node, in the product's own format or the platform's.
+
+    Parameters
+    ----------
+    file : str
+        Path of the file; the platform's end in ``.toml``.
+
+    Raises
+    ------
+    InvalidSettings
+        With all faults of the file.
+    """
+    if str(file).endswith(".toml"):
+        from peridotcove.platform.settings import read_machine_settings
+
+        return read_machine_settings(file)
+    return read_settings(file)
+
+
 def read_settings(file):
     """Return the settings of a node.
 
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `peridotcove.platform`."""
