Ask owners that answer first, and decide alone where none is within reach

Cause: a node that leaves belongs to no rank; with no other node live its own requests ended with 'no owner' (found by test_requests_end_while_the_node_leaves). A frozen owner cost 500 ms on each request until it left the rank. Ruled out: keeping a leaving node in the rank; it would be asked until it is gone. Change: an owner that did not answer in 120 ms is asked last for a second; on the machines' interface the node itself is the last to be asked. Tests of the whole path on stand-ins of store, servers and clients come with it: status 400 for a bad deadline was found there.

--- a/peridotcove/endpoints/client.py
+++ b/peridotcove/endpoints/client.py
@@ -208,7 +208,10 @@
         if self._watching is None or self._watching.done():
             self._watching = asyncio.create_task(self._watch())
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            fetching = self._client.fetch(request, raise_error=False)
+            # The end of a cancelled transfer is awaited by nobody.
+            fetching.add_done_callback(_take_outcome)
+            response = await asyncio.shield(fetching)
         except CurlError as error:
             raise _explain(url, error, transfer) from None
         except asyncio.CancelledError:
@@ -252,6 +255,11 @@
             await asyncio.sleep(WATCH_MS / 1000)
 
 
+def _take_outcome(future):
+    if not future.cancelled():
+        future.exception()
+
+
 def _explain(url, error, transfer):
     if not transfer.connected:
         message = f"no connection to {url}"
--- a/peridotcove/interfaces.py
+++ b/peridotcove/interfaces.py
@@ -22,8 +22,15 @@
     ----------
     node : Node
         The node.
+
+    Attributes
+    ----------
+    alone : bool
+        Whether the node decides about engines by itself while no owner answers.
     """
 
+    alone = False
+
     def __init__(self, node):
         self.node = node
 
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -20,7 +20,12 @@
 )
 from peridotcove.prefixes import thin
 
-ANSWER_MS = 500
+# Longest wait in ms for an owner's answer: ten times the round trip between zones, and
+# short against the time within which callers want an answer.
+ANSWER_MS = 120
+# Time in ms for which an owner that did not answer is asked after the others; lost
+# nodes leave the rank within about twice that.
+SILENT_MS = 1_000
 PAUSE_MS = 100
 MAX_OWNERS = 2
 NOT_OWNER = "not-owner"
@@ -54,15 +59,20 @@
         This node's own side as an owner.
     clock : Clock
         Source of time.
+    alone : bool
+        Whether this node decides by what it knows itself while no owner answers; the
+        bound on load is then kept only over its own requests.
     """
 
-    def __init__(self, node, fleet, network, server, clock):
+    def __init__(self, node, fleet, network, server, clock, alone=False):
         self._node = node
         self._fleet = fleet
         self._network = network
         self._server = server
         self._clock = clock
         self._future_by_id = {}
+        self._silent_until_by_owner = {}
+        self._alone = alone
         self._queued_ids = set()
         self.held_by_id = {}
 
@@ -83,7 +93,7 @@
         """
         end_ms = self._clock.now() + request.deadline_ms
         while True:
-            for owner in self._fleet.rank_owners(shard)[:MAX_OWNERS]:
+            for owner in self._candidates(shard):
                 reply = await self._ask_owner(owner, shard, request, end_ms)
                 if isinstance(reply, Grant):
                     held = Held(shard, owner, reply.engine, request.customer)
@@ -97,6 +107,17 @@
                 )
             await asyncio.sleep(PAUSE_MS / 1000)
 
+    def _candidates(self, shard):
+        """Return whom to ask: owners that answer, then the others."""
+        now = self._clock.now()
+        owners = list(self._fleet.rank_owners(shard)[:MAX_OWNERS])
+        if self._alone and self._node not in owners:
+            owners.append(self._node)
+        silent = {
+            name for name, until in self._silent_until_by_owner.items() if now < until
+        }
+        return sorted(owners, key=lambda name: name in silent)
+
     async def _ask_owner(self, owner, shard, request, end_ms):
         left = end_ms - self._clock.now()
         if left <= 0:
@@ -109,6 +130,7 @@
             self._send(owner, to_message(shard, model, request, left))
             return await self._wait(owner, future, request_id, left)
         except LinkDown:
+            self._silent_until_by_owner[owner] = self._clock.now() + SILENT_MS
             return None
         except asyncio.CancelledError:
             self._send_quietly(owner, ReleaseLease(request_id, "cancelled"))
@@ -129,6 +151,8 @@
         if future.done():
             return future.result()
         self._send_quietly(owner, ReleaseLease(request_id, "cancelled"))
+        self._silent_until_by_owner[owner] = self._clock.now() + SILENT_MS
+        log.info("%s did not answer in %d ms", owner, ANSWER_MS)
         return None
 
     def _names(self):
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -98,7 +98,8 @@
 
     def _ask(self, peer, message):
         owners = self._fleet.rank_owners(message.shard)[:MAX_OWNERS]
-        if message.shard not in self._fleet.shard_by_name or self._node not in owners:
+        mine = self._node in owners or peer == self._node
+        if message.shard not in self._fleet.shard_by_name or not mine:
             self._answer(peer, RefuseLease(message.request_id, NOT_OWNER, 0))
             return
         request = self._read(peer, message)
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -135,7 +135,7 @@
         fleet, links, clock = self.fleet, self.links, self.clock
         self.lease_server = LeaseServer(self.name, fleet, links, clock, self.timeline)
         self.lease_client = LeaseClient(
-            self.name, fleet, links, self.lease_server, clock
+            self.name, fleet, links, self.lease_server, clock, self.interface.alone
         )
         self.lease_server.client = self.lease_client
         self.entry_limits = EntryLimits(clock)
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -38,6 +38,8 @@
 # limit is shorter, and clients close first.
 IDLE_S = 75
 BUFFER_BYTES = 131_072
+# Statuses that say what is wrong with a request; a client does not repeat it.
+REFUSED_STATUSES = (400, 401, 404)
 # A stream is ended this long after its route's time-out, so that one whose last event
 # is on its way is still whole.
 END_SLACK_MS = 100
@@ -291,7 +293,7 @@
 def _final_status(error):
     """Return the status of a failure; 503 states that the request did not run."""
     if error.verdict is Verdict.NOT_RUN:
-        return error.status if error.status in (401, 404) else 503
+        return error.status if error.status in REFUSED_STATUSES else 503
     return error.status if error.status in (502, 504) else 502
 
 
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -35,6 +35,9 @@
         The node.
     """
 
+    # An answer in time counts for more here than the bound while owners are away.
+    alone = True
+
     def __init__(self, node):
         super().__init__(node)
         me = node.control.node
@@ -94,7 +97,7 @@
         metrics = self.node.settings.metrics
         listen(self.node.operator_server, metrics.host, metrics.port)
         self._take_nodes()
-        return [self._watch_settings()]
+        return [self._watch_settings()] if self.node.settings.file else []
 
     async def _watch_settings(self):
         file = self.node.settings.file
--- /dev/null
+++ b/tests/platform/fakes.py
@@ -0,0 +1,294 @@
+"""Stand-ins of the users' platform on loopback: its store, and servers of a service."""
+
+import asyncio
+import base64
+import itertools
+import json
+import os
+
+from attrs import evolve, frozen
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from peridotcove.platform.settings import (
+    KILL_MARGIN_MS,
+    MachineSettings,
+    OpenSecret,
+    Store,
+)
+from peridotcove.settings import Address, Limits
+
+HOST = "127.0.0.1"
+PAGE_ITEMS = 3
+POLL_S = 0.01
+KEY = "key-of-a-customer"
+HOST_NAME = "desk.example"
+
+_numbers = itertools.count(1)
+
+
+def loopback():
+    """Return an address of the loopback range that no other test uses."""
+    number = os.getpid()
+    return f"127.{64 + number % 64}.{number // 64 % 250}.{next(_numbers) % 250 + 1}"
+
+
+class _Handler(RequestHandler):
+    def initialize(self, store):
+        self.store = store
+
+    async def prepare(self):
+        self.store.calls += 1
+        if self.store.silent:
+            await asyncio.sleep(3600)
+        if self.store.status:
+            self.set_status(self.store.status)
+            await self.finish()
+
+
+class _Range(_Handler):
+    def get(self):
+        after = self.get_argument("after", "")
+        items = self.store.item_by_key
+        prefix = self.get_argument("prefix")
+        keys = sorted(key for key in items if key.startswith(prefix) and key > after)
+        page = [items[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        self.write(
+            {"items": page, "more_pages": more, "store_revision": self.store.revision}
+        )
+        self.store.between_pages()
+
+
+class _Watch(_Handler):
+    async def get(self):
+        after, wait_ms = (int(self.get_argument(n)) for n in ("after", "wait_ms"))
+        if after < self.store.forgotten:
+            self.set_status(410)
+            return
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_ms / 1000
+        while True:
+            events = [event for event in self.store.history if event["rev"] > after]
+            if events or loop.time() >= end:
+                break
+            await asyncio.sleep(POLL_S)
+        self.write({"events": events, "store_revision": self.store.revision})
+
+
+class StoreStandin:
+    """The store; tests put and drop keys and make it fail.
+
+    Attributes
+    ----------
+    status : int
+        Status of every answer; 0 to answer as it should.
+    silent : bool
+        Whether nothing is answered.
+    forgotten : int
+        Revision before which the history is gone.
+    calls : int
+        Calls taken.
+    between_pages : callable
+        Called after each page.
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.item_by_key = {}
+        self.history = []
+        self.status = self.forgotten = self.calls = 0
+        self.silent = False
+        self.between_pages = lambda: None
+        self._server = None
+
+    def start(self):
+        """Listen; `address` is known after that."""
+        work = {"store": self}
+        routes = [(r"/kv-range", _Range, work), (r"/kv-watch", _Watch, work)]
+        self._server = HTTPServer(Application(routes, log_function=lambda _: None))
+        sockets = bind_sockets(0, HOST)
+        self._server.add_sockets(sockets)
+        self.address = f"{HOST}:{sockets[0].getsockname()[1]}"
+
+    async def close(self):
+        """Close the server and its connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    def put(self, key, value):
+        """Write a value, any JSON value or bytes."""
+        self.revision += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        old = self.item_by_key.get(key)
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "rev": self.revision,
+            "create_revision": old["create_revision"] if old else self.revision,
+            "lease": 0,
+        }
+        self.item_by_key[key] = item
+        self.history.append(item)
+
+    def drop(self, key):
+        """Remove a key."""
+        self.revision += 1
+        del self.item_by_key[key]
+        self.history.append({"key": key, "rev": self.revision, "tombstone": True})
+
+
+@frozen
+class Seen:
+    """A request that reached a server."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+
+class ServerStandin:
+    """A server of a service over raw sockets, so that its answers may be malformed.
+
+    Attributes
+    ----------
+    seen : list of Seen
+        Requests that it read whole.
+    gone : int
+        Connections that callers closed before the answer had ended.
+    answer : callable
+        Takes the `Seen` and the writer, and answers.
+    """
+
+    def __init__(self, name, answer=None):
+        self.name = name
+        self.seen = []
+        self.gone = 0
+        self.answer = answer or answer_plainly
+        self._server = None
+
+    async def start(self):
+        """Listen; `address` is known after that."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self):
+        """Stop listening."""
+        self._server.close()
+
+    def entry(self, service, **changes):
+        """Return what the server writes of itself."""
+        return {
+            "service": service,
+            "addr": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+        } | changes
+
+    async def _serve(self, reader, writer):
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            line, *fields = head.strip().split("\r\n")
+            headers = dict(field.split(": ", 1) for field in fields if ": " in field)
+            body = await reader.readexactly(int(headers.get("Content-Length", 0)))
+            method, target, _ = line.split(" ")
+            seen = Seen(method, target, headers, body)
+            self.seen.append(seen)
+            answering = asyncio.ensure_future(self.answer(seen, writer))
+            ending = asyncio.ensure_future(reader.read(1))
+            done, _ = await asyncio.wait(
+                [answering, ending], return_when=asyncio.FIRST_COMPLETED
+            )
+            if answering not in done:
+                self.gone += 1
+                answering.cancel()
+            ending.cancel()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.gone += 1
+        finally:
+            writer.close()
+
+
+async def answer_plainly(seen, writer):
+    """Answer with the request's own body, signed."""
+    writer.write(head(seen, 200, len(seen.body)) + seen.body)
+    await writer.drain()
+
+
+def head(seen, status, length=None, **fields):
+    """Return the head of a signed answer."""
+    lines = [
+        f"HTTP/1.1 {status} x",
+        f"X-Request-Id: {seen.headers['X-Request-Id']}",
+        "X-Server-Stamp: stamp",
+    ]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in fields.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def event(number):
+    """Return an event of a stream."""
+    return b"id: %d\ndata: token-%d\n\n" % (number, number)
+
+
+def chunk(data):
+    """Return data as a chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def make_route(name, kind, service="llm", **changes):
+    """Return a route of the operator's document."""
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 3000,
+        "goal_ms": 500,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        "public": False,
+        "sticky": kind == "stream",
+        "resumable": False,
+        "gap_aim_ms": 250,
+    } | changes
+
+
+def make_document(*routes, **changes):
+    """Return the operator's document."""
+    return {
+        "version": 7,
+        "routes": list(routes),
+        "services": [{"name": "llm", "health_path": "/health"}],
+        "tenants": [{"name": "bakery", "api_keys": [KEY], "priority": 1}],
+        "limits": {},
+    } | changes
+
+
+def make_settings(store, host, seeds=(), **changes):
+    """Return the settings of a node."""
+    settings = MachineSettings(
+        node=f"{host}:7100",
+        zone="z1",
+        region="r",
+        callers=Address(host, 7101),
+        nodes=Address(host, 7100),
+        operators=Address(host, 7102),
+        secret=OpenSecret(),
+        platform=Store(store.address, {"z1": "r", "z2": "r"}, 2.0, 0.2, 50),
+        limits=Limits(drain_ms=8_000 - KILL_MARGIN_MS),
+        label="front-1",
+        file="",
+        seeds=tuple(seeds),
+        metrics=Address(host, 7103),
+    )
+    return evolve(settings, **changes)
--- /dev/null
+++ b/tests/platform/test_machine_node.py
@@ -0,0 +1,461 @@
+"""Whole nodes on the users' interface, with stand-ins of store, servers and clients."""
+
+import asyncio
+import unittest
+
+from attrs import frozen
+
+from peridotcove.clock import Clock
+from peridotcove.node import Node
+from peridotcove.running import close, drain, open_ports, start
+from tests.platform import fakes
+from tests.platform.fakes import KEY, ServerStandin, StoreStandin, chunk, event, head
+
+WAIT_S = 5
+NOT_PASSED = {"api-key", "x-hold", "kv-from", "x-pin-ms", "x-kv-backup"}
+
+
+@frozen
+class Got:
+    """What a client got.
+
+    Attributes
+    ----------
+    status : int
+        Status; 0 if the connection ended before a head.
+    headers : dict
+        Header fields by name in lower case.
+    body : bytes
+        Body as far as it came.
+    whole : bool
+        Whether the answer ended as its head says.
+    """
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+
+
+class Client:
+    """A client on one connection."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def connect(cls, node):
+        """Open a connection to a node."""
+        address = node.settings.callers
+        return cls(*await asyncio.open_connection(address.host, address.port))
+
+    def send(self, name, target, method="POST", body=b"", **fields):
+        """Send a request."""
+        given = {
+            "Host": fakes.HOST_NAME,
+            "X-Request-Id": name,
+            "X-Deadline-Ms": "2000",
+            "Api-Key": KEY,
+            "Content-Length": str(len(body)),
+        }
+        given |= {key.replace("_", "-"): value for key, value in fields.items()}
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [
+            f"{key}: {value}" for key, value in given.items() if value is not None
+        ]
+        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    async def read(self):
+        """Return the next answer."""
+        async with asyncio.timeout(WAIT_S):
+            try:
+                text = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return Got(0, {}, b"", False)
+            line, *fields = text.strip().split("\r\n")
+            headers = {}
+            for field in fields:
+                name, _, value = field.partition(": ")
+                headers[name.lower()] = value
+            status = int(line.split(" ")[1])
+            return Got(status, headers, *await self._read_body(headers))
+
+    async def _read_body(self, headers):
+        body = b""
+        try:
+            if "content-length" in headers:
+                body = await self.reader.readexactly(int(headers["content-length"]))
+                return body, True
+            while True:
+                size = int(await self.reader.readuntil(b"\r\n"), 16)
+                body += (await self.reader.readexactly(size + 2))[:-2]
+                if not size:
+                    return body, True
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            return body, False
+
+    async def ask(self, *args, **kwargs):
+        """Send a request and return the answer."""
+        self.send(*args, **kwargs)
+        return await self.read()
+
+    def close(self):
+        """Close the connection."""
+        self.writer.close()
+
+
+async def reset(seen, writer):
+    """Take a request and close without an answer."""
+    writer.transport.abort()
+
+
+async def refuse(seen, writer):
+    """State that the request was not run."""
+    writer.write(head(seen, 503, 0, X_Not_Run="1"))
+
+
+async def fail(seen, writer):
+    """Answer with the server's own failure."""
+    writer.write(head(seen, 500, 4) + b"oops")
+
+
+async def truncate(seen, writer):
+    """Send a part of the body that the head announces."""
+    writer.write(head(seen, 200, 100) + b"part")
+
+
+async def truncate_chunk(seen, writer):
+    """Break off inside a chunk."""
+    writer.write(head(seen, 200, Transfer_Encoding="chunked") + b"64\r\npart")
+
+
+async def speak_otherwise(seen, writer):
+    """Send bytes that are no answer."""
+    writer.write(b"\x00\x01 nothing of HTTP\r\n\r\n")
+
+
+async def answer_other(seen, writer):
+    """Send the answer to another request."""
+    text = head(seen, 200, 2).replace(seen.headers["X-Request-Id"].encode(), b"other")
+    writer.write(text + b"no")
+
+
+async def answer_unsigned(seen, writer):
+    """Send a success without a signature."""
+    text = head(seen, 200, 2).replace(b"X-Server-Stamp", b"X-Other")
+    writer.write(text + b"no")
+
+
+async def answer_twice(seen, writer):
+    """Send a second answer after the first."""
+    answer = head(seen, 200, len(seen.body)) + seen.body
+    writer.write(answer + answer)
+    await writer.drain()
+    await asyncio.sleep(0.2)
+
+
+async def stay_silent(seen, writer):
+    """Never answer."""
+    await asyncio.sleep(60)
+
+
+def stream(count, first=1, cut=False, pause_s=0.0, torn=b""):
+    """Return an answer of events with ascending ids, after the one asked for."""
+
+    async def answer(seen, writer):
+        begin = int(seen.headers.get("Last-Event-Id", first - 1)) + 1
+        fields = {"Transfer_Encoding": "chunked", "Content_Type": "text/event-stream"}
+        writer.write(head(seen, 200, **fields))
+        for number in range(begin, count + 1):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        if torn:
+            writer.write(chunk(torn))
+        if not cut:
+            writer.write(chunk(b""))
+        await writer.drain()
+
+    return answer
+
+
+class MachineTest(unittest.IsolatedAsyncioTestCase):
+    """Rules that callers and servers see."""
+
+    async def asyncSetUp(self):
+        self.store = StoreStandin()
+        self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.servers = [ServerStandin("i-1"), ServerStandin("i-2")]
+        for server in self.servers:
+            await server.start()
+            self.addAsyncCleanup(server.close)
+            self.store.put(f"servers/{server.name}", server.entry("llm"))
+        self.publish()
+        self.node = await self.start()
+        await self.wait_for(lambda: self.node.fleet.configuration.revision)
+
+    def publish(self, **changes):
+        routes = [
+            fakes.make_route("booking", "non_idempotent"),
+            fakes.make_route("lookup", "idempotent"),
+            fakes.make_route("open", "idempotent", public=True),
+            fakes.make_route("chat", "stream", attempts=1),
+            fakes.make_route("resumed", "stream", resumable=True),
+        ]
+        self.store.put("op/config", fakes.make_document(*routes, **changes))
+
+    async def start(self, seeds=()):
+        settings = fakes.make_settings(self.store, fakes.loopback(), seeds)
+        node = Node(settings, Clock())
+        await open_ports(node)
+        tasks = await start(node)
+        self.addAsyncCleanup(self.stop, node, tasks)
+        return node
+
+    async def stop(self, node, tasks):
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await close(node)
+
+    async def wait_for(self, condition):
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def connect(self, node=None):
+        client = await Client.connect(node or self.node)
+        self.addCleanup(client.close)
+        return client
+
+    async def ask(self, *args, **kwargs):
+        client = await self.connect()
+        return await client.ask(*args, **kwargs)
+
+    def arrivals(self):
+        return sum(len(server.seen) for server in self.servers)
+
+    def set_answers(self, *answers):
+        """Let the first arrivals, at whichever server, meet these answers in order."""
+        left = list(answers)
+
+        async def answer(seen, writer):
+            chosen = left.pop(0) if left else fakes.answer_plainly
+            await chosen(seen, writer)
+
+        for server in self.servers:
+            server.answer = answer
+
+    async def test_requests_pass_unchanged(self):
+        body = bytes(range(256))
+        got = await self.ask(
+            "r1",
+            "/booking/a/../b?x=%20&y",
+            body=body,
+            X_Tenant="forged",
+            X_Expect_Instance="forged",
+            X_Hold="h",
+            Kv_From="x",
+            X_Pin_Ms="9",
+            X_Kv_Backup="x",
+            X_Custom="kept",
+            Connection="keep-alive, X-Dropped",
+            X_Dropped="no",
+        )
+        self.assertEqual((got.status, got.body, got.whole), (200, body, True))
+        self.assertEqual(got.headers["x-server-stamp"], "stamp")
+        (seen,) = [one for server in self.servers for one in server.seen]
+        self.assertEqual(seen.target, "/booking/a/../b?x=%20&y")
+        self.assertEqual((seen.method, seen.body), ("POST", body))
+        fields = {name.lower(): value for name, value in seen.headers.items()}
+        self.assertEqual(fields["x-tenant"], "bakery")
+        self.assertIn(fields["x-expect-instance"], ("i-1", "i-2"))
+        self.assertEqual(fields["x-custom"], "kept")
+        self.assertEqual(fields["host"], fakes.HOST_NAME)
+        self.assertLessEqual(int(fields["x-deadline-ms"]), 2000)
+        self.assertFalse(NOT_PASSED & fields.keys())
+        self.assertNotIn("x-dropped", fields)
+
+    async def test_not_allowed(self):
+        cases = [
+            # target, changed fields, status
+            ("/nothing/", {}, 404),
+            ("/booking/", {"Host": "other.example"}, 404),
+            ("/booking/", {"Api_Key": "wrong"}, 401),
+            ("/booking/", {"Api_Key": None}, 401),
+            ("/open/", {"Api_Key": None}, 200),
+            ("/booking/", {"X_Deadline_Ms": "soon"}, 400),
+        ]
+        for target, fields, status in cases:
+            with self.subTest(target=target, fields=fields):
+                got = await self.ask("r1", target, **fields)
+                self.assertEqual(got.status, status)
+        self.assertEqual(self.arrivals(), 1)
+
+    async def test_a_node_that_cannot_know_says_503(self):
+        self.store.status = 503
+        fresh = await self.start()
+        client = await self.connect(fresh)
+        got = await client.ask("r1", "/booking/")
+        self.assertEqual(got.status, 503)
+        self.assertGreater(float(got.headers["retry-after"]), 0)
+        self.store.status = 0
+
+    async def test_what_is_sent_again(self):
+        cases = [
+            # target, answers, status, whole, arrivals
+            ("/booking/", [reset], 502, True, 1),
+            ("/booking/", [refuse], 200, True, 2),
+            ("/booking/", [refuse, refuse], 503, True, 2),
+            ("/booking/", [refuse, reset], 502, True, 2),
+            ("/booking/", [fail], 500, True, 1),
+            ("/booking/", [truncate], 502, True, 1),
+            ("/booking/", [truncate_chunk], 502, True, 1),
+            ("/booking/", [speak_otherwise], 502, True, 1),
+            ("/booking/", [answer_other], 502, True, 1),
+            ("/booking/", [answer_unsigned], 502, True, 1),
+            ("/lookup/", [reset], 200, True, 2),
+            ("/lookup/", [fail], 200, True, 2),
+            ("/lookup/", [fail, fail], 500, True, 2),
+            ("/lookup/", [reset, refuse], 502, True, 2),
+            ("/lookup/", [truncate], 200, True, 2),
+            ("/chat/", [stream(3)], 200, True, 1),
+            ("/chat/", [stream(3, cut=True)], 200, False, 1),
+            ("/chat/", [reset], 502, True, 1),
+            ("/resumed/", [stream(2, cut=True), stream(5)], 200, True, 2),
+            ("/resumed/", [stream(2, cut=True, torn=b"id: 3\nda"), stream(5)], 200)
+            + (True, 2),
+            ("/resumed/", [stream(2, cut=True), fail], 200, False, 2),
+        ]
+        for target, answers, status, whole, arrivals in cases:
+            with self.subTest(target=target, answers=answers):
+                self.set_answers(*answers)
+                before = self.arrivals()
+                got = await self.ask("r1", target, body=b"b")
+                self.assertEqual((got.status, got.whole), (status, whole))
+                self.assertEqual(self.arrivals() - before, arrivals)
+                if status in (502, 503):
+                    self.assertNotIn("x-server-stamp", got.headers)
+                if target == "/resumed/" and whole:
+                    expected = b"".join(map(event, range(1, 6)))
+                    self.assertEqual(got.body, expected)
+
+    async def test_a_second_answer_reaches_nobody(self):
+        self.set_answers(answer_twice, answer_twice)
+        client = await self.connect()
+        for name in ("r1", "r2"):
+            got = await client.ask(name, "/lookup/", body=name.encode())
+            self.assertEqual((got.status, got.body), (200, name.encode()))
+            self.assertEqual(got.headers["x-request-id"], name)
+
+    async def test_events_pass_as_they_come(self):
+        self.set_answers(stream(3, pause_s=0.3))
+        client = await self.connect()
+        client.send("r1", "/chat/")
+        await client.reader.readuntil(b"\r\n\r\n")
+        loop = asyncio.get_running_loop()
+        times = []
+        for number in (1, 2, 3):
+            async with asyncio.timeout(WAIT_S):
+                await client.reader.readuntil(b"token-%d\n\n" % number)
+            times.append(loop.time())
+        self.assertGreater(times[2] - times[0], 0.4)
+
+    async def test_work_ends_when_the_client_is_gone(self):
+        for target in ("/lookup/", "/chat/"):
+            with self.subTest(target=target):
+                self.set_answers(stay_silent)
+                before = self.arrivals()
+                client = await self.connect()
+                client.send("r1", target)
+                await self.wait_for(lambda b=before: self.arrivals() > b)
+                gone = sum(server.gone for server in self.servers)
+                client.close()
+                await self.wait_for(
+                    lambda g=gone: sum(one.gone for one in self.servers) > g
+                )
+        await self.wait_for(lambda: not self.node.lease_client.held_by_id)
+
+    async def test_a_route_ends_in_time(self):
+        self.set_answers(stay_silent)
+        got = await self.ask("r1", "/booking/", X_Deadline_Ms="300")
+        self.assertEqual(got.status, 504)
+
+    async def test_a_leaving_server_gets_nothing_more(self):
+        leaving, other = self.servers
+        for change in ("draining", "gone"):
+            with self.subTest(change=change):
+                before = len(leaving.seen)
+                if change == "gone":
+                    self.store.drop("servers/i-1")
+                else:
+                    entry = leaving.entry("llm", state="draining")
+                    self.store.put("servers/i-1", entry)
+                self.wait_in_force = self.store.revision
+                await self.wait_for(
+                    lambda: self.node.fleet.configuration.revision >= self.wait_in_force
+                )
+                for number in range(6):
+                    got = await self.ask(f"r{number}", "/lookup/")
+                    self.assertEqual(got.status, 200)
+                self.assertEqual(len(leaving.seen), before)
+
+    async def test_no_server_is_refused_at_once(self):
+        for server in self.servers:
+            self.store.drop(f"servers/{server.name}")
+        await self.wait_for(lambda: not self.node.fleet.configuration.engine_by_name)
+        got = await self.ask("r1", "/booking/")
+        self.assertEqual(got.status, 503)
+        self.assertGreater(float(got.headers["retry-after"]), 0)
+
+    async def test_a_revoked_key_is_refused(self):
+        self.publish(tenants=[])
+        self.publish(tenants=[{"name": "other", "api_keys": ["another-key"]}])
+        revision = self.store.revision
+        await self.wait_for(lambda: self.node.fleet.configuration.revision >= revision)
+        self.assertEqual((await self.ask("r1", "/booking/")).status, 401)
+
+    async def test_requests_end_while_the_node_leaves(self):
+        busy, idle = await self.connect(), await self.connect()
+        self.assertEqual((await idle.ask("r0", "/open/")).status, 200)
+        busy.send("r1", "/chat/")
+        self.set_answers(stream(4, pause_s=0.4))
+        await self.wait_for(lambda: self.arrivals() == 2)
+        leaving = asyncio.ensure_future(drain(self.node))
+        await asyncio.sleep(0.1)
+        kept = await idle.ask("r2", "/open/")
+        self.assertEqual((kept.status, kept.headers["connection"]), (200, "close"))
+        got = await busy.read()
+        self.assertTrue(got.whole)
+        async with asyncio.timeout(WAIT_S):
+            await leaving
+        self.assertEqual(self.node.drain.cut, 0)
+
+    async def test_idle_connections_are_closed_before_the_node_ends(self):
+        idle = await self.connect()
+        self.assertEqual((await idle.ask("r0", "/open/")).status, 200)
+        leaving = asyncio.ensure_future(drain(self.node))
+        async with asyncio.timeout(WAIT_S):
+            self.assertEqual(await idle.reader.read(), b"")
+        await leaving
+
+    async def test_nodes_find_each_other_and_share_a_configuration(self):
+        first = self.node.name
+        second = await self.start([first, "127.0.0.1:9"])
+        third = await self.start([second.name])
+        nodes = (self.node, second, third)
+        names = sorted(node.name for node in nodes)
+        for node in nodes:
+            await self.wait_for(
+                lambda n=node: [one.name for one in n.fleet.nodes] == names
+            )
+        self.publish(version=8)
+        revision = self.store.revision
+        for node in nodes:
+            await self.wait_for(
+                lambda n=node: n.fleet.configuration.revision >= revision
+            )
+            client = await self.connect(node)
+            self.assertEqual((await client.ask("r1", "/lookup/")).status, 200)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,65 @@
+"""Tests of `peridotcove.platform.settings`."""
+
+import pathlib
+import tempfile
+import unittest
+
+from peridotcove.exceptions import InvalidSettings
+from peridotcove.platform.settings import KILL_MARGIN_MS
+from peridotcove.settings import read_any_settings
+
+TEXT = """
+node = "front-a-1"
+zone = "a"
+region = "r"
+seeds = ["10.0.0.1:8000"]
+unknown_field = 7
+[zones]
+a = "r"
+[listen]
+front = "10.0.0.1:8001"
+ready = "10.0.0.1:8002"
+control = "10.0.0.1:8000"
+[bounds]
+grace_s = 8
+cap_x = 2
+budget_ratio = 0.2
+budget_extra = 58
+[provider]
+addr = "10.9.0.1:8100"
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """The file's fields become the product's settings, and each fault is named."""
+
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder) / "node.toml"
+            file.write_text(text)
+            return read_any_settings(str(file))
+
+    def test_fields(self):
+        settings = self.read(TEXT)
+        self.assertEqual(settings.node, "10.0.0.1:8000")
+        self.assertEqual(settings.label, "front-a-1")
+        self.assertEqual(settings.callers.port, 8001)
+        self.assertEqual(settings.operators.port, 8002)
+        self.assertEqual(settings.limits.drain_ms, 8_000 - KILL_MARGIN_MS)
+        self.assertEqual(settings.seeds, ("10.0.0.1:8000",))
+        self.assertEqual(settings.platform.address, "10.9.0.1:8100")
+
+    def test_every_fault_is_named(self):
+        text = TEXT.replace('"10.0.0.1:8001"', '"nowhere"').replace("= 58", '= "x"')
+        text = text.replace('zone = "a"\n', "")
+        with self.assertRaises(InvalidSettings) as caught:
+            self.read(text)
+        paths = {fault.path.split(".toml")[1] for fault in caught.exception.exceptions}
+        expected = {".listen.front", ".bounds.budget_extra", ".zone"}
+        self.assertEqual(paths, expected)
+
+    def test_no_file(self):
+        with self.assertRaises(InvalidSettings):
+            read_any_settings("/nonexistent/node.toml")
+        with self.assertRaises(InvalidSettings):
+            self.read("= not TOML")
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,81 @@
+"""Tests of `peridotcove.platform.store`: a true copy of the content, or an error."""
+
+import unittest
+
+from peridotcove.exceptions import PlatformDown
+from peridotcove.platform.store import StoreClient
+from tests.platform.fakes import StoreStandin
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """The copy follows the store over pages, changes, lost history and failures."""
+
+    async def asyncSetUp(self):
+        self.store = StoreStandin()
+        self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.client = StoreClient(self.store.address)
+        self.addCleanup(self.client.close)
+
+    def check(self):
+        expected = set(self.store.item_by_key)
+        self.assertEqual(set(self.client.item_by_key), expected)
+        self.assertEqual(self.client.revision, self.store.revision)
+
+    async def test_pages_and_changes(self):
+        for number in range(8):
+            self.store.put(f"servers/{number}", {"n": number})
+        self.assertTrue(await self.client.follow(0))
+        self.check()
+        self.assertFalse(await self.client.follow(0))
+        self.store.drop("servers/3")
+        self.store.put("servers/4", {"n": "new"})
+        self.assertTrue(await self.client.follow(1000))
+        self.check()
+        self.assertIn(b"new", self.client.item_by_key["servers/4"].value)
+
+    async def test_changes_between_pages_are_not_lost(self):
+        for number in range(8):
+            self.store.put(f"servers/{number}", {})
+
+        def change():
+            self.store.between_pages = lambda: None
+            self.store.drop("servers/0")
+            self.store.put("servers/1", {"n": "new"})
+
+        self.store.between_pages = change
+        await self.client.follow(0)
+        self.check()
+        self.assertIn(b"new", self.client.item_by_key["servers/1"].value)
+
+    async def test_lost_history_is_read_anew(self):
+        self.store.put("servers/0", {})
+        await self.client.follow(0)
+        self.store.drop("servers/0")
+        self.store.put("servers/1", {})
+        self.store.forgotten = self.store.revision
+        await self.client.follow(0)
+        self.check()
+
+    async def test_failures_keep_the_copy(self):
+        self.store.put("servers/0", {})
+        await self.client.follow(0)
+        before = self.client.item_by_key
+        for status in (429, 503, 500):
+            with self.subTest(status=status):
+                self.store.status = status
+                with self.assertRaises(PlatformDown):
+                    await self.client.follow(0)
+        self.store.status, self.store.silent = 0, True
+        with self.assertRaises(PlatformDown):
+            await self.client.follow(0)
+        self.assertIs(self.client.item_by_key, before)
+
+    async def test_unreadable_value_leaves_the_others(self):
+        self.store.put("servers/0", {})
+        self.store.item_by_key["servers/1"] = dict(
+            self.store.item_by_key["servers/0"], key="servers/1", value="%%%"
+        )
+        await self.client.follow(0)
+        self.assertEqual(self.client.item_by_key["servers/1"].value, b"")
+        self.assertEqual(self.client.item_by_key["servers/0"].value, b"{}")
--- /dev/null
+++ b/tests/platform/test_translation.py
@@ -0,0 +1,105 @@
+"""Tests of `peridotcove.platform.translation`: an entry is an engine, or none."""
+
+import hashlib
+import json
+import unittest
+
+from peridotcove.configuration import parse_configuration
+from peridotcove.exceptions import PlatformDown
+from peridotcove.models import Status
+from peridotcove.platform.settings import Store
+from peridotcove.platform.store import Item
+from peridotcove.platform.translation import translate
+from tests.platform.fakes import KEY, make_document, make_route
+
+STORE = Store("", {"z1": "r"}, 2.0, 0.2, 50)
+ENTRY = {
+    "service": "llm",
+    "addr": "127.0.0.1:8000",
+    "zone": "z1",
+    "slots": 64,
+    "state": "ready",
+}
+
+
+def make_items(document, **entries):
+    items = {"op/config": Item(1, 1, json.dumps(document).encode())}
+    for created, (name, entry) in enumerate(entries.items(), 2):
+        value = entry if isinstance(entry, bytes) else json.dumps(entry).encode()
+        items[f"servers/{name}"] = Item(created, created, value)
+    return items
+
+
+def translated(document, **entries):
+    raw = translate(make_items(document, **entries), STORE)
+    return parse_configuration({"revision": 1, **raw})
+
+
+class TranslationTest(unittest.TestCase):
+    """The operator's document and the servers' entries in the product's words."""
+
+    def test_nothing_without_a_document(self):
+        self.assertIsNone(translate({}, STORE))
+
+    def test_unreadable_document_is_an_error(self):
+        for value in (b"{", b"[]", b'{"routes": []}', b"\xff"):
+            with self.subTest(value=value), self.assertRaises(PlatformDown):
+                translate({"op/config": Item(1, 1, value)}, STORE)
+
+    def test_routes(self):
+        split = [{"service": "llm", "weight": 90}, {"service": "llm", "weight": 10}]
+        document = make_document(
+            make_route("a", "stream", resumable=True),
+            make_route("b", "idempotent", public=True),
+            make_route("c", "non_idempotent", split=split, attempts=1),
+        )
+        routes = translated(document).host_route_by_name
+        kinds = {
+            name: (one.repeatable, one.streaming, one.resumable, one.public)
+            for name, one in routes.items()
+        }
+        expected = {
+            "a": (False, True, True, False),
+            "b": (True, False, False, True),
+            "c": (False, False, False, False),
+        }
+        self.assertEqual(kinds, expected)
+        self.assertEqual([one.weight for one in routes["c"].targets], [90, 10])
+        self.assertEqual(routes["c"].attempts, 1)
+
+    def test_keys_are_kept_as_digests(self):
+        customer = translated(make_document()).customer_by_name["bakery"]
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        self.assertEqual(customer.key_digests, (digest,))
+
+    def test_states(self):
+        engines = translated(
+            make_document(),
+            one=ENTRY,
+            two=ENTRY | {"addr": "127.0.0.1:8001", "state": "draining"},
+        ).engine_by_name
+        self.assertIs(engines["one"].status, Status.IN_SERVICE)
+        self.assertIs(engines["two"].status, Status.LEAVING)
+
+    def test_wrong_entries_name_no_server(self):
+        wrong = {
+            "bytes": b"\xff{",
+            "list": b"[]",
+            "no-address": {k: v for k, v in ENTRY.items() if k != "addr"},
+            "address": ENTRY | {"addr": 7},
+            "port": ENTRY | {"addr": "127.0.0.1:99999"},
+            "state": ENTRY | {"state": "asleep"},
+            "state-type": ENTRY | {"state": ["ready"]},
+            "service": ENTRY | {"service": "unknown"},
+            "zone": ENTRY | {"zone": "unknown"},
+            "slots": ENTRY | {"slots": "64"},
+            "no-slots": ENTRY | {"slots": 0},
+        }
+        for name, entry in wrong.items():
+            with self.subTest(entry=name):
+                engines = translated(make_document(), bad=entry, good=ENTRY)
+                self.assertEqual(list(engines.engine_by_name), ["good"])
+
+    def test_an_address_belongs_to_its_newest_server(self):
+        engines = translated(make_document(), old=ENTRY, new=ENTRY).engine_by_name
+        self.assertEqual(list(engines), ["new"])
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -7,7 +7,7 @@
 from peridotcove.engine_health import FAILURES
 from peridotcove.exceptions import LinkDown, RequestRefused
 from peridotcove.fleet import Fleet
-from peridotcove.lease_client import ANSWER_MS, LeaseClient
+from peridotcove.lease_client import ANSWER_MS, SILENT_MS, LeaseClient
 from peridotcove.lease_server import LeaseServer
 from peridotcove.models import Instance, LeaseRequest
 from peridotcove.nodes.messages import (
@@ -155,6 +155,36 @@
 
         run(case())
 
+    def test_a_node_may_decide_alone_while_no_owner_answers(self):
+        async def case():
+            hub = Hub()
+            hub.client_by_node[hub.entry]._alone = True
+            hub.down = set(hub.owners[:2])
+            grant = await hub.ask(1, deadline_ms=2000)
+            self.assertIn(grant.engine, ("e1", "e2"))
+            self.assertEqual(LoopClock().now(), 0)
+            self.assertEqual(hub.load(hub.entry), 1)
+
+        run(case())
+
+    def test_a_silent_owner_is_asked_last_for_a_while(self):
+        async def case():
+            hub = Hub()
+            first = hub.owners[0]
+            hub.loses = lambda sender, peer, message: peer == first
+            waits = []
+            for number in (1, 2, 3):
+                before = LoopClock().now()
+                await hub.ask(number)
+                waits.append(LoopClock().now() - before)
+            self.assertEqual(waits, [ANSWER_MS, 0, 0])
+            await settle(SILENT_MS)
+            hub.loses = lambda sender, peer, message: False
+            await hub.ask(4)
+            self.assertEqual(hub.load(first), 1)
+
+        run(case())
+
     def test_lost_release_is_found_by_the_next_announcement(self):
         async def case():
             hub = Hub()
