--- a/peridotcove/calls.py
+++ b/peridotcove/calls.py
@@ -10,6 +10,7 @@
     RetryBudget,
     RetryPolicy,
     backoff,
+    ignore,
     may_repeat,
     never_free,
     run_tries,
@@ -209,6 +210,7 @@
                 and may_repeat(error, repeatable, False)
             ),
             never_free,
+            ignore,
             lambda error, tries: self._metrics.retries.inc(),
             backoff,
         )
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -370,7 +370,8 @@
         index.record(lookup, name, self._clock.wall())
         request_id = request.request_id
         self._add(Lease(request_id, request.entry, request.customer, name, now, cached))
-        return Grant(request_id, name, cached, source)
+        load = self._loads.by_engine[name].total
+        return Grant(request_id, name, cached, source, load, self.waiting)
 
     def _find_source(self, lookup, name, cached):
         """Return the engine from which it pays to fetch what another lacks."""
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -15,7 +15,6 @@
 from peridotcove.events import EventCutter
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
 from peridotcove.host_routes import pick_model
-from peridotcove.logs import get_logger
 from peridotcove.models import LeaseRequest
 from peridotcove.retries import RetryPolicy, may_repeat, run_tries
 from peridotcove.verdict import Verdict
@@ -39,8 +38,6 @@
 UNREACHED = frozenset(("unreachable", "leaving", "stale-view"))
 RETRY_AFTER_MS = 1_000
 
-log = get_logger("forwarding")
-
 
 @frozen
 class AnswerHead:
@@ -107,6 +104,8 @@
     ----------
     name : str
         Id that the caller gave it.
+    request_id : bytes
+        The same, for the time line and the log.
     route : HostRoute
         Its route.
     customer : Customer or None
@@ -130,6 +129,7 @@
     """
 
     name: str
+    request_id: bytes
     route: object
     customer: object
     method: str
@@ -283,6 +283,7 @@
             self.rng,
             run.may_try_again,
             run.is_free,
+            run.note_denied,
             run.note_retry,
             lambda tries, rng: rng.uniform(0, PAUSE_MS),
         )
@@ -323,15 +324,37 @@
             return route.resumable and bool(self.events.last_id)
         return may_repeat(error, route.repeatable or route.resumable, False)
 
+    def note_denied(self, error):
+        """Record that the budget allows no further try."""
+        inputs = {"code": error.code, "budget": round(self.owner.budget.balance, 2)}
+        self._record("retry-denied", inputs)
+
+    def _record(self, kind, inputs, peer="", detail=""):
+        self.owner.timeline.record(
+            kind,
+            inputs,
+            request_id=self.forward.request_id,
+            peer=peer,
+            detail=detail,
+        )
+
     def is_free(self, error):
         """Return whether no engine was reached, so that a retry adds no load."""
         return error.code in UNREACHED
 
     def note_retry(self, error, tries):
         """Record that the request is tried again."""
-        owner = self.owner
-        owner.metrics.retries.inc()
-        log.info("%s: try %d after %s", self.forward.name, tries + 1, error.code)
+        self.owner.metrics.retries.inc()
+        kind = "stream-resumed" if self.sink.started else "request-retried"
+        inputs = {
+            "code": error.code,
+            "verdict": error.verdict.value,
+            "next_try": tries + 1,
+            "avoided": list(self.avoid),
+            "last_event": self.events.last_id,
+            "budget": round(self.owner.budget.balance, 2),
+        }
+        self._record(kind, inputs, detail=str(error))
 
     async def attempt(self, number):
         """Run one try and return its `Forwarded`."""
@@ -377,6 +400,7 @@
             chat_key=forward.key,
             avoid=tuple(self.avoid),
             part_ends=forward.part_ends,
+            trace_id=forward.request_id,
         )
 
     async def _send(self, grant):
@@ -397,6 +421,17 @@
         has_body = bool(forward.body) or forward.method in ("POST", "PUT", "PATCH")
         body = forward.body if has_body else None
         transfer = self.transfer
+        inputs = {
+            "route": forward.route.name,
+            "model": self.model,
+            "left_ms": left_ms,
+            "try": self.sent + 1,
+            "cached_blocks": grant.cached_blocks,
+            "source": grant.source,
+            "configuration": owner.fleet.configuration.revision,
+            "resume_after": resume_after,
+        }
+        self._record("request-sent", inputs, peer=engine.name)
         try:
             async with asyncio.timeout(left_ms / 1000):
                 await owner.client.fetch(forward.method, url, headers, body, transfer)
--- a/peridotcove/host_desk.py
+++ b/peridotcove/host_desk.py
@@ -4,7 +4,6 @@
 import hashlib
 
 from peridotcove.exceptions import EndpointFailed, RequestRefused
-from peridotcove.logs import get_logger
 from peridotcove.verdict import Verdict
 
 # A node that has heard neither the service nor a reader for this long may lack keys
@@ -12,8 +11,6 @@
 STALE_MS = 4_000
 RETRY_AFTER_MS = 500
 
-log = get_logger("callers")
-
 
 class HostDesk:
     """What the server towards callers works with.
@@ -34,9 +31,21 @@
         Source of time.
     metrics : Metrics
         The node's metrics.
+    timeline : Timeline
+        The node's events.
     """
 
-    def __init__(self, fleet, revisions, forwarder, activity, drain, clock, metrics):
+    def __init__(
+        self,
+        fleet,
+        revisions,
+        forwarder,
+        activity,
+        drain,
+        clock,
+        metrics,
+        timeline,
+    ):
         self.fleet = fleet
         self.clock = clock
         self._revisions = revisions
@@ -44,6 +53,7 @@
         self._activity = activity
         self._drain = drain
         self._metrics = metrics
+        self._timeline = timeline
 
     @property
     def leaving(self):
@@ -97,9 +107,7 @@
         return route, customer
 
     def _unknown(self, code, text, status):
-        age_ms = self._revisions.age_ms()
-        if age_ms > STALE_MS:
-            log.warning("%s, with a configuration confirmed %d ms ago", code, age_ms)
+        if self._revisions.age_ms() > STALE_MS:
             text = "this node's configuration may be out of date"
             return RequestRefused("stale-configuration", text, 503, RETRY_AFTER_MS)
         return RequestRefused(code, text, status)
@@ -123,15 +131,60 @@
             verdict = Verdict.MAY_HAVE_RUN
             raise EndpointFailed("timeout", text, verdict, 504) from None
 
-    def count(self, outcome, verdict):
-        """Count a request's outcome and verdict.
+    def note_end(self, request_id, arrived_ms, status):
+        """Record a request whose whole answer has been passed on.
+
+        Parameters
+        ----------
+        request_id : bytes
+            Id of the request.
+        arrived_ms : int
+            Monotonic time in ms of its arrival.
+        status : int
+            HTTP status of the answer.
+        """
+        self._count("ok", Verdict.RAN)
+        inputs = {"status": status, "took_ms": self.clock.now() - arrived_ms}
+        self._timeline.record("request-ended", inputs, request_id=request_id)
+
+    def note_failure(self, request_id, arrived_ms, error):
+        """Record a request that ends without an engine's whole answer.
 
         Parameters
         ----------
-        outcome : str
-            ``"ok"`` or the code of an error.
-        verdict : Verdict
-            Whether it may have run.
+        request_id : bytes
+            Id of the request.
+        arrived_ms : int
+            Monotonic time in ms of its arrival.
+        error : RequestError
+            Why, and whether it may have run.
         """
+        self._count(error.code, error.verdict)
+        refused = error.verdict is Verdict.NOT_RUN
+        inputs = {
+            "code": error.code,
+            "verdict": error.verdict.value,
+            "took_ms": self.clock.now() - arrived_ms,
+            "configuration": self.fleet.configuration.revision,
+            "configuration_age_ms": self._revisions.age_ms(),
+        }
+        kind = "request-refused" if refused else "request-failed"
+        self._timeline.record(kind, inputs, request_id=request_id, detail=str(error))
+
+    def note_gone(self, request_id, arrived_ms):
+        """Record a request whose caller has closed its connection.
+
+        Parameters
+        ----------
+        request_id : bytes
+            Id of the request.
+        arrived_ms : int
+            Monotonic time in ms of its arrival.
+        """
+        self._count("caller-gone", Verdict.MAY_HAVE_RUN)
+        inputs = {"code": "caller-gone", "took_ms": self.clock.now() - arrived_ms}
+        self._timeline.record("request-failed", inputs, request_id=request_id)
+
+    def _count(self, outcome, verdict):
         self._metrics.requests.labels("any", outcome).inc()
         self._metrics.verdicts.labels(verdict.value).inc()
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -59,17 +59,20 @@
         This node's own side as an owner.
     clock : Clock
         Source of time.
+    timeline : Timeline
+        The node's events.
     alone : bool
         Whether this node decides by what it knows itself while no owner answers; the
         bound on load is then kept only over its own requests.
     """
 
-    def __init__(self, node, fleet, network, server, clock, alone=False):
+    def __init__(self, node, fleet, network, server, clock, timeline, alone=False):
         self._node = node
         self._fleet = fleet
         self._network = network
         self._server = server
         self._clock = clock
+        self._timeline = timeline
         self._future_by_id = {}
         self._silent_until_by_owner = {}
         self._alone = alone
@@ -152,7 +155,8 @@
             return future.result()
         self._send_quietly(owner, ReleaseLease(request_id, "cancelled"))
         self._silent_until_by_owner[owner] = self._clock.now() + SILENT_MS
-        log.info("%s did not answer in %d ms", owner, ANSWER_MS)
+        inputs = {"waited_ms": ANSWER_MS, "queued": queued}
+        self._timeline.record("owner-silent", inputs, request_id=request_id, peer=owner)
         return None
 
     def _names(self):
@@ -256,6 +260,7 @@
         request.priority,
         list(request.avoid),
         list(request.part_ends),
+        request.trace_id,
     )
 
 
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -32,11 +32,14 @@
     ----------
     entry, shard, engine : str
         Names; the engine is empty while the request waits.
+    trace_id : bytes
+        Id of the request in the log.
     """
 
     entry: str
     shard: str
     engine: str = ""
+    trace_id: bytes = b""
 
 
 class LeaseServer:
@@ -103,11 +106,15 @@
             self._answer(peer, RefuseLease(message.request_id, NOT_OWNER, 0))
             return
         request = self._read(peer, message)
-        self._owed_by_id[message.request_id] = Owed(peer, message.shard)
+        trace_id = message.trace_id or message.request_id
+        owed = Owed(peer, message.shard, trace_id=trace_id)
+        self._owed_by_id[message.request_id] = owed
         decisions = self._dispatcher(message.shard).ask(request)
         self._tell(decisions)
         if not any(item.request_id == message.request_id for item in decisions):
-            self._record("lease-queued", message.request_id, peer)
+            dispatcher = self.dispatcher_by_shard[message.shard]
+            inputs = {"waiting": dispatcher.waiting, "load": dispatcher.load}
+            self._record("lease-queued", trace_id, peer, inputs=inputs)
             self._answer(peer, QueueLease(message.request_id))
             self.queued.set()
 
@@ -133,7 +140,7 @@
     def _release(self, message):
         owed = self._owed_by_id.pop(message.request_id, None)
         if owed is not None:
-            self._record("release-received", message.request_id, owed.entry)
+            self._record("release-received", owed.trace_id, owed.entry)
         shard = owed.shard if owed else None
         if owed and owed.engine and message.outcome != "cancelled":
             self._health.note(owed.engine, message.outcome == "failed")
@@ -205,7 +212,8 @@
         if aside == self._aside_by_shard.get(name, frozenset()):
             return
         self._aside_by_shard[name] = aside
-        log.warning("engines of %s set aside: %s", name, sorted(aside) or "none")
+        inputs = {"shard": name, "engines": sorted(aside)}
+        self._timeline.record("engines-aside", inputs)
         engine_by_name = self._fleet.configuration.engine_by_name
         engines = [
             evolve(engine_by_name[engine], status=Status.LEAVING)
@@ -263,11 +271,14 @@
                 given = isinstance(decision, Grant)
                 kind = "lease-granted" if given else "lease-refused"
                 detail = decision.engine if given else decision.code
-                self._record(kind, decision.request_id, owed.entry, detail)
+                inputs = _inputs(decision)
+                self._record(kind, owed.trace_id, owed.entry, detail, inputs)
                 self._answer(owed.entry, message)
 
-    def _record(self, kind, request_id, peer, detail=""):
-        self._timeline.record(kind, request_id=request_id, peer=peer, detail=detail)
+    def _record(self, kind, request_id, peer, detail="", inputs=None):
+        self._timeline.record(
+            kind, inputs, request_id=request_id, peer=peer, detail=detail
+        )
 
     def _answer(self, entry, message):
         if entry == self._node:
@@ -279,6 +290,17 @@
             log.info("an answer to %s was not sent: %s", entry, error)
 
 
+def _inputs(decision):
+    if not isinstance(decision, Grant):
+        return {"retry_after_ms": decision.retry_after_ms}
+    return {
+        "cached_blocks": decision.cached_blocks,
+        "source": decision.source,
+        "load": decision.load,
+        "waiting": decision.waiting,
+    }
+
+
 def _priority(message, customer):
     if message.priority >= 0:
         return message.priority
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -432,6 +432,8 @@
         Engines that failed this request before; they get it only if no other can.
     part_ends : tuple of int
         Tokens of each prefix, where the prompt is given in parts; else empty.
+    trace_id : bytes
+        Id that the caller gave the request, for the log; empty if it is the same.
     """
 
     request_id: bytes
@@ -447,6 +449,7 @@
     blocks: int = 0
     avoid: tuple = ()
     part_ends: tuple = ()
+    trace_id: bytes = b""
 
 
 @frozen
@@ -463,12 +466,16 @@
         Prefix blocks that the owner expects in the engine's cache.
     source : str
         Engine from which the missing prefix is to be fetched, or empty.
+    load, waiting : int
+        Requests on the engine and in the owner's queue when it was granted.
     """
 
     request_id: bytes
     engine: str
     cached_blocks: int = 0
     source: str = ""
+    load: int = 0
+    waiting: int = 0
 
 
 @frozen
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -1,5 +1,6 @@
 """The composition root: wires the parts of one node."""
 
+import logging
 import random
 
 from peridotcove.activity import Activity
@@ -126,7 +127,12 @@
         me = Instance(self.name, "node", host, port, settings.zone)
         self.control = Control(me, settings.region, self.clock, self.rng)
         self.incarnation = self.control.membership.incarnation
-        self.timeline = Timeline(self.clock, self.name, incarnation=self.incarnation)
+        self.timeline = Timeline(
+            self.clock,
+            self.name,
+            incarnation=self.incarnation,
+            logger=logging.getLogger("peridotcove.events"),
+        )
         self.revision_events = RevisionEvents(self.timeline)
         self.interface = make_interface(settings.INTERFACE, self)
         self.publication = self.interface.make_publication(settings)
@@ -135,7 +141,13 @@
         fleet, links, clock = self.fleet, self.links, self.clock
         self.lease_server = LeaseServer(self.name, fleet, links, clock, self.timeline)
         self.lease_client = LeaseClient(
-            self.name, fleet, links, self.lease_server, clock, self.interface.alone
+            self.name,
+            fleet,
+            links,
+            self.lease_server,
+            clock,
+            self.timeline,
+            self.interface.alone,
         )
         self.lease_server.client = self.lease_client
         self.entry_limits = EntryLimits(clock)
@@ -258,6 +270,7 @@
         if current.revision == self.links.revision:
             return
         self.links.revision = current.revision
+        self._note_endpoints(current)
         self.fleet.set_configuration(current)
         self.states.set_configuration(current)
         self.tickets.ticket_ms = current.bounds.ticket_ms
@@ -266,13 +279,41 @@
         self.revision_events.put_in_force(current.revision)
         log.info("revision %d is in force", current.revision)
 
+    def _note_endpoints(self, current):
+        old = self.fleet.configuration.engine_by_name
+        new = current.engine_by_name
+        status_by_name = {
+            name: new[name].status.value if name in new else "gone"
+            for name in sorted(old.keys() | new.keys())
+            if (old.get(name) and old[name].status)
+            != (new.get(name) and new[name].status)
+        }
+        if status_by_name:
+            self.timeline.record(
+                "endpoints-changed",
+                {"endpoints": status_by_name},
+                revision=current.revision,
+            )
+
     def follow_nodes(self):
         """Let all parts know which nodes are live."""
         if self.fleet.set_nodes(self.control.membership.live()):
+            self.timeline.record(
+                "owners-changed",
+                {
+                    "nodes": [item.name for item in self.fleet.nodes],
+                    "owned": self._owned_shards(),
+                },
+            )
             self.lease_server.follow()
             self.follow_orders()
             self.lease_client.announce()
 
+    def _owned_shards(self):
+        shards = self.fleet.shard_by_name
+        rank_owners = self.fleet.rank_owners
+        return [name for name in shards if rank_owners(name)[:1] == [self.name]]
+
     def take_instances(self, instances, asked_ms):
         """Take the platform's list of instances.
 
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -96,6 +96,8 @@
         Engines that failed this request before.
     part_ends : list
         Tokens of each prefix, where the prompt is given in parts.
+    trace_id : bytes
+        Id that the caller gave the request, for the log.
     """
 
     request_id: bytes
@@ -110,6 +112,7 @@
     priority: int = -1
     avoid: list = field(factory=list)
     part_ends: list = field(factory=list)
+    trace_id: bytes = b""
 
 
 @message(3)
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -37,6 +37,8 @@
 # limit is shorter, and clients close first.
 IDLE_S = 75
 BUFFER_BYTES = 131_072
+# An id that is not hexadecimal is cut to this for the time line.
+MAX_ID_BYTES = 32
 # Statuses that say what is wrong with a request; a client does not repeat it.
 REFUSED_STATUSES = (400, 401, 404)
 # A stream is ended this long after its route's time-out, so that one whose last event
@@ -173,6 +175,13 @@
             log.error("%s: %r", self._name(), task.exception())
             self._cut()
 
+    def _request_id(self):
+        name = self._name()
+        try:
+            return bytes.fromhex(name)
+        except ValueError:
+            return name.encode()[:MAX_ID_BYTES]
+
     def _name(self):
         return self._headers.get(REQUEST_ID, "")
 
@@ -186,7 +195,10 @@
             return
         except StreamClosedError:
             return
-        self._desk.count("ok", Verdict.RAN)
+        except asyncio.CancelledError:
+            self._desk.note_gone(self._request_id(), self._arrived_ms)
+            raise
+        self._desk.note_end(self._request_id(), self._arrived_ms, forwarded.head.status)
         if self._sink.started:
             await self._sink.drain()
             if not self._sink.closed:
@@ -212,6 +224,7 @@
         prefixes, part_ends, key = self._read_parts()
         return Forward(
             self._name(),
+            self._request_id(),
             route,
             customer,
             method,
@@ -269,8 +282,7 @@
             log.info("%s: the client is gone", self._name())
 
     def _fail(self, error):
-        self._desk.count(error.code, error.verdict)
-        log.info("%s: %s, %s", self._name(), error.code, error.verdict.value)
+        self._desk.note_failure(self._request_id(), self._arrived_ms, error)
         if self._sink is not None and self._sink.started:
             self._cut()
             return
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -83,6 +83,7 @@
             node.drain,
             node.clock,
             node.metrics,
+            node.timeline,
         )
         self.ingress = Ingress(desk)
         return make_server(self.ingress, node.settings.limits)
@@ -110,7 +111,8 @@
                 continue
             known = self.node.settings.seeds
             if settings.seeds != known and settings.seeds != self.discovery.seeds:
-                log.info("new seeds: %s", ", ".join(settings.seeds))
+                inputs = {"seeds": list(settings.seeds)}
+                self.node.timeline.record("settings-reloaded", inputs)
                 self.discovery.set_seeds(settings.seeds)
                 self._follow()
 
@@ -143,6 +145,8 @@
             log.warning("nodes that %s names left out: %s", peer, error)
             return True
         if news:
+            inputs = {"nodes": sorted(self.discovery.known_by_name)}
+            self.node.timeline.record("nodes-found", inputs, peer=peer)
             self._take_nodes()
         self.node.send_all(outgoing)
         return True
--- a/peridotcove/publisher/watch.py
+++ b/peridotcove/publisher/watch.py
@@ -15,7 +15,7 @@
 log = logging.getLogger("peridotcove.platform")
 
 
-async def watch_configuration(client, reader, take):
+async def watch_configuration(client, reader, take, note=lambda lost, reason: None):
     """Make the reader's calls until cancelled.
 
     Parameters
@@ -26,7 +26,10 @@
         Decides on them.
     take : callable
         Called after each answer with the messages that follow from it, if any.
+    note : callable
+        Called when the service is lost or regained: whether it is lost, and why.
     """
+    lost = False
     while True:
         call = reader.next_call()
         if call is None:
@@ -40,9 +43,14 @@
                 manifest = await client.read_manifest(call.after, call.wait_ms)
                 outgoing = reader.take_manifest(manifest)
         except PlatformDown as error:
-            log.warning("platform: configuration not read: %s", error)
+            if not lost:
+                note(True, str(error))
+            lost = True
             reader.fail()
             continue
+        if lost:
+            note(False, "")
+        lost = False
         take(outgoing)
 
 
--- a/peridotcove/retries.py
+++ b/peridotcove/retries.py
@@ -62,6 +62,8 @@
     is_free : callable
         Takes the `RequestError` of a try; returns whether the next try takes nothing
         from the budget, as after one that reached no endpoint.
+    deny : callable
+        Told of a retry that the budget does not allow: the error before it.
     note : callable
         Told of each retry: the error before it, and the number of tries made.
     pause_ms : callable
@@ -73,10 +75,21 @@
     rng: object
     may_repeat: object
     is_free: object
+    deny: object
     note: object
     pause_ms: object
 
 
+def ignore(error):
+    """Do nothing about a retry that the budget does not allow.
+
+    Parameters
+    ----------
+    error : RequestError
+        How the last try failed.
+    """
+
+
 def never_free(error):
     """Return that a retry takes from the budget, whatever the error.
 
@@ -118,10 +131,10 @@
         except RequestError as error:
             if error.verdict is not Verdict.NOT_RUN:
                 doubt = error
-            again = policy.may_repeat(error, tries) and (
-                policy.is_free(error) or policy.budget.withdraw()
-            )
-            if not again:
+            if not policy.may_repeat(error, tries):
+                raise doubt or error from None
+            if not policy.is_free(error) and not policy.budget.withdraw():
+                policy.deny(error)
                 raise doubt or error from None
             policy.note(error, tries)
         await asyncio.sleep(policy.pause_ms(tries, policy.rng) / 1000)
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -7,6 +7,7 @@
     RetryBudget,
     RetryPolicy,
     backoff,
+    ignore,
     may_repeat,
     never_free,
     run_tries,
@@ -117,7 +118,7 @@
             self._note_retry(request_id, error, tries)
 
         policy = RetryPolicy(
-            self._budget, self._rng, may_try_again, never_free, note, backoff
+            self._budget, self._rng, may_try_again, never_free, ignore, note, backoff
         )
 
         def attempt(number):
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 
+from peridotcove import __version__
 from peridotcove.callers.server import listen
 from peridotcove.clock import Clock
 from peridotcove.drain import Stage
@@ -73,14 +74,17 @@
     """
     if not node.ports:
         await open_ports(node)
-    node.timeline.record("node-started")
+    node.timeline.record("node-started", {"address": node.name, "version": __version__})
     reader = node.control.reader
     jobs = [
         _every(CONTROL_MS, lambda: tick_control(node)),
         _tick_leases(node.lease_server),
         _every(ANNOUNCE_MS, node.lease_client.announce),
         watch_configuration(
-            node.publication, reader, lambda items: _send_and_follow(node, items)
+            node.publication,
+            reader,
+            lambda items: _send_and_follow(node, items),
+            lambda lost, reason: _note_service(node, lost, reason),
         ),
         *node.interface.jobs(),
     ]
@@ -88,6 +92,16 @@
     return [asyncio.create_task(job) for job in jobs]
 
 
+def _note_service(node, lost, reason):
+    revisions = node.control.revisions
+    node.timeline.record(
+        "service-lost" if lost else "service-regained",
+        {"configuration_age_ms": revisions.age_ms()},
+        revision=revisions.revision,
+        detail=reason,
+    )
+
+
 def _send_and_follow(node, items):
     node.send_all(items)
     node.follow_configuration()
@@ -187,7 +201,7 @@
             handing = True
             node.hand_over_tickets()
         await asyncio.sleep(DRAIN_MS / 1000)
-    node.timeline.record("drain-ended")
+    node.timeline.record("drain-ended", {"cut": node.drain.cut})
     log.info("left with %d requests cut", node.drain.cut)
 
 
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -7,6 +7,7 @@
 
 import collections
 import itertools
+import logging
 
 from attrs import frozen
 
@@ -31,14 +32,17 @@
         What happened, in a few words.
     after : tuple of str
         Kinds of the peer's event that a message carried here.
+    level : int
+        Level of its line in the log; `logging.NOTSET` for none.
     """
 
     name: str
     text: str
     after: tuple[str, ...] = ()
+    level: int = logging.INFO
 
 
-def add_kind(name, text, *after):
+def add_kind(name, text, *after, level=logging.INFO):
     """Enter a kind of event in the registry and return it.
 
     Parameters
@@ -49,46 +53,104 @@
         What happened, in a few words.
     *after : str
         Kinds of the peer's event that a message carried here.
+    level : int
+        Level of its line in the log; `logging.NOTSET` for none.
     """
-    return event_kinds.register(name)(EventKind(name, text, after))
+    return event_kinds.register(name)(EventKind(name, text, after, level))
 
 
 add_kind("node-started", "the node started")
 add_kind("node-ready", "the node takes requests")
-add_kind("node-paused", "the process was paused")
+add_kind("node-paused", "the process was paused", level=logging.WARNING)
 add_kind("drain-started", "the node is leaving")
 add_kind("drain-ended", "the last request left the node")
 add_kind("peer-up", "a peer is reachable")
-add_kind("peer-down", "a peer is not reachable")
+add_kind("peer-down", "a peer is not reachable", level=logging.WARNING)
 add_kind("link-opened", "a link to a peer opened")
 add_kind("link-closed", "a link to a peer closed")
-add_kind("request-arrived", "a caller's request arrived")
-add_kind("request-refused", "the request was refused and did not run")
+add_kind("request-arrived", "a caller's request arrived", level=logging.NOTSET)
+add_kind(
+    "request-refused", "the request was refused and did not run", level=logging.WARNING
+)
 add_kind("request-sent", "the request went to an endpoint")
-add_kind("request-retried", "the request is tried again")
-add_kind("first-byte", "the endpoint's first byte arrived")
+add_kind("request-retried", "the request is tried again", level=logging.WARNING)
+add_kind("first-byte", "the endpoint's first byte arrived", level=logging.NOTSET)
 add_kind("request-ended", "the request ended")
-add_kind("lease-asked", "the entry asked for a lease")
+add_kind("lease-asked", "the entry asked for a lease", level=logging.NOTSET)
 add_kind("lease-queued", "the owner queued the request", "lease-asked")
 add_kind("lease-granted", "the owner granted a lease", "lease-asked")
-add_kind("lease-refused", "the owner refused a lease", "lease-asked")
-add_kind("grant-received", "the entry got the lease", "lease-granted")
-add_kind("refusal-received", "the entry got the refusal", "lease-refused")
-add_kind("lease-released", "the entry released the lease")
-add_kind("release-received", "the owner took the lease back", "lease-released")
+add_kind(
+    "lease-refused", "the owner refused a lease", "lease-asked", level=logging.WARNING
+)
+add_kind(
+    "grant-received", "the entry got the lease", "lease-granted", level=logging.NOTSET
+)
+add_kind(
+    "refusal-received",
+    "the entry got the refusal",
+    "lease-refused",
+    level=logging.NOTSET,
+)
+add_kind("lease-released", "the entry released the lease", level=logging.NOTSET)
+add_kind(
+    "release-received",
+    "the owner took the lease back",
+    "lease-released",
+    level=logging.NOTSET,
+)
 add_kind("leases-handed-over", "an entry told a new owner its leases")
 add_kind("leases-taken-over", "a new owner learnt of leases", "leases-handed-over")
 add_kind("ticket-minted", "a ticket was minted")
 add_kind("ticket-used", "the ticket was used for the one run")
 add_kind("request-moved", "the only copy moved to the minter of its ticket")
-add_kind("move-received", "the minter got the only copy", "request-moved")
-add_kind("move-answered", "the minter answered")
-add_kind("move-answer-received", "the entry got the minter's answer", "move-answered")
-add_kind("revision-read", "a reader got the revision from the service")
-add_kind("revision-refused", "the revision is faulty and not in force")
-add_kind("revision-sent", "the revision went to a peer")
-add_kind("revision-received", "the revision came from a peer", "revision-sent")
+add_kind(
+    "move-received",
+    "the minter got the only copy",
+    "request-moved",
+    level=logging.NOTSET,
+)
+add_kind("move-answered", "the minter answered", level=logging.NOTSET)
+add_kind(
+    "move-answer-received",
+    "the entry got the minter's answer",
+    "move-answered",
+    level=logging.NOTSET,
+)
+add_kind(
+    "revision-read", "a reader got the revision from the service", level=logging.NOTSET
+)
+add_kind(
+    "revision-refused", "the revision is faulty and not in force", level=logging.WARNING
+)
+add_kind("revision-sent", "the revision went to a peer", level=logging.NOTSET)
+add_kind(
+    "revision-received",
+    "the revision came from a peer",
+    "revision-sent",
+    level=logging.NOTSET,
+)
 add_kind("revision-in-force", "the revision is in force on the node")
+add_kind(
+    "stream-resumed",
+    "another engine is to go on with the stream",
+    level=logging.WARNING,
+)
+add_kind(
+    "request-failed", "the request ended without a whole answer", level=logging.WARNING
+)
+add_kind("retry-denied", "the budget of retries is used up", level=logging.WARNING)
+add_kind("owner-silent", "an owner did not answer in time", level=logging.WARNING)
+add_kind(
+    "engines-aside", "engines that fail get no work for a while", level=logging.WARNING
+)
+add_kind("endpoints-changed", "other endpoints are in service")
+add_kind("owners-changed", "other nodes own shards")
+add_kind(
+    "service-lost", "the configuration service can not be read", level=logging.WARNING
+)
+add_kind("service-regained", "the configuration service can be read again")
+add_kind("nodes-found", "a peer named nodes that were not known")
+add_kind("settings-reloaded", "the settings file has changed")
 add_kind("order-sent", "an order went to an engine")
 add_kind("order-answered", "the engine answered an order")
 
@@ -143,26 +205,33 @@
         Most events kept; the oldest go first.
     incarnation : int or None
         Wall time in ms at which the process started; now when left out.
+    logger : logging.Logger or None
+        Takes a line for each event whose kind has a level.
     """
 
-    def __init__(self, clock, node, capacity=DEFAULT_CAPACITY, incarnation=None):
+    def __init__(
+        self, clock, node, capacity=DEFAULT_CAPACITY, incarnation=None, logger=None
+    ):
         self.node = node
         self.incarnation = clock.wall() if incarnation is None else incarnation
         self.capacity = capacity
         self._clock = clock
+        self._logger = logger
         self._last = 0
         self._events = collections.deque(maxlen=capacity)
 
     def __len__(self):
         return len(self._events)
 
-    def record(self, kind, **fields):
+    def record(self, kind, inputs=None, **fields):
         """Add an event and return its sequence number.
 
         Parameters
         ----------
         kind : str
             Name of a registered kind.
+        inputs : dict or None
+            What decided, with its age or version, for the event's line in the log.
         **fields : object
             Fields of `Event` besides the sequence number, time and kind.
 
@@ -171,15 +240,29 @@
         KeyError
             If no kind has that name.
         """
-        event_kinds.get(kind)
+        described = event_kinds.get(kind)
         detail = fields.pop("detail", "")[:MAX_DETAIL_CHARS]
         sequence = self._last + 1
         wall_ms = self._clock.wall()
         event = Event(sequence, wall_ms, kind, detail=detail, **fields)
         self._events.append(event)
         self._last = sequence
+        if self._logger is not None and described.level:
+            self._log(described, event, inputs or {})
         return sequence
 
+    def _log(self, described, event, inputs):
+        fields = {
+            "kind": event.kind,
+            "request": event.request_id.hex(),
+            "revision": event.revision,
+            "peer": event.peer,
+            "detail": event.detail,
+            **inputs,
+        }
+        told = {name: value for name, value in fields.items() if value not in ("", 0)}
+        self._logger.log(described.level, described.text, extra=told)
+
     def events(self, after=0, limit=MAX_EXPORT):
         """Return the kept events that follow a sequence number, oldest first.
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -78,8 +78,9 @@
         fleet.set_configuration(parse_configuration(RAW))
         fleet.set_nodes(tuple(Instance(n, "node", "", 1, "a") for n in NAMES))
         clock = LoopClock()
-        server = LeaseServer(name, fleet, network, clock, Timeline(clock, name))
-        client = LeaseClient(name, fleet, network, server, clock)
+        timeline = Timeline(clock, name)
+        server = LeaseServer(name, fleet, network, clock, timeline)
+        client = LeaseClient(name, fleet, network, server, clock, timeline)
         server.client = client
 
         def receive(peer, message):
