Let three nodes a zone read the machines' store, and any node while none is heard

Ruled out: quicker loss of peers; a frozen or slow node would flap. Change: Pace says how many of a zone read and how long a call waits; a node that hears none of its readers for 1.6 s reads itself.

--- a/peridotcove/control.py
+++ b/peridotcove/control.py
@@ -19,6 +19,8 @@
         Time in ms.
     rng : random.Random
         Spreads requests over time and peers.
+    pace : Pace or None
+        How many nodes read the service, and how long they wait.
 
     Attributes
     ----------
@@ -30,7 +32,7 @@
         Calls to the configuration service.
     """
 
-    def __init__(self, node, region, clock, rng):
+    def __init__(self, node, region, clock, rng, pace=None):
         self.node = node
         self.membership = Membership(node, region, clock, rng)
         self.revisions = Revisions(clock, rng, self._push_to, self._neighbours)
@@ -42,6 +44,8 @@
             self.membership.reader_rank,
             self._reads_fail,
             self.membership.settled,
+            self._unheard_ms,
+            pace,
         )
 
     def tick(self):
@@ -86,6 +90,10 @@
     def _reads_fail(self, name):
         return self.membership.heartbeats.peer(name).reads_fail
 
+    def _unheard_ms(self, name):
+        peer = self.membership.heartbeats.peer(name)
+        return peer.unheard_for(self.membership.clock.now())
+
     def _confirm(self):
         first = self.membership.reader_rank()[0]
         if first == self.node.name or not self.membership.reaches(first):
--- a/peridotcove/interfaces.py
+++ b/peridotcove/interfaces.py
@@ -27,9 +27,12 @@
     ----------
     alone : bool
         Whether the node decides about engines by itself while no owner answers.
+    pace : Pace or None
+        How many nodes read the service, and how long they wait; None for the usual.
     """
 
     alone = False
+    pace = None
 
     def __init__(self, node):
         self.node = node
@@ -77,15 +80,13 @@
         return False
 
 
-def make_interface(name, node):
-    """Return the interface of a node; only its own module is imported.
+def find_interface(name):
+    """Return the class of an interface; only its own module is imported.
 
     Parameters
     ----------
     name : str
         Name in the registry.
-    node : Node
-        The node.
     """
     importlib.import_module(MODULE_BY_NAME[name])
-    return interfaces.get(name)(node)
+    return interfaces.get(name)
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -17,7 +17,7 @@
 from peridotcove.engine_reports import EngineReports
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet import Fleet
-from peridotcove.interfaces import make_interface
+from peridotcove.interfaces import find_interface
 from peridotcove.keys import CONTINUATIONS, LINKS, TICKETS, derive_key
 from peridotcove.lease_client import LeaseClient
 from peridotcove.lease_server import LeaseServer
@@ -125,7 +125,10 @@
         settings = self.settings
         host, port = settings.nodes.host, settings.nodes.port
         me = Instance(self.name, "node", host, port, settings.zone)
-        self.control = Control(me, settings.region, self.clock, self.rng)
+        interface = find_interface(settings.INTERFACE)
+        self.control = Control(
+            me, settings.region, self.clock, self.rng, interface.pace
+        )
         self.incarnation = self.control.membership.incarnation
         self.timeline = Timeline(
             self.clock,
@@ -134,7 +137,7 @@
             logger=logging.getLogger("peridotcove.events"),
         )
         self.revision_events = RevisionEvents(self.timeline)
-        self.interface = make_interface(settings.INTERFACE, self)
+        self.interface = interface(self)
         self.publication = self.interface.make_publication(settings)
 
     def _wire_leases(self):
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -14,6 +14,7 @@
 from peridotcove.platform.ingress import Ingress, make_server
 from peridotcove.platform.publication import StorePublication
 from peridotcove.platform.settings import read_machine_settings
+from peridotcove.reader import Pace
 from peridotcove.retries import RetryBudget
 
 # Period in s of looking at the settings file, which may change without a signal.
@@ -37,6 +38,9 @@
 
     # An answer in time counts for more here than the bound while owners are away.
     alone = True
+    # Three readers a zone outlast the loss of two machines at once; a call's wait is
+    # below the time in which a machine counts as out of touch after a silent link.
+    pace = Pace(readers=3, watch_ms=2_000)
 
     def __init__(self, node):
         super().__init__(node)
--- a/peridotcove/reader.py
+++ b/peridotcove/reader.py
@@ -5,6 +5,8 @@
 from peridotcove.parts import digest
 
 WATCH_MS = 3_000
+# Time in ms without a word from any node that reads, after which a node reads itself.
+UNHEARD_MS = 1_600
 MIN_GAP_MS = 100
 MAX_GAP_MS = 300
 MIN_PART_GAP_MS = 20
@@ -46,6 +48,23 @@
     name: str
 
 
+@frozen
+class Pace:
+    """How many nodes of a zone read at a time, and how long their calls wait.
+
+    Attributes
+    ----------
+    readers : int
+        Nodes of each zone that read.
+    watch_ms : int
+        Longest wait in ms of a call for a change; a connection that has gone silent
+        hides a change for as long.
+    """
+
+    readers: int = 1
+    watch_ms: int = WATCH_MS
+
+
 class Reader:
     """The calls of one node to the configuration service, one at a time.
 
@@ -65,6 +84,10 @@
         Whether another node, given by name, says that its reads fail.
     settled : callable
         Whether the live nodes of the zone are known.
+    unheard_ms : callable
+        Returns for how long in ms another node, given by name, was not heard.
+    pace : Pace or None
+        How many nodes read, and how long they wait.
 
     Attributes
     ----------
@@ -72,7 +95,18 @@
         Whether the last call failed.
     """
 
-    def __init__(self, node, clock, rng, revisions, reader_rank, failing, settled):
+    def __init__(
+        self,
+        node,
+        clock,
+        rng,
+        revisions,
+        reader_rank,
+        failing,
+        settled,
+        unheard_ms=lambda name: 0,
+        pace=None,
+    ):
         self.node = node
         self.clock = clock
         self.revisions = revisions
@@ -81,6 +115,8 @@
         self._reader_rank = reader_rank
         self._failing = failing
         self._settled = settled
+        self._unheard_ms = unheard_ms
+        self._pace = pace or Pace()
         self._failures = 0
         self._mismatches = 0
         self._asked_once = False
@@ -93,17 +129,22 @@
     def chosen(self):
         """Return whether this node is to read for its zone.
 
-        The first in rank is, and the second while the first says that it fails; and
-        any node that has not got from its peers what the service had at its start.
+        The first in rank are; the next one while one of them says that it fails; any
+        node while none of them is heard; and any that has not got from its peers what
+        the service had at its start.
         """
         if self.revisions.expects_more() and self.clock.now() >= self._fallback_ms:
             return True
         if not self._settled():
             return False
         ranked = self._reader_rank()
-        if ranked[0] == self.node:
+        count = self._pace.readers
+        first = ranked[:count]
+        if self.node in first:
+            return True
+        if all(self._unheard_ms(name) > UNHEARD_MS for name in first):
             return True
-        return self.node in ranked[1:2] and self._failing(ranked[0])
+        return self.node in ranked[count : count + 1] and any(map(self._failing, first))
 
     def next_call(self):
         """Return the call to make now, or None."""
@@ -120,7 +161,7 @@
             self._manifest = None
             return None
         # A service in doubt is asked for an answer at once, so that no call hangs long.
-        wait_ms = 0 if self._failures else WATCH_MS
+        wait_ms = 0 if self._failures else self._pace.watch_ms
         return ReadManifest(self.revisions.watch_after, wait_ms)
 
     def pause_ms(self):
