Drop a request that was in the buffer when its idle connection was closed

Change: a request whose connection is closed does not run. Measured: the test fails without the change and passes with it.

--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -146,7 +146,14 @@
         self._chunks.append(chunk)
 
     def finish(self):
-        """Run the request, now that it has been read."""
+        """Run the request, now that it has been read.
+
+        One that was still in the buffer when its connection was closed does not run:
+        its client can't be answered.
+        """
+        if self._connection.stream.closed():
+            self._ingress.end(self, self._server_conn, False)
+            return
         self._connection.set_close_callback(self._give_up)
         self._desk.begin()
         self._task = asyncio.create_task(self._run())
--- a/tests/platform/test_machine_node.py
+++ b/tests/platform/test_machine_node.py
@@ -441,6 +441,25 @@
             self.assertEqual(await idle.reader.read(), b"")
         await leaving
 
+    async def test_a_request_that_crosses_the_close_does_not_run(self):
+        client = await self.connect()
+        self.assertEqual((await client.ask("r0", "/open/")).status, 200)
+        before = self.arrivals()
+        (request,) = self.node.interface.ingress._requests
+        arrived = request.headers_received
+
+        def close_meanwhile(start_line, headers):
+            arrived(start_line, headers)
+            request._start_line = None
+            self.node.interface.close_idle()
+            request._start_line = start_line
+
+        request.headers_received = close_meanwhile
+        got = await client.ask("r1", "/open/")
+        self.assertEqual(got.status, 0)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.arrivals(), before)
+
     async def test_nodes_find_each_other_and_share_a_configuration(self):
         first = self.node.name
         second = await self.start([first, "127.0.0.1:9"])
