Read the caches of engines whose shard a node owns

Ruled out: handing the index over between owners (all are lost at once in the worst case); polling lists (each is priced and holds up the engine).

--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -287,6 +287,16 @@
         """
         self._index.apply(event)
 
+    def apply_parts(self, event):
+        """Take an engine's news of the parts of prompts that it keeps.
+
+        Parameters
+        ----------
+        event : CacheEvent
+            The news.
+        """
+        self._parts.apply(event, self._clock.wall())
+
     def tick(self):
         """Return the decisions whose time has come; call it each 20 to 100 ms."""
         wall = self._clock.wall()
--- a/peridotcove/interfaces.py
+++ b/peridotcove/interfaces.py
@@ -59,6 +59,9 @@
         """Do the periodic work that only this interface needs."""
         raise NotImplementedError
 
+    def close(self):
+        """Close the connections that only this interface has."""
+
     def close_idle(self):
         """Take no further request from callers; those in progress go on."""
 
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -305,14 +305,15 @@
                 "owners-changed",
                 {
                     "nodes": [item.name for item in self.fleet.nodes],
-                    "owned": self._owned_shards(),
+                    "owned": self.owned_shards(),
                 },
             )
             self.lease_server.follow()
             self.follow_orders()
             self.lease_client.announce()
 
-    def _owned_shards(self):
+    def owned_shards(self):
+        """Return the names of the shards whose first owner is this node."""
         shards = self.fleet.shard_by_name
         rank_owners = self.fleet.rank_owners
         return [name for name in shards if rank_owners(name)[:1] == [self.name]]
--- a/peridotcove/part_index.py
+++ b/peridotcove/part_index.py
@@ -1,7 +1,7 @@
 """What engines' prefix caches are expected to hold, for prompts given in parts.
 
 Where requests name the parts of their prompts, the index is exact: an engine has a part
-from the grant that made it read it, until newer parts have taken its memory.
+from the grant that made it read it, until its own news or newer parts say otherwise.
 """
 
 from collections import OrderedDict
@@ -11,6 +11,11 @@
 # Share of an engine's memory that cached parts are expected to keep; running requests
 # use the rest.
 CACHE_SHARE = 0.7
+# News of an engine say nothing of parts that were granted to it less than this long
+# ago in ms: it may not have begun to read them, and its news lag.
+NEWS_LAG_MS = 1_500
+# Tokens by which a kept part may be smaller than the part: engines keep whole blocks.
+ROUNDING_TOKENS = 32
 
 
 @frozen
@@ -22,7 +27,7 @@
     blocks : float
         Size of the prompt in blocks.
     pairs : tuple
-        End in blocks and hash of each prefix of whole parts, ascending.
+        Hash of each part and its size in tokens, in order, each as ``(size, hash)``.
     blocks_by_engine : dict
         Blocks expected in the cache of each engine that has any.
     """
@@ -32,12 +37,18 @@
     blocks_by_engine: dict
 
 
+@define
+class _Part:
+    tokens: int
+    granted_ms: int
+
+
 @define
 class _Cache:
     size: float
     incarnation: int
-    blocks_by_key: OrderedDict = field(factory=OrderedDict)
-    held: float = 0.0
+    part_by_key: OrderedDict = field(factory=OrderedDict)
+    held: int = 0
 
 
 class PartIndex:
@@ -64,17 +75,16 @@
         """
         known, self._cache_by_engine = self._cache_by_engine, {}
         for engine in engines:
-            size = engine.cache_tokens * CACHE_SHARE / self._block_tokens
-            cache = known.pop(engine.name, None)
-            if cache is not None and cache.incarnation != engine.incarnation:
-                known[engine.name] = cache
-                cache = None
-            if cache is None:
+            size = engine.cache_tokens * CACHE_SHARE
+            cache = known.get(engine.name)
+            if cache is not None and cache.incarnation == engine.incarnation:
+                del known[engine.name]
+                cache.size = size
+            else:
                 cache = _Cache(size, engine.incarnation)
-            cache.size = size
             self._cache_by_engine[engine.name] = cache
         for name, cache in known.items():
-            for key in cache.blocks_by_key:
+            for key in cache.part_by_key:
                 self._forget(key, name)
 
     def look(self, keys, ends):
@@ -83,25 +93,32 @@
         Parameters
         ----------
         keys : tuple of int
-            Hash of each prefix of whole parts, shortest first.
+            Hash of each part.
         ends : tuple of int
-            Tokens of each of these prefixes.
+            Tokens from the start of the prompt to the end of each part.
         """
-        pairs = tuple(
-            (end / self._block_tokens, key)
-            for end, key in zip(ends, keys, strict=False)
-        )
-        blocks_by_engine = {}
+        starts = (0, *ends)
+        sizes = [end - start for start, end in zip(starts, ends, strict=False)]
+        tokens_by_engine = {}
         holders = self._cache_by_engine.keys()
-        for depth, key in pairs:
-            holders = holders & self._engines_by_key.get(key, frozenset())
+        for key, start, size in zip(keys, starts, sizes, strict=False):
+            whole = set()
+            for name in holders & self._engines_by_key.get(key, frozenset()):
+                kept = self._cache_by_engine[name].part_by_key[key].tokens
+                tokens_by_engine[name] = start + min(kept, size)
+                if kept >= size - ROUNDING_TOKENS:
+                    whole.add(name)
+            holders = whole
             if not holders:
                 break
-            for name in holders:
-                blocks_by_engine[name] = depth
-        return PartLookup(pairs[-1][0] if pairs else 0.0, pairs, blocks_by_engine)
+        block = self._block_tokens
+        return PartLookup(
+            ends[-1] / block if ends else 0.0,
+            tuple(zip(sizes, keys, strict=False)),
+            {name: tokens / block for name, tokens in tokens_by_engine.items()},
+        )
 
-    def record(self, lookup, engine, wall_ms):
+    def record(self, lookup, engine, now_ms):
         """Take in that a prompt goes to an engine.
 
         Parameters
@@ -110,27 +127,59 @@
             What `look` returned for the prompt.
         engine : str
             Name of the engine.
-        wall_ms : int
-            Not used; as of `peridotcove.cache_index.CacheIndex`.
+        now_ms : int
+            Wall time in ms.
         """
         cache = self._cache_by_engine.get(engine)
         if cache is None:
             return
-        starts = (0.0, *(depth for depth, _ in lookup.pairs))
-        sized = [
-            (key, depth - start)
-            for (depth, key), start in zip(lookup.pairs, starts, strict=False)
-        ]
         # The first part is the newest, so that no part outlives those before it.
-        for key, blocks in reversed(sized):
-            if key not in cache.blocks_by_key:
-                cache.held += blocks
-                self._engines_by_key.setdefault(key, set()).add(engine)
-            cache.blocks_by_key[key] = blocks
-            cache.blocks_by_key.move_to_end(key)
-        while cache.held > cache.size and cache.blocks_by_key:
-            key, blocks = cache.blocks_by_key.popitem(last=False)
-            cache.held -= blocks
+        for tokens, key in reversed(lookup.pairs):
+            self._put(engine, cache, key, tokens, now_ms)
+        self._make_room(engine, cache)
+
+    def apply(self, event, now_ms):
+        """Take an engine's news of its cache.
+
+        Parameters
+        ----------
+        event : CacheEvent
+            The news; stored pairs hold the hash of a part and the tokens kept.
+        now_ms : int
+            Wall time in ms.
+        """
+        cache = self._cache_by_engine.get(event.engine)
+        if cache is None:
+            return
+        kept = {key for key, _ in event.stored}
+        if event.full:
+            removed = [key for key in cache.part_by_key if key not in kept]
+        else:
+            removed = [key for key in event.removed if key in cache.part_by_key]
+        for key in removed:
+            if now_ms - cache.part_by_key[key].granted_ms >= NEWS_LAG_MS:
+                cache.held -= cache.part_by_key.pop(key).tokens
+                self._forget(key, event.engine)
+        for key, tokens in event.stored:
+            part = cache.part_by_key.get(key)
+            if part is None or now_ms - part.granted_ms >= NEWS_LAG_MS:
+                self._put(event.engine, cache, key, tokens, 0)
+        self._make_room(event.engine, cache)
+
+    def _put(self, engine, cache, key, tokens, granted_ms):
+        part = cache.part_by_key.get(key)
+        if part is None:
+            self._engines_by_key.setdefault(key, set()).add(engine)
+        else:
+            cache.held -= part.tokens
+        cache.held += tokens
+        cache.part_by_key[key] = _Part(tokens, granted_ms)
+        cache.part_by_key.move_to_end(key)
+
+    def _make_room(self, engine, cache):
+        while cache.held > cache.size and cache.part_by_key:
+            key, part = cache.part_by_key.popitem(last=False)
+            cache.held -= part.tokens
             self._forget(key, engine)
 
     def _forget(self, key, engine):
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -251,9 +251,9 @@
         model = self._headers.get(MODEL, "")
         try:
             pairs = [item.split(":") for item in text.split(",")]
-            parts = [(name.strip().encode(), int(size)) for name, size in pairs]
+            parts = [(name.strip(), int(size)) for name, size in pairs]
             keys, ends = hash_parts(model, parts)
-        except (ValueError, OverflowError):
+        except ValueError:
             log.warning("%s: %s can't be read", self._name(), PROMPT_PARTS)
             return (), (), 0
         return keys, ends, hash_subject(model, parts)
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from peridotcove.cache_watch import CacheWatch
 from peridotcove.callers.server import listen
 from peridotcove.discovery import Discovery
 from peridotcove.exceptions import InvalidSettings, ProtocolError
@@ -10,6 +11,7 @@
 from peridotcove.interfaces import Interface, interfaces
 from peridotcove.logs import get_logger
 from peridotcove.nodes.membership_messages import ShareNodes
+from peridotcove.platform.caches import ServerCaches
 from peridotcove.platform.dialect import ServerDialect
 from peridotcove.platform.ingress import Ingress, make_server
 from peridotcove.platform.publication import StorePublication
@@ -47,6 +49,8 @@
         me = node.control.node
         self.discovery = Discovery(me, node.clock, node.rng)
         self.discovery.set_seeds(node.settings.seeds)
+        self._cache_reader = ServerCaches()
+        self._caches = CacheWatch(self._cache_reader, self._apply_news, node.clock)
 
     def make_publication(self, settings):
         """Return the client of the platform's store.
@@ -125,6 +129,27 @@
         self._share_budget()
         hears = self.node.control.membership.reaches
         self.node.send_all(self.discovery.tick(hears))
+        self._caches.follow(self._owned_caches())
+
+    def _owned_caches(self):
+        fleet = self.node.fleet
+        engine_by_name = fleet.configuration.engine_by_name
+        return [
+            engine_by_name[name]
+            for shard in self.node.owned_shards()
+            for name in fleet.shard_by_name[shard].engines
+            if name in engine_by_name and engine_by_name[name].shares_cache
+        ]
+
+    def _apply_news(self, event):
+        for dispatcher in self.node.lease_server.dispatcher_by_shard.values():
+            if event.engine in dispatcher.shard.engines:
+                dispatcher.apply_parts(event)
+
+    def close(self):
+        """Close the connections that only this interface has."""
+        self._caches.close()
+        self._cache_reader.close()
 
     def close_idle(self):
         """Take no further connection, and close those without a request."""
--- a/peridotcove/prefixes.py
+++ b/peridotcove/prefixes.py
@@ -82,31 +82,41 @@
     return tuple(hashes)
 
 
+def hash_part(model, part_id):
+    """Return the 64-bit hash of one part of prompts.
+
+    Parameters
+    ----------
+    model : str
+        Model and adapter; parts of two models are never equal.
+    part_id : str
+        Id of the part.
+    """
+    return xxhash.xxh3_64_intdigest(f"{model}\x00{part_id}".encode())
+
+
 def hash_parts(model, parts):
-    """Return the hash of each prefix of whole parts, for a prompt given in parts.
+    """Return the hash of each part of a prompt, and where it ends.
 
     Parts stand for text that the node doesn't see.
 
     Parameters
     ----------
     model : str
-        Model and adapter; prefixes of two models are never equal.
+        Model and adapter.
     parts : sequence of tuple
-        Id of each part, as bytes, and its size in tokens.
+        Id of each part and its size in tokens.
 
     Returns
     -------
     keys : tuple of int
-        64-bit hashes; hash ``i`` covers parts ``0..i``.
+        64-bit hashes.
     ends : tuple of int
-        Tokens of each of these prefixes.
+        Tokens from the start of the prompt to the end of each part.
     """
-    state = xxhash.xxh3_64_digest(model.encode())
     keys, ends = [], []
     for part_id, tokens in parts:
-        text = state + tokens.to_bytes(8, "big") + part_id
-        state = xxhash.xxh3_64_digest(text)
-        keys.append(int.from_bytes(state, "big"))
+        keys.append(hash_part(model, part_id))
         ends.append(tokens + (ends[-1] if ends else 0))
     return tuple(keys), tuple(ends)
 
@@ -119,11 +129,10 @@
     model : str
         Model and adapter.
     parts : sequence of tuple
-        Id of each part, as bytes, and its size in tokens; at least one.
+        Id of each part and its size in tokens; at least one.
     """
     shared = parts[:-1] or parts
-    ids = b"\x00".join(part_id for part_id, _ in shared)
-    return xxhash.xxh3_64_intdigest(model.encode() + b"\x00" + ids)
+    return hash_part(model, " ".join(part_id for part_id, _ in shared))
 
 
 @functools.lru_cache(maxsize=4096)
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -219,3 +219,4 @@
     node.endpoint_client.close()
     node.service_client.close()
     node.publication.close()
+    node.interface.close()
