Read the first configuration without delay, and let requests wait for it

Cause: after the last fault 61 requests met a node that had started but had not read its configuration: the first call was delayed by up to 300 ms, to spread those of a fleet. Ruled out: opening the port later; a refused connection costs the client a try. Change: Pace.start_ms; requests wait up to 250 ms for the first configuration.

--- a/peridotcove/host_desk.py
+++ b/peridotcove/host_desk.py
@@ -10,6 +10,10 @@
 # and routes that are in force elsewhere, and says so rather than that there are none.
 STALE_MS = 4_000
 RETRY_AFTER_MS = 500
+# Longest time in ms for which requests wait for the first configuration of a node that
+# has just started: some calls to the service, and less than callers wait at ease.
+START_MS = 250
+START_STEP_MS = 10
 
 
 class HostDesk:
@@ -54,6 +58,7 @@
         self._drain = drain
         self._metrics = metrics
         self._timeline = timeline
+        self._started_ms = clock.now()
 
     @property
     def leaving(self):
@@ -70,6 +75,12 @@
         self._activity.end()
         self._metrics.in_progress.dec()
 
+    async def wait_for_start(self):
+        """Wait a little for the first configuration of a node that has just started."""
+        end_ms = self._started_ms + START_MS
+        while not self.fleet.configuration.revision and self.clock.now() < end_ms:
+            await asyncio.sleep(START_STEP_MS / 1000)
+
     def admit(self, host, path, key):
         """Return the route of a request and the customer who pays.
 
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -194,6 +194,7 @@
 
     async def _run(self):
         try:
+            await self._desk.wait_for_start()
             forward = self._forward = self._read()
             sink = self._sink = Sink(self._open, BUFFER_BYTES)
             forwarded = await self._desk.run(forward, sink)
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -42,7 +42,8 @@
     alone = True
     # Three readers a zone outlast the loss of two machines at once; a call's wait is
     # below the time in which a machine counts as out of touch after a silent link.
-    pace = Pace(readers=3, watch_ms=2_000)
+    # The first call is not delayed: the store takes one of each machine at once.
+    pace = Pace(readers=3, watch_ms=2_000, start_ms=0)
 
     def __init__(self, node):
         super().__init__(node)
--- a/peridotcove/reader.py
+++ b/peridotcove/reader.py
@@ -59,10 +59,14 @@
     watch_ms : int
         Longest wait in ms of a call for a change; a connection that has gone silent
         hides a change for as long.
+    start_ms : int
+        Longest delay in ms of the first call, which spreads those of a fleet that
+        starts as a whole.
     """
 
     readers: int = 1
     watch_ms: int = WATCH_MS
+    start_ms: int = MAX_GAP_MS
 
 
 class Reader:
@@ -120,7 +124,7 @@
         self._failures = 0
         self._mismatches = 0
         self._asked_once = False
-        self._due_ms = clock.now() + rng.randint(0, MAX_GAP_MS)
+        self._due_ms = clock.now() + rng.randint(0, self._pace.start_ms)
         wait_ms = FALLBACK_MS + rng.randint(0, FALLBACK_SPREAD_MS)
         self._fallback_ms = clock.now() + wait_ms
         self._manifest = None
--- a/tests/platform/test_machine_node.py
+++ b/tests/platform/test_machine_node.py
@@ -303,6 +303,16 @@
         self.assertGreater(float(got.headers["retry-after"]), 0)
         self.store.status = 0
 
+    async def test_a_node_that_starts_serves_its_first_request(self):
+        settings = fakes.make_settings(self.store, fakes.loopback())
+        node = Node(settings, Clock())
+        await open_ports(node)
+        client = await self.connect(node)
+        client.send("r1", "/booking/")
+        tasks = await start(node)
+        self.addAsyncCleanup(self.stop, node, tasks)
+        self.assertEqual((await client.read()).status, 200)
+
     async def test_what_is_sent_again(self):
         cases = [
             # target, answers, status, whole, arrivals
