Count what an engine still has to read when choosing one

Change: a grant adds the time to read what the engine lacks (a quarter of it where it can be fetched); the choice adds that backlog in blocks.

--- a/peridotcove/choice.py
+++ b/peridotcove/choice.py
@@ -76,7 +76,7 @@
         self.weights = weights or Weights()
         self._ranking = Ranking({item.name: item.weight for item in engines})
 
-    def choose(self, request, lookup, loads):
+    def choose(self, request, lookup, loads, backlogs=()):
         """Return a `Choice`.
 
         Parameters
@@ -87,9 +87,14 @@
             What the caches are expected to hold of it.
         loads : Loads
             Loads of the engines; at least one is open.
+        backlogs : sequence of float
+            Blocks that each open engine still has to read; nothing when empty.
         """
         mean = loads.mean()
         costs = self._costs(request, lookup, loads.open, mean)
+        if backlogs:
+            pairs = zip(costs, backlogs, strict=True)
+            costs = [cost + backlog for cost, backlog in pairs]
         least = min(costs)
         wanted = loads.open[costs.index(least)].name
         engine = ""
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -6,7 +6,7 @@
 from peridotcove.choice import Chooser
 from peridotcove.fair_queue import FairQueue, Waiting
 from peridotcove.lease_book import Lease, LeaseBook
-from peridotcove.loads import Loads
+from peridotcove.loads import PREFILL_TOKENS_PER_MS, Loads
 from peridotcove.models import Customer, Grant, Refusal
 from peridotcove.part_index import PartIndex
 from peridotcove.places import Places
@@ -20,6 +20,8 @@
 MAX_HELD = 32
 # A transfer has a fixed cost of some ms; fewer blocks are read again as fast.
 MIN_FETCH_BLOCKS = 4
+# Time to fetch a cached prefix as a share of the time to read it again.
+FETCH_SHARE = 0.25
 
 
 @frozen
@@ -58,7 +60,8 @@
         self._weights = weights
         block_chars = configuration.bounds.block_chars
         self._index = CacheIndex(block_chars)
-        self._parts = PartIndex(block_chars / CHARS_PER_TOKEN)
+        self._block_tokens = block_chars / CHARS_PER_TOKEN
+        self._parts = PartIndex(self._block_tokens)
         self._book = LeaseBook()
         self._places = Places(clock)
         self._queue = FairQueue()
@@ -369,7 +372,8 @@
         else:
             index = self._index
             lookup = index.look(request.prefixes, request.blocks)
-        choice = self._chooser.choose(request, lookup, self._loads)
+        backlogs = self._backlogs() if request.part_ends else ()
+        choice = self._chooser.choose(request, lookup, self._loads, backlogs)
         if not choice.engine or self._should_hold(item, held, choice):
             return None
         self._held_by_id.pop(request.request_id, None)
@@ -377,12 +381,23 @@
         name = choice.engine
         cached = int(lookup.blocks_by_engine.get(name, 0))
         source = self._find_source(lookup, name, cached)
+        if request.part_ends:
+            missing = (lookup.blocks - cached) * self._block_tokens
+            share = FETCH_SHARE if source else 1.0
+            load = self._loads.by_engine[name]
+            load.read_prompt(missing * share, self._clock.wall())
         index.record(lookup, name, self._clock.wall())
         request_id = request.request_id
         self._add(Lease(request_id, request.entry, request.customer, name, now, cached))
         load = self._loads.by_engine[name].total
         return Grant(request_id, name, cached, source, load, self.waiting)
 
+    def _backlogs(self):
+        """Return the blocks that each open engine still has to read."""
+        wall_ms = self._clock.wall()
+        per_block_ms = self._block_tokens / PREFILL_TOKENS_PER_MS
+        return [load.backlog_ms(wall_ms) / per_block_ms for load in self._loads.open]
+
     def _find_source(self, lookup, name, cached):
         """Return the engine from which it pays to fetch what another lacks."""
         engine_by_name = self._configuration.engine_by_name
--- a/peridotcove/loads.py
+++ b/peridotcove/loads.py
@@ -12,6 +12,10 @@
 REPORT_LIFE_MS = 10_000
 REPORT_SLACK_MS = 250
 HISTORY_MS = 6_000
+# Prompt tokens that an engine reads in a ms, by the sheets of the engines in use.
+PREFILL_TOKENS_PER_MS = 50.0
+# Longest time in ms that an engine is believed to read ahead.
+MAX_BACKLOG_MS = 5_000.0
 ROUNDING = 1e-9
 
 
@@ -46,6 +50,7 @@
         self._foreign = 0
         self._foreign_until_ms = 0
         self._history = deque()
+        self._reading_until_ms = 0.0
 
     def set_engine(self, engine):
         """Take a new description of the engine.
@@ -61,6 +66,31 @@
         self.capacity = engine.capacity
         self.open = engine.status is Status.IN_SERVICE
 
+    def read_prompt(self, tokens, wall_ms):
+        """Take in that the engine is to read a part of a prompt.
+
+        Parameters
+        ----------
+        tokens : float
+            Tokens that it does not keep.
+        wall_ms : int
+            Wall time in ms.
+        """
+        # A clock that was set back must not make the engine look busy for long.
+        begin_ms = wall_ms + self.backlog_ms(wall_ms)
+        self._reading_until_ms = begin_ms + tokens / PREFILL_TOKENS_PER_MS
+
+    def backlog_ms(self, wall_ms):
+        """Return for how long in ms the engine still reads prompts that it was given.
+
+        Parameters
+        ----------
+        wall_ms : int
+            Wall time in ms.
+        """
+        left_ms = self._reading_until_ms - wall_ms
+        return min(max(0.0, left_ms), MAX_BACKLOG_MS)
+
     def has_place(self, capacity_share):
         """Return whether the engine has a place that is free.
 
