--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -26,7 +26,7 @@
 LEAST_LEFT_MS = 25
 # Wait for a connection: several round trips between zones, so that a dark engine
 # leaves time for another one.
-CONNECT_MS = 250
+CONNECT_MS = 120
 # Pause before another engine is tried; the next choice avoids the one that failed.
 PAUSE_MS = 10
 # Share of the time left that a repeatable request gives a silent engine.
@@ -37,6 +37,8 @@
 # Codes of errors after which no engine was reached.
 UNREACHED = frozenset(("unreachable", "leaving", "stale-view"))
 RETRY_AFTER_MS = 1_000
+# What the owner of an engine is told of a failed try; "failed" if not named here.
+OUTCOME_BY_CODE = {"slow-caller": "cancelled", "unreachable": "unreachable"}
 
 
 @frozen
@@ -375,7 +377,7 @@
             outcome = "done"
             return forwarded
         except EndpointFailed as error:
-            outcome = "cancelled" if error.code == "slow-caller" else "failed"
+            outcome = OUTCOME_BY_CODE.get(error.code, "failed")
             self.avoid.append(grant.engine)
             raise
         except RequestRefused:
--- /dev/null
+++ b/peridotcove/lapses.py
@@ -0,0 +1,70 @@
+"""Keeps engines whose entries lapsed while the configuration service was away.
+
+Entries are renewed by the engines; while the service is down some lapse though their
+engines live. They are back soon after its return; what is missing after that is gone.
+"""
+
+from attrs import evolve
+
+from peridotcove.models import Status
+
+# Time in ms after the service's return within which engines renew their entries, and
+# some margin for the news of it to arrive.
+RENEW_MS = 2_300
+
+
+class Lapses:
+    """Decides which engines that are no longer described stay in use for a while.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time in ms.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._lost = False
+        self._until_ms = None
+
+    def lose(self):
+        """Note that the service can't be read."""
+        self._lost = True
+
+    def regain(self):
+        """Note that the service can be read again."""
+        self._lost = False
+        self._until_ms = self._clock.now() + RENEW_MS
+
+    @property
+    def open(self):
+        """Whether entries may be missing though their engines live."""
+        if self._lost:
+            return True
+        return self._until_ms is not None and self._clock.now() < self._until_ms
+
+    def hold(self, before, current):
+        """Return a configuration with the engines that may have lapsed.
+
+        Parameters
+        ----------
+        before : Configuration
+            What was in use.
+        current : Configuration
+            What is described now.
+        """
+        if not self.open:
+            return current
+        urls = {engine.url for engine in current.engine_by_name.values()}
+        missing = {
+            name: engine
+            for name, engine in before.engine_by_name.items()
+            if name not in current.engine_by_name
+            and engine.status is Status.IN_SERVICE
+            and engine.model in current.model_by_name
+            and engine.zone in current.zone_by_name
+            and engine.url not in urls
+        }
+        if not missing:
+            return current
+        return evolve(current, engine_by_name=current.engine_by_name | missing)
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -143,7 +143,9 @@
             self._record("release-received", owed.trace_id, owed.entry)
         shard = owed.shard if owed else None
         if owed and owed.engine and message.outcome != "cancelled":
-            self._health.note(owed.engine, message.outcome == "failed")
+            described = self._fleet.shard_by_name.get(shard)
+            engines = described.engines if described else ()
+            self._health.note(owed.engine, message.outcome, engines)
         dispatchers = self.dispatcher_by_shard
         chosen = [dispatchers[shard]] if shard in dispatchers else dispatchers.values()
         for dispatcher in list(chosen):
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -19,6 +19,7 @@
 from peridotcove.fleet import Fleet
 from peridotcove.interfaces import find_interface
 from peridotcove.keys import CONTINUATIONS, LINKS, TICKETS, derive_key
+from peridotcove.lapses import Lapses
 from peridotcove.lease_client import LeaseClient
 from peridotcove.lease_server import LeaseServer
 from peridotcove.leaving_news import LeavingNews
@@ -96,6 +97,8 @@
         self.metrics = Metrics()
         self.fleet = Fleet(settings.region)
         self.states = EndpointStates(clock)
+        self.lapses = Lapses(clock)
+        self._holding = False
         self.leaving_news = LeavingNews(self.states, clock, self.rng)
         self._receiver_by_type = {}
         self._wire_control()
@@ -270,8 +273,12 @@
         """Put a new revision into force in all parts."""
         self.revision_events.follow(self.control.revisions.refused)
         current = self.control.revisions.current()
-        if current.revision == self.links.revision:
+        due = self._holding and not self.lapses.open
+        if current.revision == self.links.revision and not due:
             return
+        held = self.lapses.hold(self.fleet.configuration, current)
+        self._holding = held is not current
+        current = held
         self.links.revision = current.revision
         self._note_endpoints(current)
         self.fleet.set_configuration(current)
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -146,7 +146,7 @@
     request_id : bytes
         Id of the request.
     outcome : str
-        ``"done"``, ``"failed"`` or ``"cancelled"``.
+        ``"done"``, ``"failed"``, ``"unreachable"`` or ``"cancelled"``.
     cached_blocks : int
         Prefix blocks that the engine said it reused; -1 if it said nothing.
     """
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -93,6 +93,10 @@
 
 
 def _note_service(node, lost, reason):
+    if lost:
+        node.lapses.lose()
+    else:
+        node.lapses.regain()
     revisions = node.control.revisions
     node.timeline.record(
         "service-lost" if lost else "service-regained",
