--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -23,6 +23,7 @@
     "bench operators": "peridotcove.bench.operators:BenchOperatorsCommand",
     "check": "peridotcove.operators.commands:CheckCommand",
     "timeline": "peridotcove.operators.commands:TimelineCommand",
+    "trace": "peridotcove.operators.trace:TraceCommand",
     "demo-caller": "peridotcove.standins.commands:DemoCallerCommand",
     "standin engine": "peridotcove.standins.commands:StandinEngineCommand",
     "standin service": "peridotcove.standins.commands:StandinServiceCommand",
--- /dev/null
+++ b/tests/operators/test_trace.py
@@ -0,0 +1,49 @@
+"""Tests of `peridotcove.operators.trace`."""
+
+import pathlib
+import tempfile
+import unittest
+
+from cleo.testers.command_tester import CommandTester
+
+from peridotcove.operators.trace import TraceCommand, find_story, read_lines
+
+TEXT = """\
+noise without an object
+ 1.5 n1 {"asctime": "2026-01-01 00:00:02,000", "node": "n1", "kind": "request-sent", \
+"request": "ab", "peer": "e1", "left_ms": 700}
+{"asctime": "2026-01-01 00:00:01,000", "node": "n2", "kind": "lease-granted", \
+"request": "ab"}
+{"asctime": "2026-01-01 00:00:03,000", "node": "n1", "kind": "peer-down", "peer": "n2"}
+{"asctime": "2026-01-01 00:00:03,000", "node": "n1", "kind": "request-sent", \
+"request": "cd"}
+{"broken":
+{"no": "time"}
+"""
+
+
+class TraceTest(unittest.TestCase):
+    """The story of a request over many nodes, in order."""
+
+    def test_story(self):
+        lines = list(read_lines(TEXT))
+        self.assertEqual(len(lines), 4)
+        kinds = [line.fields["kind"] for line in find_story(lines, "ab")]
+        self.assertEqual(kinds, ["lease-granted", "request-sent"])
+        found = find_story(lines, kinds=("peer-down",), node="n1")
+        self.assertEqual([line.fields["peer"] for line in found], ["n2"])
+
+    def test_command(self):
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder) / "log"
+            file.write_text(TEXT)
+            cases = [
+                (f"{file} --request ab", 0, "n1 request-sent peer=e1 left_ms=700"),
+                (f"{file} --request ef", 1, ""),
+                (f"{folder}/none --request ab", 2, ""),
+            ]
+            for arguments, code, shown in cases:
+                with self.subTest(arguments=arguments):
+                    tester = CommandTester(TraceCommand())
+                    self.assertEqual(tester.execute(arguments), code)
+                    self.assertIn(shown, tester.io.fetch_output())
