Keep only engines that vanished together, and not for long while the store is lost

Cause: read again: a node that the store turns away, while peers bring it revisions, would have kept each engine that left as long as it was lost itself.

--- a/peridotcove/lapses.py
+++ b/peridotcove/lapses.py
@@ -4,6 +4,8 @@
 engines live. They are back soon after its return; what is missing after that is gone.
 """
 
+from collections import Counter
+
 from attrs import evolve
 
 from peridotcove.models import Status
@@ -11,6 +13,8 @@
 # Time in ms after the service's return within which engines renew their entries, and
 # some margin for the news of it to arrive.
 RENEW_MS = 2_300
+# Entries lapse together. Fewer of a model's engines that go at once have left.
+MASS_SHARE = 0.3
 
 
 class Lapses:
@@ -30,6 +34,7 @@
     def lose(self):
         """Note that the service can't be read."""
         self._lost = True
+        self._until_ms = None
 
     def regain(self):
         """Note that the service can be read again."""
@@ -39,8 +44,6 @@
     @property
     def open(self):
         """Whether entries may be missing though their engines live."""
-        if self._lost:
-            return True
         return self._until_ms is not None and self._clock.now() < self._until_ms
 
     def hold(self, before, current):
@@ -53,6 +56,9 @@
         current : Configuration
             What is described now.
         """
+        if self._lost and self._until_ms is None:
+            # Another node can read: the service is back, if not for this one.
+            self._until_ms = self._clock.now() + RENEW_MS
         if not self.open:
             return current
         urls = {engine.url for engine in current.engine_by_name.values()}
@@ -65,6 +71,13 @@
             and engine.zone in current.zone_by_name
             and engine.url not in urls
         }
-        if not missing:
+        described = Counter(one.model for one in before.engine_by_name.values())
+        gone = Counter(engine.model for engine in missing.values())
+        lapsed = {
+            name: engine
+            for name, engine in missing.items()
+            if gone[engine.model] >= MASS_SHARE * described[engine.model]
+        }
+        if not lapsed:
             return current
-        return evolve(current, engine_by_name=current.engine_by_name | missing)
+        return evolve(current, engine_by_name=current.engine_by_name | lapsed)
--- a/tests/test_lapses.py
+++ b/tests/test_lapses.py
@@ -43,13 +43,29 @@
     def test_around_an_outage(self):
         self.lapses.lose()
         self.clock.advance(60_000)
-        self.assertEqual(self.held(), {"a", "b"})
         self.lapses.regain()
+        self.assertEqual(self.held(), {"a", "b"})
         self.clock.advance(RENEW_MS - 1)
         self.assertEqual(self.held(), {"a", "b"})
         self.clock.advance(1)
         self.assertEqual(self.held(), {"a"})
 
+    def test_a_node_that_cannot_read_keeps_nothing_for_long(self):
+        self.lapses.lose()
+        self.clock.advance(60_000)
+        self.assertEqual(self.held(), {"a", "b"})
+        self.clock.advance(RENEW_MS)
+        self.assertEqual(self.held(), {"a"})
+
+    def test_a_single_engine_that_goes_has_left(self):
+        names = "abcdefgh"
+        self.before = make_configuration(**dict.fromkeys(names, IN))
+        self.lapses.regain()
+        some = make_configuration(**dict.fromkeys(names[:-1], IN))
+        self.assertEqual(self.held(some), set(names[:-1]))
+        few = make_configuration(**dict.fromkeys(names[:4], IN))
+        self.assertEqual(self.held(few), set(names))
+
     def test_what_is_not_kept(self):
         self.lapses.lose()
         reused = make_configuration(a=IN)
