--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -11,6 +11,7 @@
 from attrs import define, field, frozen
 from tornado.httputil import HTTPHeaders
 
+from peridotcove.clock import MS_PER_S
 from peridotcove.endpoints.client import Transfer
 from peridotcove.events import EventCutter
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
@@ -370,7 +371,12 @@
         if not shard:
             text = f"no engine serves {self.model!r}"
             raise RequestRefused("no-engine", text, 503, RETRY_AFTER_MS)
-        grant = await owner.leases.ask(shard, request)
+        asked_ms = owner.clock.now()
+        try:
+            grant = await owner.leases.ask(shard, request)
+        finally:
+            waited_ms = owner.clock.now() - asked_ms
+            owner.metrics.lease_wait.observe(waited_ms / MS_PER_S)
         outcome = "cancelled"
         try:
             forwarded = await self._send(grant)
@@ -384,6 +390,7 @@
             self.avoid.append(grant.engine)
             raise
         finally:
+            owner.metrics.attempts.labels(outcome).inc()
             owner.leases.release(request.request_id, outcome)
 
     def _make_lease_request(self, left_ms):
--- a/peridotcove/host_desk.py
+++ b/peridotcove/host_desk.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 
+from peridotcove.clock import MS_PER_S
 from peridotcove.exceptions import EndpointFailed, RequestRefused
 from peridotcove.verdict import Verdict
 
@@ -142,6 +143,17 @@
             verdict = Verdict.MAY_HAVE_RUN
             raise EndpointFailed("timeout", text, verdict, 504) from None
 
+    def note_first_byte(self, arrived_ms):
+        """Observe the time to the first byte of an engine's answer.
+
+        Parameters
+        ----------
+        arrived_ms : int
+            Monotonic time in ms at which the request arrived.
+        """
+        took_ms = self.clock.now() - arrived_ms
+        self._metrics.first_byte.observe(took_ms / MS_PER_S)
+
     def note_end(self, request_id, arrived_ms, status):
         """Record a request whose whole answer has been passed on.
 
--- a/peridotcove/metrics.py
+++ b/peridotcove/metrics.py
@@ -38,6 +38,18 @@
             buckets=SECONDS,
             registry=self.registry,
         )
+        self.lease_wait = Histogram(
+            "peridotcove_lease_wait_seconds",
+            "Time from asking for a lease to its grant or refusal, queueing included.",
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+        self.attempts = self._count(
+            "peridotcove_attempts", "Requests sent to engines, by outcome.", "outcome"
+        )
+        self.log_lines_dropped = self._level(
+            "peridotcove_log_lines_dropped", "Lines of the log that were not written."
+        )
         self.in_progress = self._level(
             "peridotcove_requests_in_progress", "Requests in progress."
         )
--- a/peridotcove/operators/commands.py
+++ b/peridotcove/operators/commands.py
@@ -16,7 +16,7 @@
 from peridotcove.exceptions import InvalidSettings, SettingError
 from peridotcove.operators.collect import collect
 from peridotcove.schema import build
-from peridotcove.settings import Settings
+from peridotcove.settings import Settings, read_any_settings
 from peridotcove.timeline_output import chrome_trace, format_lines
 from peridotcove.timeline_view import follow, merge
 
@@ -89,6 +89,8 @@
     InvalidSettings
         With every fault.
     """
+    if str(file).endswith(".toml"):
+        return f"valid settings of node {read_any_settings(str(file)).node}"
     raw = read_whole(file)
     if isinstance(raw, dict) and SETTINGS_KEYS & raw.keys():
         settings = build(Settings, raw, str(file))
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -213,6 +213,7 @@
                 self._answered = True
                 self._connection.finish()
             return
+        self._desk.note_first_byte(self._arrived_ms)
         self._answer(forwarded.head.status, forwarded.head.headers, forwarded.body)
 
     def _read(self):
@@ -262,6 +263,7 @@
     def _open(self):
         """Write the head of a streamed answer and return the writer of its body."""
         head = self._forward.head
+        self._desk.note_first_byte(self._arrived_ms)
         self._write_head(head.status, head.headers)
         stream = self._connection.stream
         return BodyWriter(stream, self._start_line.version == "HTTP/1.1")
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -29,12 +29,15 @@
     settings : Settings
         Settings of the node.
     """
-    start_logs(settings.log_level, getattr(settings, "label", "") or settings.node)
+    handler = start_logs(
+        settings.log_level, getattr(settings, "label", "") or settings.node
+    )
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(settings, Clock())
+    node.metrics.log_lines_dropped.set_function(lambda: handler.dropped)
     tasks = await start(node)
     try:
         await stop.wait()
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,111 @@
+"""Tests of `peridotcove.discovery`: nodes find each other, though seeds may be stale."""
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotcove.clock import FakeClock
+from peridotcove.discovery import FORGET_MS, MAX_SHARED, Discovery
+from peridotcove.exceptions import ProtocolError
+from peridotcove.models import Instance
+from peridotcove.nodes.membership_messages import ShareNodes
+
+STEP_MS = 250
+
+
+def name_of(number):
+    return f"10.0.0.{number}:7000"
+
+
+class Fleet:
+    """Nodes that exchange messages at once; some may be down."""
+
+    def __init__(self, count, seeds, seed=1):
+        self.clock = FakeClock()
+        self.rng = random.Random(seed)
+        self.down = set()
+        self.node_by_name = {}
+        for number in range(count):
+            self.add(number, seeds)
+
+    def add(self, number, seeds):
+        name = name_of(number)
+        instance = Instance(name, "node", f"10.0.0.{number}", 7000, "z")
+        node = Discovery(instance, self.clock, self.rng)
+        node.set_seeds(seeds)
+        self.node_by_name[name] = node
+
+    def reaches(self, name):
+        return name in self.node_by_name and name not in self.down
+
+    def deliver(self, sender, outgoing):
+        for item in outgoing:
+            if self.reaches(item.peer) and self.reaches(sender):
+                node = self.node_by_name[item.peer]
+                _, answers = node.receive(sender, item.message)
+                self.deliver(item.peer, answers)
+
+    def run(self, ms):
+        for _ in range(ms // STEP_MS):
+            self.clock.advance(STEP_MS)
+            for name, node in list(self.node_by_name.items()):
+                if name not in self.down:
+                    heard = set(node.known_by_name) - self.down
+                    self.deliver(name, node.tick(heard.__contains__))
+
+    def views(self):
+        return {
+            frozenset(one.name for one in node.instances())
+            for name, node in self.node_by_name.items()
+            if name not in self.down
+        }
+
+
+class DiscoveryTest(unittest.TestCase):
+    """All live nodes end with the same view, whatever the seeds."""
+
+    @given(st.integers(2, 30), st.integers(0, 2), st.integers(0, 99))
+    def test_one_live_seed_is_enough(self, count, stale, seed):
+        seeds = [name_of(200 + number) for number in range(stale)] + [name_of(0)]
+        fleet = Fleet(count, seeds, seed)
+        fleet.run(8_000)
+        self.assertEqual(fleet.views(), {frozenset(fleet.node_by_name)})
+
+    def test_a_large_fleet(self):
+        fleet = Fleet(4 * MAX_SHARED, [name_of(0), name_of(1)])
+        fleet.run(20_000)
+        self.assertEqual(fleet.views(), {frozenset(fleet.node_by_name)})
+
+    def test_two_groups_join_when_one_node_hears_of_the_other(self):
+        fleet = Fleet(3, [name_of(0)])
+        for number in (10, 11, 12):
+            fleet.add(number, [name_of(10)])
+        fleet.run(4_000)
+        self.assertEqual(len(fleet.views()), 2)
+        fleet.node_by_name[name_of(2)].set_seeds([name_of(11)])
+        fleet.run(8_000)
+        self.assertEqual(len(fleet.views()), 1)
+
+    def test_a_seed_that_is_up_later_is_found(self):
+        fleet = Fleet(3, [name_of(0)])
+        fleet.down = {name_of(0)}
+        fleet.run(2_000)
+        self.assertEqual(len(fleet.views()), 2)
+        fleet.down = set()
+        fleet.run(2_000)
+        self.assertEqual(len(fleet.views()), 1)
+
+    def test_nodes_that_are_gone_are_forgotten(self):
+        fleet = Fleet(3, [name_of(0)])
+        fleet.run(2_000)
+        fleet.down = {name_of(2)}
+        fleet.run(FORGET_MS + 10_000)
+        self.assertEqual(fleet.views(), {frozenset((name_of(0), name_of(1)))})
+
+    def test_malformed_records_are_refused(self):
+        node = Fleet(1, []).node_by_name[name_of(0)]
+        for record in (7, [], ["n", "h", "7", "z", 0], ["n", "h", 7, "z"], [1] * 5):
+            with self.subTest(record=record), self.assertRaises(ProtocolError):
+                node.receive("x", ShareNodes([record], True))
