Read engines' caches 100 ms after becoming their owner

Cause: after the last fault 74 requests were placed in the 300 ms before the lists came, 186,000 tokens with no engine known to have them. Ruled out: at once; in a fleet that starts each node owns everything in its first view. Change: OWNED_MS 100; a grant's line has the blocks of the whole prompt.

--- a/peridotcove/cache_watch.py
+++ b/peridotcove/cache_watch.py
@@ -14,7 +14,7 @@
 
 # Time in ms for which a node has to be the owner before it asks: the first view of a
 # node that starts may be that it owns everything.
-OWNED_MS = 300
+OWNED_MS = 100
 # Wait in ms for an engine's next event.
 WAIT_MS = 1_000
 # Pause in ms after a call that failed, and after one that brought events.
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -394,7 +394,8 @@
         request_id = request.request_id
         self._add(Lease(request_id, request.entry, request.customer, name, now, cached))
         load = self._loads.by_engine[name].total
-        return Grant(request_id, name, cached, source, load, self.waiting)
+        blocks = int(lookup.blocks)
+        return Grant(request_id, name, cached, source, load, self.waiting, blocks)
 
     def _backlogs(self):
         """Return the blocks that each open engine still has to read."""
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -296,6 +296,7 @@
     if not isinstance(decision, Grant):
         return {"retry_after_ms": decision.retry_after_ms}
     return {
+        "blocks": decision.blocks,
         "cached_blocks": decision.cached_blocks,
         "source": decision.source,
         "load": decision.load,
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -468,6 +468,8 @@
         Engine from which the missing prefix is to be fetched, or empty.
     load, waiting : int
         Requests on the engine and in the owner's queue when it was granted.
+    blocks : int
+        Blocks of the whole prompt.
     """
 
     request_id: bytes
@@ -476,6 +478,7 @@
     source: str = ""
     load: int = 0
     waiting: int = 0
+    blocks: int = 0
 
 
 @frozen
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,4 @@
-"""Tests of `peridotcove.discovery`: nodes find each other, though seeds may be stale."""
+"""Tests of `peridotcove.discovery`: nodes find each other, though seeds are stale."""
 
 import random
 import unittest
