--- a/peridotcove/__init__.py
+++ b/peridotcove/__init__.py
@@ -3,11 +3,19 @@
 The operators' library is re-exported here; the rest of the package is the program.
 """
 
-from peridotcove.api import Description, ServiceDescription, describe
-from peridotcove.exceptions import InvalidSettings, PeridotcoveError, SettingError
+import importlib
 
 __version__ = "0.1.0"
 
+_MODULE_BY_NAME = {
+    "Description": "peridotcove.api",
+    "InvalidSettings": "peridotcove.exceptions",
+    "PeridotcoveError": "peridotcove.exceptions",
+    "ServiceDescription": "peridotcove.api",
+    "SettingError": "peridotcove.exceptions",
+    "describe": "peridotcove.api",
+}
+
 __all__ = [
     "Description",
     "InvalidSettings",
@@ -16,3 +24,10 @@
     "SettingError",
     "describe",
 ]
+
+
+def __getattr__(name):
+    # A node needs none of the library, which takes a quarter of a second to import.
+    if name not in _MODULE_BY_NAME:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(_MODULE_BY_NAME[name]), name)
--- a/peridotcove/__main__.py
+++ b/peridotcove/__main__.py
@@ -2,11 +2,17 @@
 
 import sys
 
-from peridotcove.cli import make_application
-
 
 def main():
     """Run the command that the command line names and exit with its code."""
+    if sys.argv[1:] == ["node"]:
+        # As the machines' platform starts it. Callers wait for a node that comes back,
+        # and the library of the command line takes as long to import as all decisions.
+        from peridotcove.starting import start_node
+
+        sys.exit(start_node("", lambda fault: print(fault, file=sys.stderr)))
+    from peridotcove.cli import make_application
+
     sys.exit(make_application().run())
 
 
--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -1,16 +1,13 @@
 """The command line: one cleo application for all commands."""
 
-import asyncio
 import importlib
-import os
 
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import argument
 
 from peridotcove import __version__
-from peridotcove.exceptions import InvalidSettings, SettingError
-from peridotcove.settings import PATH_VARIABLE, read_any_settings
+from peridotcove.settings import PATH_VARIABLE
 
 EXIT_OK = 0
 EXIT_FAULTS = 1
@@ -49,24 +46,12 @@
 
     def handle(self):
         """Run the node."""
-        from peridotcove.running import run_node
-
-        try:
-            file = self.argument("settings") or os.environ.get(PATH_VARIABLE, "")
-            settings = read_any_settings(file)
-            settings.secret.read("secret")
-        except InvalidSettings as faults:
-            self._print_faults(faults.exceptions)
-            return EXIT_FAULTS
-        except SettingError as fault:
-            self._print_faults([fault])
-            return EXIT_FAULTS
-        asyncio.run(run_node(settings))
-        return EXIT_OK
-
-    def _print_faults(self, faults):
-        for fault in faults:
-            self.line_error(f"<error>{fault}</error>")
+        from peridotcove.starting import start_node
+
+        return start_node(self.argument("settings") or "", self._print_fault)
+
+    def _print_fault(self, fault):
+        self.line_error(f"<error>{fault}</error>")
 
 
 class _Loader:
