--- a/peridotcove/platform/dialect.py
+++ b/peridotcove/platform/dialect.py
@@ -1,6 +1,6 @@
 """Header fields of requests to servers and of their answers."""
 
-from peridotcove.forwarding import AnswerHead, Dialect
+from peridotcove.dialect import AnswerHead, Dialect
 
 CONNECTION_FIELDS = frozenset(
     (
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -17,8 +17,8 @@
 from peridotcove.callers.body import BodyWriter
 from peridotcove.callers.sink import Sink
 from peridotcove.clock import MS_PER_S
+from peridotcove.dialect import Forward
 from peridotcove.exceptions import RequestError, RequestRefused
-from peridotcove.forwarding import Forward
 from peridotcove.logs import get_logger
 from peridotcove.platform.dialect import (
     DEADLINE,
