Serve deployments that differ: keys all revoked, fractions of a ms, several regions

A document whose last customer was removed made every route public; a deadline with a fraction was refused with 400; engines of other regions than the node's were never used. Change: keys_required follows from the document; deadlines may have fractions; all zones of the machines are one region; goals and time-outs of 0 become 1 ms.

--- a/peridotcove/host_desk.py
+++ b/peridotcove/host_desk.py
@@ -97,7 +97,7 @@
         route : HostRoute
             The route.
         customer : Customer or None
-            None on a public route, or where the configuration has no customers.
+            None on a public route, or where no keys are required.
 
         Raises
         ------
@@ -110,7 +110,7 @@
         route = self.fleet.find_route(host, path)
         if route is None:
             raise self._unknown("unknown-route", f"no route for {host}{path}", 404)
-        if route.public or not self.fleet.configuration.customer_by_name:
+        if route.public or not self.fleet.configuration.bounds.keys_required:
             return route, None
         digest = hashlib.sha256((key or "").encode("latin-1", "replace")).hexdigest()
         customer = self.fleet.find_customer(digest)
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -314,6 +314,8 @@
         Time in ms for which a ticket is valid.
     weight_store_bytes_per_second : int
         Rate of the weight store.
+    keys_required : bool
+        Whether requests on host routes need an API key, unless the route is public.
     """
 
     load_bound: float = within(1.0, 100.0, default=1.25)
@@ -323,6 +325,7 @@
     shard_engines: int = within(1, 10_000, default=16)
     ticket_ms: int = within(1_000, 86_400_000, default=3_600_000)
     weight_store_bytes_per_second: int = within(1, 1 << 50, default=1_000_000_000)
+    keys_required: bool = False
 
 
 @frozen
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -41,9 +41,6 @@
 MAX_ID_BYTES = 32
 # Statuses that say what is wrong with a request; a client does not repeat it.
 REFUSED_STATUSES = (400, 401, 404)
-# A stream is ended this long after its route's time-out, so that one whose last event
-# is on its way is still whole.
-END_SLACK_MS = 100
 
 log = get_logger("callers")
 
@@ -322,9 +319,11 @@
     text = headers.get(DEADLINE)
     if text is None:
         return route.timeout_ms
-    if not text.isdigit():
-        raise RequestRefused("bad-deadline", f"{DEADLINE} is no number", 400)
-    return int(text)
+    try:
+        return max(0, int(float(text)))
+    except (ValueError, OverflowError):
+        text = f"{DEADLINE} is no number"
+        raise RequestRefused("bad-deadline", text, 400) from None
 
 
 def make_server(ingress, limits):
--- a/peridotcove/platform/settings.py
+++ b/peridotcove/platform/settings.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from peridotcove.exceptions import InvalidSettings, SettingError
+from peridotcove.platform.translation import REGION
 from peridotcove.settings import Address, Limits, Settings
 
 # Port of the metrics, as deploy/system.toml names it.
@@ -153,7 +154,7 @@
     return MachineSettings(
         node=f"{nodes.host}:{nodes.port}",
         zone=top.get("zone", str, "a name"),
-        region=top.get("region", str, "a name"),
+        region=REGION,
         callers=callers,
         nodes=nodes,
         operators=ready,
--- a/peridotcove/platform/translation.py
+++ b/peridotcove/platform/translation.py
@@ -9,6 +9,8 @@
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
 STATUS_BY_STATE = {"ready": "in-service", "draining": "leaving"}
+# Servers of any zone may serve clients of any other, so that all zones are one region.
+REGION = "machines"
 KINDS = ("stream", "idempotent", "non_idempotent")
 # Characters for a block of 64 tokens, at the 4 characters a token that the cache index
 # counts: a fiftieth of the shortest shared prompts' wait is lost to rounding.
@@ -45,11 +47,8 @@
         # A route's 'service' is the name of a group of servers.
         service_by_name = {one["name"]: one for one in document["services"]}
         return {
-            "bounds": _bounds(store),
-            "zones": {
-                zone: {"region": region}
-                for zone, region in store.region_by_zone.items()
-            },
+            "bounds": _bounds(store, "tenants" in document),
+            "zones": {zone: {"region": REGION} for zone in store.region_by_zone},
             "models": {name: {} for name in service_by_name},
             "engines": _engines(item_by_key, service_by_name, store.region_by_zone),
             "customers": {
@@ -61,8 +60,9 @@
         raise PlatformDown(f"{CONFIGURATION_KEY} can't be read: {error!r}") from None
 
 
-def _bounds(store):
+def _bounds(store, keys_required):
     return {
+        "keys_required": keys_required,
         "load_bound": float(store.load_bound),
         "retry_share": float(store.retry_share),
         "block_chars": BLOCK_CHARS,
@@ -102,8 +102,8 @@
         # 'attempts' counts servers, not repeats.
         "attempts": raw.get("attempts", 1),
         "priority": raw.get("priority", 5),
-        "timeout_ms": int(raw["timeout_ms"]),
-        "goal_ms": int(raw.get("goal_ms", 1_000)),
+        "timeout_ms": max(1, int(raw["timeout_ms"])),
+        "goal_ms": max(1, int(raw.get("goal_ms", 1_000))),
     }
 
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -17,6 +17,7 @@
     OpenSecret,
     Store,
 )
+from peridotcove.platform.translation import REGION
 from peridotcove.settings import Address, Limits
 
 HOST = "127.0.0.1"
@@ -279,7 +280,7 @@
     settings = MachineSettings(
         node=f"{host}:7100",
         zone="z1",
-        region="r",
+        region=REGION,
         callers=Address(host, 7101),
         nodes=Address(host, 7100),
         operators=Address(host, 7102),
--- a/tests/platform/test_machine_node.py
+++ b/tests/platform/test_machine_node.py
@@ -225,6 +225,10 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
+    async def wait_in_force(self, node):
+        revision = self.store.revision
+        await self.wait_for(lambda: node.fleet.configuration.revision >= revision)
+
     async def connect(self, node=None):
         client = await Client.connect(node or self.node)
         self.addCleanup(client.close)
@@ -287,12 +291,13 @@
             ("/booking/", {"Api_Key": None}, 401),
             ("/open/", {"Api_Key": None}, 200),
             ("/booking/", {"X_Deadline_Ms": "soon"}, 400),
+            ("/open/", {"X_Deadline_Ms": "1500.5"}, 200),
         ]
         for target, fields, status in cases:
             with self.subTest(target=target, fields=fields):
                 got = await self.ask("r1", target, **fields)
                 self.assertEqual(got.status, status)
-        self.assertEqual(self.arrivals(), 1)
+        self.assertEqual(self.arrivals(), 2)
 
     async def test_a_node_that_cannot_know_says_503(self):
         self.store.status = 503
@@ -403,10 +408,7 @@
                 else:
                     entry = leaving.entry("llm", state="draining")
                     self.store.put("servers/i-1", entry)
-                self.wait_in_force = self.store.revision
-                await self.wait_for(
-                    lambda: self.node.fleet.configuration.revision >= self.wait_in_force
-                )
+                await self.wait_in_force(self.node)
                 for number in range(6):
                     got = await self.ask(f"r{number}", "/lookup/")
                     self.assertEqual(got.status, 200)
@@ -422,9 +424,11 @@
 
     async def test_a_revoked_key_is_refused(self):
         self.publish(tenants=[])
+        await self.wait_in_force(self.node)
+        self.assertEqual((await self.ask("r0", "/booking/")).status, 401)
+        self.assertEqual((await self.ask("r0", "/open/")).status, 200)
         self.publish(tenants=[{"name": "other", "api_keys": ["another-key"]}])
-        revision = self.store.revision
-        await self.wait_for(lambda: self.node.fleet.configuration.revision >= revision)
+        await self.wait_in_force(self.node)
         self.assertEqual((await self.ask("r1", "/booking/")).status, 401)
 
     async def test_requests_end_while_the_node_leaves(self):
@@ -481,10 +485,7 @@
                 lambda n=node: [one.name for one in n.fleet.nodes] == names
             )
         self.publish(version=8)
-        revision = self.store.revision
         for node in nodes:
-            await self.wait_for(
-                lambda n=node: n.fleet.configuration.revision >= revision
-            )
+            await self.wait_in_force(node)
             client = await self.connect(node)
             self.assertEqual((await client.ask("r1", "/lookup/")).status, 200)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -7,8 +7,17 @@
 from hypothesis import strategies as st
 
 from peridotcove.exceptions import EndpointFailed, RequestRefused
-from peridotcove.retries import MAX_BACKOFF_MS, RetryBudget, backoff, may_repeat
+from peridotcove.retries import (
+    MAX_BACKOFF_MS,
+    RetryBudget,
+    RetryPolicy,
+    backoff,
+    ignore,
+    may_repeat,
+    run_tries,
+)
 from peridotcove.verdict import Verdict
+from tests.virtual import run
 
 
 class RetryTest(unittest.TestCase):
@@ -43,3 +52,47 @@
     def test_backoff_is_bounded(self, tries, seed):
         wait = backoff(tries, random.Random(seed))
         self.assertTrue(0 <= wait <= MAX_BACKOFF_MS)
+
+    def test_the_verdict_of_all_tries(self):
+        not_run = EndpointFailed("unreachable", "x", Verdict.NOT_RUN)
+        may = EndpointFailed("cut", "x", Verdict.MAY_HAVE_RUN)
+        cases = [
+            # outcomes of tries, budget, result, tries made, balance left
+            (["ok"], 0, "ok", 1, 0),
+            ([may, "ok"], 1, "ok", 2, 0),
+            ([may, "ok"], 0, may, 1, 0),
+            ([may, not_run, not_run], 1, may, 3, 0),
+            ([not_run, "ok"], 0, "ok", 2, 0),
+            ([not_run, not_run, not_run, "ok"], 1, not_run, 3, 1),
+        ]
+        for script, balance, expected, tries, left in cases:
+            with self.subTest(script=script, balance=balance):
+                outcome, made, budget = run(self.play(script, balance))
+                self.assertIs(outcome, expected)
+                self.assertEqual((made, budget.balance), (tries, left))
+
+    async def play(self, script, balance):
+        budget = RetryBudget(0.0)
+        budget.balance = balance
+        made = []
+
+        async def attempt(number):
+            made.append(number)
+            outcome = script[number - 1]
+            if isinstance(outcome, Exception):
+                raise outcome
+            return outcome
+
+        policy = RetryPolicy(
+            budget,
+            random.Random(1),
+            lambda error, tries: tries < 3,
+            lambda error: error.code == "unreachable",
+            ignore,
+            lambda error, tries: None,
+            backoff,
+        )
+        try:
+            return await run_tries(policy, attempt), len(made), budget
+        except EndpointFailed as error:
+            return error, len(made), budget
