--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -252,7 +252,6 @@
     def _make_lease_request(self, left_ms):
         forward = self.forward
         customer = forward.customer
-        priority = forward.route.priority if customer is None else customer.priority
         return LeaseRequest(
             os.urandom(LEASE_ID_BYTES),
             self.owner.node,
@@ -261,7 +260,7 @@
             forward.prefixes,
             zone=self.owner.zone,
             deadline_ms=max(1, int(left_ms * QUEUE_SHARE)),
-            priority=priority,
+            priority=self._priority(),
             chat_key=forward.key,
             avoid=tuple(self.avoid),
             part_ends=forward.part_ends,
@@ -276,9 +275,8 @@
         left_ms = max(1, forward.end_ms - owner.clock.now())
         self._begin(engine, left_ms)
         resume_after = self.events.last_id if self.sink.started else ""
-        priority = self._priority()
         source = engine_by_name.get(grant.source)
-        attempt = Attempt(engine, source, left_ms, resume_after, priority)
+        attempt = Attempt(engine, source, left_ms, resume_after, self._priority())
         headers = HTTPHeaders()
         for name, value in owner.dialect.write_headers(forward, attempt):
             headers.add(name, value)
