--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -50,6 +50,9 @@
         me = node.control.node
         self.discovery = Discovery(me, node.clock, node.rng)
         self.discovery.set_seeds(node.settings.seeds)
+        self.budget = RetryBudget(node.settings.platform.retry_share * BUDGET_SHARE)
+        self._share_budget()
+        self.budget.balance = self.budget.most
         self._cache_reader = ServerCaches()
         self._caches = CacheWatch(self._cache_reader, self._apply_news, node.clock)
 
@@ -66,10 +69,6 @@
     def make_caller_server(self):
         """Return the HTTP server towards clients, not yet listening."""
         node = self.node
-        store = node.settings.platform
-        self.budget = RetryBudget(store.retry_share * BUDGET_SHARE)
-        self._share_budget()
-        self.budget.balance = self.budget.most
         forwarder = Forwarder(
             node.name,
             node.settings.zone,
--- a/peridotcove/platform/settings.py
+++ b/peridotcove/platform/settings.py
@@ -83,6 +83,11 @@
     seeds: tuple[str, ...] = ()
     metrics: Address = Address("", 0)
 
+    @property
+    def log_name(self):
+        """Name of the machine, which is on each line of the node's log."""
+        return self.label
+
 
 class _Table:
     """A table of the file that names what is missing or of the wrong type."""
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -29,9 +29,7 @@
     settings : Settings
         Settings of the node.
     """
-    handler = start_logs(
-        settings.log_level, getattr(settings, "label", "") or settings.node
-    )
+    handler = start_logs(settings.log_level, settings.log_name)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/peridotcove/settings.py
+++ b/peridotcove/settings.py
@@ -175,6 +175,11 @@
     tls: TlsFiles | None = None
     log_level: str = "INFO"
 
+    @property
+    def log_name(self):
+        """Name of the node on each line of its log."""
+        return self.node
+
 
 def _read_text(file, path):
     try:
