Take changed seeds once; find owned shards in one place

The settings were compared with the seeds less the node's own address, so that new seeds with it were taken anew each second, with a line of log and introductions each time. Node.follow_orders found the shards that the node owns by a copy of what owned_shards does. Change: the watch compares with what it read last; follow_orders calls owned_shards.

--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -355,9 +355,8 @@
         fleet = self.fleet
         engines = [
             engine
-            for shard in fleet.shard_by_name.values()
-            if fleet.rank_owners(shard.name)[:1] == [self.name]
-            for engine in shard.engines
+            for shard in self.owned_shards()
+            for engine in fleet.shard_by_name[shard].engines
         ]
         self.orders.set_configuration(fleet.configuration, engines)
 
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -109,7 +109,7 @@
         return [self._watch_settings()] if self.node.settings.file else []
 
     async def _watch_settings(self):
-        file = self.node.settings.file
+        file, seeds = self.node.settings.file, self.node.settings.seeds
         while True:
             await asyncio.sleep(SETTINGS_S)
             try:
@@ -117,11 +117,11 @@
             except InvalidSettings as error:
                 log.error("the settings are kept as they were: %s", error.exceptions)
                 continue
-            known = self.node.settings.seeds
-            if settings.seeds != known and settings.seeds != self.discovery.seeds:
-                inputs = {"seeds": list(settings.seeds)}
+            if settings.seeds != seeds:
+                seeds = settings.seeds
+                inputs = {"seeds": list(seeds)}
                 self.node.timeline.record("settings-reloaded", inputs)
-                self.discovery.set_seeds(settings.seeds)
+                self.discovery.set_seeds(seeds)
                 self._follow()
 
     def tick(self):
--- a/tests/platform/test_machine_node.py
+++ b/tests/platform/test_machine_node.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from peridotcove.clock import Clock
 from peridotcove.node import Node
@@ -474,6 +475,22 @@
         await asyncio.sleep(0.2)
         self.assertEqual(self.arrivals(), before)
 
+    async def test_new_seeds_are_taken_once(self):
+        settings = fakes.make_settings(self.store, fakes.loopback(), file="x.toml")
+        changed = evolve(settings, seeds=(settings.node, "127.0.0.1:9"))
+        place = "peridotcove.platform.interface"
+        with (
+            mock.patch(f"{place}.SETTINGS_S", 0.01),
+            mock.patch(f"{place}.read_machine_settings", lambda file: changed),
+        ):
+            node = Node(settings, Clock())
+            await open_ports(node)
+            self.addAsyncCleanup(self.stop, node, await start(node))
+            await asyncio.sleep(0.3)
+        kinds = [event.kind for event in node.timeline.events()]
+        self.assertEqual(kinds.count("settings-reloaded"), 1)
+        self.assertEqual(node.interface.discovery.seeds, ("127.0.0.1:9",))
+
     async def test_nodes_find_each_other_and_share_a_configuration(self):
         first = self.node.name
         second = await self.start([first, "127.0.0.1:9"])
