Read the settings again on SIGHUP in place of ending by it

Cause: no handler was set for SIGHUP, so its default action ended the node; the signal announces a changed settings file. Ruled out: a kill by the soak itself, its log shows none.

Change: the interface has `reload`; on the machines it reads the seeds again and logs `settings-reloaded` either way, with our own interface it logs that settings are read at the start only. The clients of the tests moved to a module of their own.

--- a/peridotcove/interfaces.py
+++ b/peridotcove/interfaces.py
@@ -5,9 +5,11 @@
 
 import importlib
 
+from peridotcove.logs import get_logger
 from peridotcove.registry import Registry
 
 interfaces = Registry("interface")
+log = get_logger("node")
 
 MODULE_BY_NAME = {
     "own": "peridotcove.own_interface",
@@ -59,6 +61,10 @@
         """Do the periodic work that only this interface needs."""
         raise NotImplementedError
 
+    def reload(self):
+        """Read again what settings may change while the node runs."""
+        log.warning("SIGHUP changes nothing: settings are read at the start only")
+
     def close(self):
         """Close the connections that only this interface has."""
 
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -49,7 +49,8 @@
         super().__init__(node)
         me = node.control.node
         self.discovery = Discovery(me, node.clock, node.rng)
-        self.discovery.set_seeds(node.settings.seeds)
+        self._seeds = node.settings.seeds
+        self.discovery.set_seeds(self._seeds)
         self.budget = RetryBudget(node.settings.platform.retry_share * BUDGET_SHARE)
         self._share_budget()
         self.budget.balance = self.budget.most
@@ -109,20 +110,33 @@
         return [self._watch_settings()] if self.node.settings.file else []
 
     async def _watch_settings(self):
-        file, seeds = self.node.settings.file, self.node.settings.seeds
         while True:
             await asyncio.sleep(SETTINGS_S)
-            try:
-                settings = read_machine_settings(file)
-            except InvalidSettings as error:
-                log.error("the settings are kept as they were: %s", error.exceptions)
-                continue
-            if settings.seeds != seeds:
-                seeds = settings.seeds
-                inputs = {"seeds": list(seeds)}
-                self.node.timeline.record("settings-reloaded", inputs)
-                self.discovery.set_seeds(seeds)
-                self._follow()
+            self._read_settings()
+
+    def reload(self):
+        """Read the seeds again, which the platform changes while nodes come and go."""
+        if not self._read_settings():
+            self._note_reload("SIGHUP; no seed changed")
+
+    def _read_settings(self):
+        """Take seeds that changed and return whether there are any."""
+        try:
+            settings = read_machine_settings(self.node.settings.file)
+        except InvalidSettings as error:
+            log.error("the settings are kept as they were: %s", error.exceptions)
+            return False
+        if settings.seeds == self._seeds:
+            return False
+        self._seeds = settings.seeds
+        self._note_reload("seeds changed")
+        self.discovery.set_seeds(settings.seeds)
+        self._follow()
+        return True
+
+    def _note_reload(self, reason):
+        inputs = {"seeds": list(self._seeds)}
+        self.node.timeline.record("settings-reloaded", inputs, detail=reason)
 
     def tick(self):
         """Introduce this node to others, and divide the budget of repeats."""
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -22,7 +22,7 @@
 
 
 async def run_node(settings):
-    """Run a node until SIGTERM or SIGINT, then drain it.
+    """Run a node until SIGTERM or SIGINT, then drain it; SIGHUP reloads its settings.
 
     Parameters
     ----------
@@ -35,6 +35,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(settings, Clock())
+    loop.add_signal_handler(signal.SIGHUP, node.interface.reload)
     node.metrics.log_lines_dropped.set_function(lambda: handler.dropped)
     tasks = await start(node)
     try:
--- a/tests/platform/test_machine_node.py
+++ b/tests/platform/test_machine_node.py
@@ -4,108 +4,19 @@
 import unittest
 from unittest import mock
 
-from attrs import evolve, frozen
+from attrs import evolve
 
 from peridotcove.clock import Clock
 from peridotcove.node import Node
 from peridotcove.running import close, drain, open_ports, start
 from tests.platform import fakes
-from tests.platform.fakes import KEY, ServerStandin, StoreStandin, chunk, event, head
+from tests.platform.clients import Client
+from tests.platform.fakes import ServerStandin, StoreStandin, chunk, event, head
 
 WAIT_S = 5
 NOT_PASSED = {"api-key", "x-hold", "kv-from", "x-pin-ms", "x-kv-backup"}
 
 
-@frozen
-class Got:
-    """What a client got.
-
-    Attributes
-    ----------
-    status : int
-        Status; 0 if the connection ended before a head.
-    headers : dict
-        Header fields by name in lower case.
-    body : bytes
-        Body as far as it came.
-    whole : bool
-        Whether the answer ended as its head says.
-    """
-
-    status: int
-    headers: dict
-    body: bytes
-    whole: bool
-
-
-class Client:
-    """A client on one connection."""
-
-    def __init__(self, reader, writer):
-        self.reader = reader
-        self.writer = writer
-
-    @classmethod
-    async def connect(cls, node):
-        """Open a connection to a node."""
-        address = node.settings.callers
-        return cls(*await asyncio.open_connection(address.host, address.port))
-
-    def send(self, name, target, method="POST", body=b"", **fields):
-        """Send a request."""
-        given = {
-            "Host": fakes.HOST_NAME,
-            "X-Request-Id": name,
-            "X-Deadline-Ms": "2000",
-            "Api-Key": KEY,
-            "Content-Length": str(len(body)),
-        }
-        given |= {key.replace("_", "-"): value for key, value in fields.items()}
-        lines = [f"{method} {target} HTTP/1.1"]
-        lines += [
-            f"{key}: {value}" for key, value in given.items() if value is not None
-        ]
-        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-
-    async def read(self):
-        """Return the next answer."""
-        async with asyncio.timeout(WAIT_S):
-            try:
-                text = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            except (asyncio.IncompleteReadError, ConnectionError):
-                return Got(0, {}, b"", False)
-            line, *fields = text.strip().split("\r\n")
-            headers = {}
-            for field in fields:
-                name, _, value = field.partition(": ")
-                headers[name.lower()] = value
-            status = int(line.split(" ")[1])
-            return Got(status, headers, *await self._read_body(headers))
-
-    async def _read_body(self, headers):
-        body = b""
-        try:
-            if "content-length" in headers:
-                body = await self.reader.readexactly(int(headers["content-length"]))
-                return body, True
-            while True:
-                size = int(await self.reader.readuntil(b"\r\n"), 16)
-                body += (await self.reader.readexactly(size + 2))[:-2]
-                if not size:
-                    return body, True
-        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-            return body, False
-
-    async def ask(self, *args, **kwargs):
-        """Send a request and return the answer."""
-        self.send(*args, **kwargs)
-        return await self.read()
-
-    def close(self):
-        """Close the connection."""
-        self.writer.close()
-
-
 async def reset(seen, writer):
     """Take a request and close without an answer."""
     writer.transport.abort()
@@ -231,7 +142,8 @@
         await self.wait_for(lambda: node.fleet.configuration.revision >= revision)
 
     async def connect(self, node=None):
-        client = await Client.connect(node or self.node)
+        address = (node or self.node).settings.callers
+        client = await Client.connect(address.host, address.port)
         self.addCleanup(client.close)
         return client
 
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,60 @@
+"""Nodes as processes: what signals do to them."""
+
+import asyncio
+import json
+import pathlib
+import tempfile
+import unittest
+
+from tests.platform import fakes
+from tests.platform.fakes import StoreStandin
+from tests.soak.processes import NodeProcess
+
+WAIT_S = 10
+BOUNDS = {"grace_s": 4, "ratio": 0.2, "extra": 30}
+
+
+class NodeProcessTest(unittest.IsolatedAsyncioTestCase):
+    """A node goes on after SIGHUP and ends after SIGTERM."""
+
+    async def asyncSetUp(self):
+        self.store = StoreStandin()
+        self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.store.put("op/config", fakes.make_document())
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        host = fakes.loopback()
+        self.node = NodeProcess(
+            "node-1", host, "z1", self.store.address, self.folder, BOUNDS
+        )
+        await self.node.start([host])
+        self.addAsyncCleanup(self.end)
+        await self.wait_for("started")
+
+    async def end(self):
+        self.node.kill()
+        await self.node.wait()
+
+    async def wait_for(self, text):
+        async with asyncio.timeout(WAIT_S):
+            while not (found := [one for one in self.lines() if text in str(one)]):
+                await asyncio.sleep(0.02)
+        return found[0]
+
+    def lines(self):
+        text = (self.folder / "node-1.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line.endswith("}")]
+
+    async def test_a_node_reads_its_settings_again(self):
+        self.node.reload()
+        line = await self.wait_for("settings-reloaded")
+        self.assertIn("SIGHUP", line["detail"])
+        self.assertTrue(self.node.running)
+
+    async def test_a_node_that_is_asked_to_end_exits_with_0(self):
+        self.node.terminate()
+        async with asyncio.timeout(WAIT_S):
+            self.assertEqual(await self.node.wait(), 0)
+        self.assertTrue(await self.wait_for("drain-ended"))
