Fault soak: real node processes, faults from outside, promises checked meanwhile

Change: tests/soak starts node processes on addresses of their own, with a proxy before the store of each node and before each server. Fourteen faults, drawn from a seed, come in series and overlap: kill, stop, pause, end and pause, reload, cuts one way, resets, silence, delays, a store that turns away, forgets or says nothing, new versions in quick succession, servers that leave or fail. Checked as clients and servers see it: nothing runs twice, no refusal that has run, whole answers, versions in force in time and never back, leaving servers unused, the budget of repeats, no lost answer, exit codes, recovery. It ends only processes that it started.

--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,14 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed-$(shell cat requirements/*.lock | cksum | cut -d' ' -f1)
 SEED ?= 1
+SEEDS ?= 10
+NODES ?= 4
 HISTORIES ?= 20000
 # Modules whose properties are generated histories.
-SOAK = tests.test_control_histories tests.test_delivery tests.test_drain \
+HISTORY_TESTS = tests.test_control_histories tests.test_delivery tests.test_drain \
     tests.test_orders tests.test_endpoint_states tests.test_whole
 
-.PHONY: test soak lint format env demo bench-relay binary
+.PHONY: test histories soak lint format env demo bench-relay binary
 
 env: $(STAMP)
 
@@ -22,8 +24,12 @@
 	$(PY) -m tests
 
 # Prints progress each thousand histories; SEED and HISTORIES may be given.
+histories: $(STAMP)
+	SEED=$(SEED) EXAMPLES=$(HISTORIES) $(PY) -m tests $(HISTORY_TESTS)
+
+# Real processes under faults; SEED, SEEDS and NODES may be given.
 soak: $(STAMP)
-	SEED=$(SEED) EXAMPLES=$(HISTORIES) $(PY) -m tests $(SOAK)
+	$(PY) -m tests.soak run --seed $(SEED) --seeds $(SEEDS) --nodes $(NODES)
 
 lint: $(STAMP)
 	$(PY) -m ruff format --check .
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,69 @@
+"""Command of the fault soak: ``python -m tests.soak run --help``."""
+
+import asyncio
+import logging
+import sys
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from tests.soak.running import run_seed
+from tests.soak.world import OK
+
+# Broken promises printed of one run; more of them mostly have the same cause.
+MOST_PRINTED = 10
+
+
+class Soak(Command):
+    """Runs seeds one after another and names what they broke."""
+
+    name = "run"
+    description = "Runs real node processes under faults."
+    options = (
+        option("seed", None, "First seed.", flag=False, default="1"),
+        option("seeds", None, "How many seeds.", flag=False, default="1"),
+        option("nodes", None, "Node processes.", flag=False, default="4"),
+        option("servers", None, "Servers.", flag=False, default="6"),
+        option("seconds", None, "Time of faults in s.", flag=False, default="20"),
+        option("folder", None, "Folder that keeps the logs.", flag=False),
+    )
+
+    def handle(self):
+        """Run the seeds; return 1 if a promise was broken."""
+        first, count, nodes, servers = (
+            int(self.option(name)) for name in ("seed", "seeds", "nodes", "servers")
+        )
+        seconds = float(self.option("seconds"))
+        broken = 0
+        for seed in range(first, first + count):
+            folder = self.option("folder")
+            folder = f"{folder}/{seed}" if folder else None
+            outcome = asyncio.run(run_seed(seed, nodes, servers, seconds, folder))
+            self._print(outcome)
+            broken += bool(outcome.violations)
+        self.line(f"{count} seeds, {broken} with broken promises")
+        return 1 if broken else 0
+
+    def _print(self, outcome):
+        answers = outcome.counts.items()
+        served = sum(count for (_, status), count in answers if status == OK)
+        self.line(
+            f"seed {outcome.seed}: {len(outcome.faults)} faults, "
+            f"{sum(outcome.counts.values())} requests, {served} served, "
+            f"{len(outcome.violations)} promises broken"
+        )
+        for violation in outcome.violations[:MOST_PRINTED]:
+            self.line(f"  {violation.promise}: {violation.detail}")
+
+
+def main():
+    """Run the command line."""
+    logging.basicConfig(format="%(asctime)s %(message)s", level=logging.INFO)
+    application = Application("soak")
+    application.add(Soak())
+    application.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,256 @@
+"""Faults that the soak injects from outside; each is drawn from the run's seed."""
+
+import asyncio
+import signal
+
+from peridotcove.registry import Registry
+from tests.soak.proxy import Way
+
+FAULTS = Registry("fault")
+# A process that was ended is started again this long after, in s.
+RESTART_S = (0.0, 1.0)
+GRACE_S = 6
+
+
+class Scene:
+    """What a fault works on.
+
+    Parameters
+    ----------
+    world : World
+        The fleet.
+    rng : random.Random
+        Draws what is hit, and for how long.
+    """
+
+    def __init__(self, world, rng):
+        self.world = world
+        self.rng = rng
+        self._busy = set()
+
+    def pick_ways(self, share):
+        """Return the nodes with their ways to the store; never one hit already."""
+        free = [way for way in self.world.ways if way.node.label not in self._busy]
+        count = max(1, round(share * len(self.world.ways)))
+        return self.rng.sample(free, min(count, len(free)))
+
+    def pick_servers(self, share):
+        """Return names of servers."""
+        names = sorted(self.world.servers)
+        return self.rng.sample(names, max(1, int(share * len(names))))
+
+    async def hurt(self, names, begin, end, seconds, planned=False):
+        """Call `begin`, and `end` some seconds later; nodes count as harmed meanwhile.
+
+        Parameters
+        ----------
+        names : list of str
+            Names of the nodes; an empty name is the store.
+        begin, end : callable
+            Take nothing; `end` may be a coroutine function.
+        seconds : float
+            How long.
+        planned : bool
+            Whether the nodes are only asked to end.
+        """
+        promises = self.world.promises
+        troubles = [promises.begin_trouble(name, planned) for name in names]
+        self._busy |= set(names)
+        begin()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            ended = end()
+            if ended is not None:
+                await ended
+            self._busy -= set(names)
+            for trouble in troubles:
+                promises.end_trouble(trouble)
+
+
+async def _restart(scene, nodes):
+    async def again(node):
+        code = await node.wait()
+        await asyncio.sleep(scene.rng.uniform(*RESTART_S))
+        await scene.world.start_node(node)
+        return code
+
+    return await asyncio.gather(*[again(node) for node in nodes])
+
+
+@FAULTS.register("kill")
+async def kill(scene):
+    """Kill some nodes, or nearly all."""
+    nodes = [way.node for way in scene.pick_ways(scene.rng.choice((0.3, 0.6, 1.0)))]
+
+    def begin():
+        for node in nodes:
+            node.kill()
+
+    await scene.hurt(
+        [node.label for node in nodes], begin, lambda: _restart(scene, nodes), 0
+    )
+
+
+@FAULTS.register("terminate")
+async def terminate(scene):
+    """Ask nodes to end, one after another, while clients keep their connections."""
+    for way in scene.pick_ways(0.5):
+        node = way.node
+        # A process that does not serve yet has no handler for the signal.
+        code = 0 if node.serves else -signal.SIGTERM
+
+        async def end(node=node, code=code):
+            async with asyncio.timeout(GRACE_S):
+                codes = await _restart(scene, [node])
+            scene.world.promises.check_end(node.label, codes[0], code)
+
+        await scene.hurt([node.label], node.terminate, end, 0, planned=True)
+
+
+@FAULTS.register("terminate-twice")
+async def terminate_twice(scene):
+    """Ask a node to end, pause it meanwhile, and kill it."""
+    (way,) = scene.pick_ways(0)
+    node = way.node
+
+    async def end():
+        node.go_on()
+        node.kill()
+        await _restart(scene, [node])
+
+    def begin():
+        node.terminate()
+        node.pause()
+
+    await scene.hurt([node.label], begin, end, scene.rng.uniform(0.1, 2))
+
+
+@FAULTS.register("pause")
+async def pause(scene):
+    """Stop some nodes for a while."""
+    nodes = [way.node for way in scene.pick_ways(0.3)]
+
+    def begin():
+        for node in nodes:
+            node.pause()
+
+    def end():
+        for node in nodes:
+            node.go_on()
+
+    names = [node.label for node in nodes]
+    await scene.hurt(names, begin, end, scene.rng.uniform(0.3, 5))
+
+
+@FAULTS.register("reload")
+async def reload(scene):
+    """Ask nodes to read their settings again."""
+    for way in scene.pick_ways(0.5):
+        way.node.reload()
+
+
+@FAULTS.register("store-cut")
+async def store_cut(scene):
+    """Cut some nodes from the store, one way or both."""
+    ways = scene.pick_ways(0.5)
+    cut = scene.rng.choice(([Way.UP], [Way.DOWN], [Way.UP, Way.DOWN]))
+    await scene.hurt(
+        [way.node.label for way in ways],
+        lambda: [way.store.cut_ways(cut) for way in ways] and None,
+        lambda: [way.store.cut_ways(()) for way in ways] and None,
+        scene.rng.uniform(1, 5),
+    )
+
+
+@FAULTS.register("store-reset")
+async def store_reset(scene):
+    """Reset some nodes' connections to the store."""
+    for way in scene.pick_ways(0.7):
+        way.store.reset()
+
+
+@FAULTS.register("store-silent")
+async def store_silent(scene):
+    """Let some nodes' open connections to the store fall silent for good."""
+    ways = scene.pick_ways(0.5)
+    names = [way.node.label for way in ways]
+    begin = [way.store.silence for way in ways]
+    await scene.hurt(names, lambda: [one() for one in begin] and None, lambda: None, 0)
+
+
+@FAULTS.register("store-down")
+async def store_down(scene):
+    """Let the store turn everyone away, or answer nobody."""
+    store = scene.world.store
+    status, silent = scene.rng.choice(((503, False), (429, False), (0, True)))
+
+    def begin():
+        store.status, store.silent = status, silent
+
+    def end():
+        store.status, store.silent = 0, False
+
+    await scene.hurt([""], begin, end, scene.rng.uniform(0.5, 4))
+
+
+@FAULTS.register("store-forgets")
+async def store_forgets(scene):
+    """Let the store lose its history while a change is made."""
+    store = scene.world.store
+
+    def begin():
+        scene.world.publish()
+        store.forgotten = store.revision
+
+    await scene.hurt([""], begin, lambda: None, 1)
+
+
+@FAULTS.register("publish")
+async def publish(scene):
+    """Publish some versions in quick succession."""
+    for _ in range(scene.rng.randint(1, 4)):
+        scene.world.publish()
+        await asyncio.sleep(scene.rng.uniform(0, 1.5))
+
+
+@FAULTS.register("replace-server")
+async def replace_server(scene):
+    """Start a server and let another one leave."""
+    await scene.world.add_server()
+    (name,) = scene.pick_servers(0)
+    await scene.world.remove_server(name, scene.rng.uniform(2.5, 4))
+
+
+@FAULTS.register("bad-server")
+async def bad_server(scene):
+    """Let some servers fail a share of their requests."""
+    fault = scene.rng.choice(("errors", "hang", "refuse", "lose", "twice"))
+    servers = [scene.world.servers[name] for name in scene.pick_servers(0.3)]
+    for server in servers:
+        server.fault, server.fault_share = fault, scene.rng.uniform(0.05, 0.6)
+    await asyncio.sleep(scene.rng.uniform(1, 4))
+    for server in servers:
+        server.fault_share = 0.0
+
+
+@FAULTS.register("server-link")
+async def server_link(scene):
+    """Delay, cut, reset or silence the connections to some servers."""
+    names = scene.pick_servers(0.3)
+    proxies = [scene.world.proxy_by_server[name] for name in names]
+    how = scene.rng.choice(("delay", "cut", "reset", "silence"))
+    ways = scene.rng.choice(([Way.UP], [Way.DOWN]))
+    for proxy in proxies:
+        if how == "delay":
+            proxy.delay_ms = scene.rng.randint(20, 400)
+        elif how == "cut":
+            proxy.cut_ways(ways)
+        elif how == "reset":
+            proxy.reset()
+        else:
+            proxy.silence()
+    await asyncio.sleep(scene.rng.uniform(0.5, 3))
+    for proxy in proxies:
+        proxy.delay_ms = 0
+        proxy.cut_ways(())
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -9,7 +9,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 FRONT_PORT, NODES_PORT, READY_PORT, METRICS_PORT = 7101, 7100, 7102, 9464
-LOG_LIMIT_BYTES = 1 << 20
+STARTED = b'"node: started"'
 log = logging.getLogger("soak")
 
 SETTINGS = """
@@ -68,6 +68,7 @@
         self._fields = bounds | {"label": label, "host": host, "zone": zone}
         self._fields |= {"store": store, "front": FRONT_PORT, "nodes": NODES_PORT}
         self._fields["ready"] = READY_PORT
+        self._log_begin = 0
         self._process = None
 
     @property
@@ -86,6 +87,7 @@
         listed = ", ".join(f'"{seed}:{NODES_PORT}"' for seed in seeds)
         self._file.write_text(SETTINGS.format(seeds=listed, **self._fields))
         self.incarnation += 1
+        self._log_begin = self._log.stat().st_size if self._log.exists() else 0
         with self._log.open("ab") as output:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -100,6 +102,12 @@
         self.stopped = False
         log.info("%s (process %d) starts", self.label, self.incarnation)
 
+    @property
+    def serves(self):
+        """Whether the process has logged that it serves."""
+        text = self._log.read_bytes()[self._log_begin :]
+        return STARTED in text
+
     def kill(self):
         """End the process at once."""
         self._signal(signal.SIGKILL)
