Trace all lines of one endpoint; say what to do when no line names a request

A stream cut by a crash and a lookup that failed twice were traced to their cause; for the first, lines of all engines had to be read to find the one. A request that reached no node printed nothing.

The soak no longer asks a node to end that another fault has ended.

--- a/peridotcove/operators/trace.py
+++ b/peridotcove/operators/trace.py
@@ -66,8 +66,8 @@
             yield LogLine(str(fields["asctime"]), str(fields.get("node", "")), fields)
 
 
-def find_story(lines, request="", kinds=(), node=""):
-    """Return the lines about one request, or of some kinds, oldest first.
+def find_story(lines, request="", kinds=(), node="", endpoint=""):
+    """Return the lines about one request or endpoint, or of some kinds, oldest first.
 
     Parameters
     ----------
@@ -79,6 +79,8 @@
         Kinds of events; all when empty.
     node : str
         Name of the instance; all when empty.
+    endpoint : str
+        Name of an endpoint that any field mentions; all when empty.
     """
     found = [
         line
@@ -86,10 +88,15 @@
         if (not request or line.fields.get("request") == request)
         and (not kinds or line.fields.get("kind") in kinds)
         and (not node or line.node == node)
+        and (not endpoint or _mentions(line, endpoint))
     ]
     return sorted(found, key=lambda line: line.at)
 
 
+def _mentions(line, endpoint):
+    return any(endpoint in str(value) for value in line.fields.values())
+
+
 class TraceCommand(Command):
     """``peridotcove trace FILE...``."""
 
@@ -100,6 +107,7 @@
         option("request", None, "Id of the request.", flag=False, default=""),
         option("kind", None, "Kinds of events.", flag=False, multiple=True),
         option("node", None, "Name of the instance.", flag=False, default=""),
+        option("endpoint", None, "Name of an endpoint.", flag=False, default=""),
     ]
     help = (
         "Clocks of nodes may differ by some ms. Exit codes: 0 lines were found, "
@@ -116,8 +124,13 @@
                 self.line_error(f"{name}: {error.strerror}")
                 return EXIT_USAGE
             lines.extend(read_lines(text))
-        kinds = self.option("kind")
-        story = find_story(lines, self.option("request"), kinds, self.option("node"))
+        request, node, endpoint = map(self.option, ("request", "node", "endpoint"))
+        story = find_story(lines, request, self.option("kind"), node, endpoint)
         for line in story:
             self.io.write_line(str(line))
+        if request and not story:
+            self.line_error(
+                f"no node names {request}: it reached none, or lines were dropped; "
+                "look for node-started, drain-started and dropped lines at its time"
+            )
         return EXIT_OK if story else EXIT_FAULTS
--- a/tests/operators/test_trace.py
+++ b/tests/operators/test_trace.py
@@ -40,6 +40,8 @@
             cases = [
                 (f"{file} --request ab", 0, "n1 request-sent peer=e1 left_ms=700"),
                 (f"{file} --request ef", 1, ""),
+                (f"{file} --endpoint e1", 0, "n1 request-sent peer=e1 left_ms=700"),
+                (f"{file} --endpoint e2", 1, ""),
                 (f"{folder}/none --request ab", 2, ""),
             ]
             for arguments, code, shown in cases:
@@ -47,3 +49,11 @@
                     tester = CommandTester(TraceCommand())
                     self.assertEqual(tester.execute(arguments), code)
                     self.assertIn(shown, tester.io.fetch_output())
+
+    def test_a_request_that_no_node_names(self):
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder) / "log"
+            file.write_text(TEXT)
+            tester = CommandTester(TraceCommand())
+            tester.execute(f"{file} --request ef")
+            self.assertIn("node-started", tester.io.fetch_error())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,6 +34,10 @@
         count = max(1, round(share * len(self.world.ways)))
         return self.rng.sample(free, min(count, len(free)))
 
+    def hits(self, node):
+        """Return whether a fault works on a node now."""
+        return node.label in self._busy
+
     def pick_servers(self, share):
         """Return names of servers."""
         names = sorted(self.world.servers)
@@ -97,6 +101,8 @@
     """Ask nodes to end, one after another, while clients keep their connections."""
     for way in scene.pick_ways(0.5):
         node = way.node
+        if scene.hits(node):
+            continue
         # A process that does not serve yet has no handler for the signal.
         code = 0 if node.serves else -signal.SIGTERM
 
