--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 
 demo: $(STAMP)
 	@PYTHON=$(abspath $(PY)) demo/run.sh
+	@$(PY) demo/machines.py
 
 bench-relay: $(STAMP)
 	@PYTHON=$(abspath $(PY)) tools/bench_relay.sh
