Budget of retries by service, shared over all nodes that are known

One balance served all services, and each of 74 nodes saved up at most 1.27 retries, half of its part of the surplus.

Change: `RetryBudgets` keeps a balance for each service, caps it by the node's part of four fifths of the bound, counts nodes that are out of reach too (a node that was cut off had the whole surplus for itself), and starts with a quarter of its part.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -18,7 +18,7 @@
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
 from peridotcove.host_routes import pick_model
 from peridotcove.models import LeaseRequest
-from peridotcove.retries import RetryPolicy, may_repeat, run_tries
+from peridotcove.retries import RetryBudget, RetryPolicy, may_repeat, run_tries
 from peridotcove.verdict import Verdict
 
 LEASE_ID_BYTES = 8
@@ -84,7 +84,7 @@
         The node's metrics.
     timeline : Timeline
         The node's events.
-    budget : RetryBudget
+    budgets : RetryBudgets
         Retries that this node may make.
     """
 
@@ -101,7 +101,7 @@
         rng,
         metrics,
         timeline,
-        budget,
+        budgets,
     ):
         self.node = node
         self.zone = zone
@@ -114,7 +114,7 @@
         self.rng = rng
         self.metrics = metrics
         self.timeline = timeline
-        self.budget = budget
+        self.budgets = budgets
 
     async def run(self, forward, sink):
         """Pass a request on and return its outcome.
@@ -136,9 +136,10 @@
         RequestError
             With the verdict of all tries; "not run" only if no engine may have run it.
         """
-        run = _Run(self, forward, sink)
+        model = pick_model(forward.route, self.rng)
+        run = _Run(self, forward, sink, model, self.budgets.get(model))
         policy = RetryPolicy(
-            self.budget,
+            run.budget,
             self.rng,
             run.may_try_again,
             run.is_free,
@@ -162,7 +163,8 @@
     owner: Forwarder
     forward: Forward
     sink: object
-    model: str = ""
+    model: str
+    budget: RetryBudget
     sent: int = 0
     avoid: list = field(factory=list)
     events: EventCutter = field(factory=EventCutter)
@@ -185,7 +187,7 @@
 
     def note_denied(self, error):
         """Record that the budget allows no further try."""
-        inputs = {"code": error.code, "budget": round(self.owner.budget.balance, 2)}
+        inputs = {"code": error.code, "budget": round(self.budget.balance, 2)}
         self._record("retry-denied", inputs)
 
     def _record(self, kind, inputs, peer="", detail=""):
@@ -211,7 +213,7 @@
             "next_try": tries + 1,
             "avoided": list(self.avoid),
             "last_event": self.events.last_id,
-            "budget": round(self.owner.budget.balance, 2),
+            "budget": round(self.budget.balance, 2),
         }
         self._record(kind, inputs, detail=str(error))
 
@@ -221,7 +223,6 @@
         left_ms = forward.end_ms - owner.clock.now()
         if left_ms < LEAST_LEFT_MS:
             raise RequestRefused("deadline", "too little time is left", 503, 0)
-        self.model = self.model or pick_model(forward.route, owner.rng)
         request = self._make_lease_request(left_ms)
         shard = owner.fleet.pick_shard(self.model, forward.key, "")
         if not shard:
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -17,13 +17,10 @@
 from peridotcove.platform.publication import StorePublication
 from peridotcove.platform.settings import read_machine_settings
 from peridotcove.reader import Pace
-from peridotcove.retries import RetryBudget
+from peridotcove.retry_budgets import RetryBudgets
 
 # Period in s of looking at the settings file, which may change without a signal.
 SETTINGS_S = 1.0
-# Shares of the fleet's repeats that the nodes use together: the other half is for
-# windows in which traffic moves between nodes, and for leases that cross on the way.
-BUDGET_SHARE = 0.5
 
 log = get_logger("machine")
 
@@ -51,9 +48,8 @@
         self.discovery = Discovery(me, node.clock, node.rng)
         self._seeds = node.settings.seeds
         self.discovery.set_seeds(self._seeds)
-        self.budget = RetryBudget(node.settings.platform.retry_share * BUDGET_SHARE)
-        self._share_budget()
-        self.budget.balance = self.budget.most
+        store = node.settings.platform
+        self.budgets = RetryBudgets(store.retry_share, store.retry_extra)
         self._cache_reader = ServerCaches()
         self._caches = CacheWatch(self._cache_reader, self._apply_news, node.clock)
 
@@ -82,7 +78,7 @@
             node.rng,
             node.metrics,
             node.timeline,
-            self.budget,
+            self.budgets,
         )
         desk = HostDesk(
             node.fleet,
@@ -97,11 +93,6 @@
         self.ingress = Ingress(desk)
         return make_server(self.ingress, node.settings.limits)
 
-    def _share_budget(self):
-        nodes = max(1, len(self.node.fleet.nodes))
-        extra = self.node.settings.platform.retry_extra
-        self.budget.most = max(1.0, extra * BUDGET_SHARE / nodes)
-
     def jobs(self):
         """Return the coroutine that looks at the settings file."""
         metrics = self.node.settings.metrics
@@ -139,8 +130,9 @@
         self.node.timeline.record("settings-reloaded", inputs, detail=reason)
 
     def tick(self):
-        """Introduce this node to others, and divide the budget of repeats."""
-        self._share_budget()
+        """Introduce this node to others, and divide the retries of the fleet."""
+        # Nodes out of reach go on spending their part.
+        self.budgets.set_nodes(len(self.discovery.instances()))
         hears = self.node.control.membership.reaches
         self.node.send_all(self.discovery.tick(hears))
         self._caches.follow(self._owned_caches())
