A node without a configuration asks store and peers at once, and holds requests

Their reader waits 250 to 500 ms, then leaves reading to the nodes chosen for it; a peer that has the configuration is asked 200 to 700 ms after it is heard. Ruled out: slow starts (all were ready before), stale refusals (another code).

Change: while nothing is held the reader's delay begins at 100 ms and it goes on for itself, peers are asked at once, and requests wait up to 1 s after the start, not 250 ms.

--- a/peridotcove/host_desk.py
+++ b/peridotcove/host_desk.py
@@ -11,9 +11,10 @@
 # and routes that are in force elsewhere, and says so rather than that there are none.
 STALE_MS = 4_000
 RETRY_AFTER_MS = 500
-# Longest time in ms for which requests wait for the first configuration of a node that
-# has just started: some calls to the service, and less than callers wait at ease.
-START_MS = 250
+# Longest time in ms after its start for which a node without a configuration lets
+# requests wait: some calls to the service, or one to a peer. A caller that is refused
+# comes back no sooner.
+START_MS = 1_000
 START_STEP_MS = 10
 
 
--- a/peridotcove/pulls.py
+++ b/peridotcove/pulls.py
@@ -91,7 +91,7 @@
             return True
         return set(self._ask_at_start() or ()) <= self._answers
 
-    def notice(self, peer, revision):
+    def notice(self, peer, revision, held):
         """Note that a peer has a later revision in force.
 
         Parameters
@@ -100,10 +100,13 @@
             Name of the peer.
         revision : int
             Its revision.
+        held : int
+            Revision that this node has in force; 0 for none.
         """
         self._seen_by_peer[peer] = revision
         if self._due_ms is None:
-            grace = self.rng.randint(MIN_GRACE_MS, MAX_GRACE_MS)
+            # A node that holds a revision is mostly sent the next one unasked.
+            grace = self.rng.randint(MIN_GRACE_MS, MAX_GRACE_MS) if held else 0
             self._due_ms = self.clock.now() + grace
 
     def drop(self, peer):
--- a/peridotcove/reader.py
+++ b/peridotcove/reader.py
@@ -12,6 +12,9 @@
 MIN_PART_GAP_MS = 20
 MAX_PART_GAP_MS = 30
 FIRST_BACKOFF_MS = 250
+# The same for a node that holds no configuration, and so refuses every request: a fleet
+# that starts as a whole may be above the rate that the service takes from all together.
+EMPTY_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 2_000
 MAX_MISMATCHES = 3
 IDLE_MS = 250
@@ -158,7 +161,7 @@
             for name in self.revisions.missing(self._manifest):
                 if name not in self._data_by_name:
                     return ReadPart(name)
-        if not self._asked_once:
+        if not self._asked_once or self._is_empty_handed():
             return ReadManifest(0, 0)
         if not self.chosen():
             self.reads_fail = False
@@ -168,6 +171,10 @@
         wait_ms = 0 if self._failures else self._pace.watch_ms
         return ReadManifest(self.revisions.watch_after, wait_ms)
 
+    def _is_empty_handed(self):
+        # Calls failed so far; a node that is not to read needs a configuration too.
+        return self._failures and not self.revisions.revision
+
     def pause_ms(self):
         """Return the time in ms after which to ask for a call again."""
         left_ms = self._due_ms - self.clock.now()
@@ -181,7 +188,7 @@
         manifest : Manifest or None
             What was read; None if there is no later revision.
         """
-        first = not self._asked_once
+        first = not self._asked_once or self._is_empty_handed()
         self._succeed()
         if manifest is None or manifest.revision <= self.revisions.watch_after:
             return []
@@ -226,7 +233,8 @@
 
     def _back_off(self):
         self._failures += 1
-        limit = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(self._failures, 10))
+        first = FIRST_BACKOFF_MS if self.revisions.revision else EMPTY_BACKOFF_MS
+        limit = min(MAX_BACKOFF_MS, first << min(self._failures, 10))
         self._due_ms = self.clock.now() + self._rng.randint(limit // 2, limit)
 
     def _succeed(self, low=MIN_GAP_MS, high=MAX_GAP_MS):
--- a/peridotcove/revisions.py
+++ b/peridotcove/revisions.py
@@ -217,7 +217,7 @@
             Its revision.
         """
         if self._wants(revision):
-            self._pulls.notice(peer, revision)
+            self._pulls.notice(peer, revision, self.revision)
         else:
             self._pulls.drop(peer)
 
@@ -278,13 +278,13 @@
         if not self._wants(message.revision):
             return []
         if message.base != self.revision:
-            self._pulls.notice(peer, message.revision)
+            self._pulls.notice(peer, message.revision, self.revision)
             return self._pulls.ask_now(peer, self.revision)
         try:
             parts = patch_parts(self._state.part_by_name, message)
         except (ProtocolError, ValueError, TypeError, AttributeError) as error:
             log.warning("configuration: change from %s left out: %s", peer, error)
-            self._pulls.notice(peer, message.revision)
+            self._pulls.notice(peer, message.revision, self.revision)
             return self._pulls.ask_now(peer, 0)
         return self._replace(message.revision, parts)
 
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -6,7 +6,7 @@
 from peridotcove.clock import FakeClock
 from peridotcove.manifests import Manifest
 from peridotcove.parts import Pointer, digest
-from peridotcove.reader import UNHEARD_MS, Pace, Reader
+from peridotcove.reader import UNHEARD_MS, Pace, Reader, ReadManifest
 from peridotcove.revisions import Revisions
 
 RANK = ["n1", "n2", "n3", "n4"]
@@ -58,3 +58,19 @@
                 reader = make_reader("n4", settled=False)
                 reader.take_manifest(Manifest(5, pointers, data_by_name))
                 self.assertEqual(reader.revisions.revision, revision)
+
+    def test_a_node_whose_first_calls_failed_goes_on_asking_for_itself(self):
+        data = b'{"customers":{"c":{}}}'
+        pointers = {"customers": Pointer(5, digest(data))}
+        reader = make_reader("n4", settled=False)
+        clock = reader.clock
+        clock.advance(300)
+        for wait_ms in (200, 400):
+            self.assertEqual(reader.next_call(), ReadManifest(0, 0))
+            reader.fail()
+            clock.advance(wait_ms)
+        self.assertEqual(reader.next_call(), ReadManifest(0, 0))
+        reader.take_manifest(Manifest(5, pointers, {"customers": data}))
+        self.assertEqual(reader.revisions.revision, 5)
+        clock.advance(10_000)
+        self.assertIsNone(reader.next_call())
