Meet and tick faster while a node is alone or has no configuration

Change: introductions each 250 ms while nobody is known, periodic work each 50 ms while there is no configuration.

--- a/peridotcove/discovery.py
+++ b/peridotcove/discovery.py
@@ -15,6 +15,9 @@
 # Period of introductions to addresses that have not answered; a node that starts
 # should be known before it gets its first request.
 SEED_MS = 500
+# The same while no other node is known: those that started at the same time were not
+# there yet. Equal to the time after which a link is dialed again.
+ALONE_SEED_MS = 250
 # An address that answered this recently is not introduced to again: many nodes have the
 # same few addresses, and most hear no heartbeats of nodes in other zones. Below the
 # time in which a seed that restarts without memory should be found by those it forgot.
@@ -113,7 +116,8 @@
                 del self.known_by_name[name]
         outgoing = []
         if now >= self._seed_due_ms:
-            self._seed_due_ms = now + SEED_MS
+            alone = not self.known_by_name
+            self._seed_due_ms = now + (ALONE_SEED_MS if alone else SEED_MS)
             silent = [name for name in self.seeds if self._is_silent(name, hears)]
             outgoing += [Outgoing(name, self._share(True)) for name in silent]
         if now >= self._exchange_due_ms and self.known_by_name:
--- a/peridotcove/running.py
+++ b/peridotcove/running.py
@@ -14,6 +14,8 @@
 from peridotcove.publisher.watch import watch_configuration
 
 CONTROL_MS = 250
+# The same while a node has no configuration: it serves nobody until a peer sends one.
+EMPTY_CONTROL_MS = 50
 WAITING_MS = 20
 DRAIN_MS = 100
 ANNOUNCE_MS = 10_000
@@ -79,9 +81,9 @@
     node.timeline.record("node-started", {"address": node.name, "version": __version__})
     reader = node.control.reader
     jobs = [
-        _every(CONTROL_MS, lambda: tick_control(node)),
+        _every(lambda: _control_ms(node), lambda: tick_control(node)),
         _tick_leases(node.lease_server),
-        _every(ANNOUNCE_MS, node.lease_client.announce),
+        _every(lambda: ANNOUNCE_MS, node.lease_client.announce),
         watch_configuration(
             node.publication,
             reader,
@@ -130,7 +132,11 @@
             work()
         except Exception:
             log.exception("periodic work failed")
-        await asyncio.sleep(period_ms / 1000)
+        await asyncio.sleep(period_ms() / 1000)
+
+
+def _control_ms(node):
+    return CONTROL_MS if node.control.revisions.revision else EMPTY_CONTROL_MS
 
 
 def tick_control(node):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,6 +8,7 @@
 
 from peridotcove.clock import FakeClock
 from peridotcove.discovery import (
+    ALONE_SEED_MS,
     ANSWERED_MS,
     EXCHANGE_MS,
     FORGET_MS,
@@ -107,6 +108,14 @@
         fleet.run(ANSWERED_MS + SEED_MS)
         self.assertEqual(fleet.views(), {frozenset(fleet.node_by_name)})
 
+    def test_nodes_that_start_together_meet_soon(self):
+        fleet = Fleet(8, [name_of(0), name_of(1)])
+        fleet.down = {name_of(0), name_of(1)}
+        fleet.run(STEP_MS)
+        fleet.down = set()
+        fleet.run(ALONE_SEED_MS)
+        self.assertEqual(fleet.views(), {frozenset(fleet.node_by_name)})
+
     def test_two_groups_join_when_one_node_hears_of_the_other(self):
         fleet = Fleet(3, [name_of(0)])
         for number in (10, 11, 12):
