A node that starts takes as live whom others have just heard

Ruled out: a wrong ranking (the others agree all the while), an incomplete introduction (all nine were named in the first answer).

Change: for 1.5 s after the start, nodes of which discovery was told a sign of life in the last 1.5 s count as live, unless known as leaving.

--- a/peridotcove/discovery.py
+++ b/peridotcove/discovery.py
@@ -25,6 +25,10 @@
 # Period of exchanges with one known node; spreads a node that one group has not heard
 # of over the fleet in a few periods.
 EXCHANGE_MS = 2_000
+# After its start a node takes those as live that others heard this recently, for as
+# long: it hears nodes of other zones only in the second after, and would meanwhile own
+# what is theirs. Shorter than the time after which a lost node is noticed.
+PRESUMED_MS = 1_500
 # A node without a sign of life for this long is forgotten: well above any partition
 # that its return should survive without the seeds.
 FORGET_MS = 300_000
@@ -78,6 +82,7 @@
         self._seed_due_ms = 0
         self._exchange_due_ms = 0
         self._answered_ms_by_name = {}
+        self._started_ms = clock.now()
 
     def set_seeds(self, addresses):
         """Take the addresses of the settings.
@@ -100,6 +105,17 @@
         unknown = [name for name in self.seeds if name not in self.known_by_name]
         return [*self.instances()[1:], *map(_place, unknown)]
 
+    def presumed(self):
+        """Return the nodes that are taken as live shortly after this one's start."""
+        now = self._clock.now()
+        if now - self._started_ms > PRESUMED_MS:
+            return []
+        return [
+            known.instance
+            for known in self.known_by_name.values()
+            if now - known.seen_ms <= PRESUMED_MS
+        ]
+
     def tick(self, hears):
         """Return the messages that are due; call it a few times a second.
 
--- a/peridotcove/interfaces.py
+++ b/peridotcove/interfaces.py
@@ -57,6 +57,10 @@
         """Return the coroutines that run as long as the node, besides the common."""
         raise NotImplementedError
 
+    def presumed(self):
+        """Return nodes that count as live though this one has not heard them yet."""
+        return ()
+
     def tick(self):
         """Do the periodic work that only this interface needs."""
         raise NotImplementedError
--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -162,6 +162,16 @@
             instances.append(self.node)
         return tuple(sorted(instances, key=lambda one: one.name))
 
+    def is_leaving(self, name):
+        """Return whether a node is live but leaving.
+
+        Parameters
+        ----------
+        name : str
+            Name of the node.
+        """
+        return name in self._left
+
     def live_in_zone(self):
         """Return the nodes of `live` that are in this node's zone."""
         return tuple(one for one in self.live() if one.zone == self.node.zone)
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -307,7 +307,12 @@
 
     def follow_nodes(self):
         """Let all parts know which nodes are live."""
-        if self.fleet.set_nodes(self.control.membership.live()):
+        membership = self.control.membership
+        by_name = {one.name: one for one in membership.live()}
+        for one in self.interface.presumed():
+            if not membership.is_leaving(one.name):
+                by_name.setdefault(one.name, one)
+        if self.fleet.set_nodes(tuple(by_name[name] for name in sorted(by_name))):
             self.timeline.record(
                 "owners-changed",
                 {
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -129,6 +129,10 @@
         inputs = {"seeds": list(self._seeds)}
         self.node.timeline.record("settings-reloaded", inputs, detail=reason)
 
+    def presumed(self):
+        """Return the nodes that others have just heard, while this one starts."""
+        return self.discovery.presumed()
+
     def tick(self):
         """Introduce this node to others, and divide the retries of the fleet."""
         # Nodes out of reach go on spending their part.
--- a/tests/platform/test_machine_node.py
+++ b/tests/platform/test_machine_node.py
@@ -221,6 +221,19 @@
         self.assertGreater(float(got.headers["retry-after"]), 0)
         self.store.status = 0
 
+    async def test_a_node_that_starts_does_not_own_what_others_own(self):
+        settings = fakes.make_settings(
+            self.store, fakes.loopback(), (self.node.name,), zone="z2"
+        )
+        node = Node(settings, Clock())
+        await open_ports(node)
+        tasks = await start(node)
+        self.addAsyncCleanup(self.stop, node, tasks)
+        await self.wait_for(lambda: node.interface.discovery.known_by_name)
+        node.follow_nodes()
+        names = {one.name for one in node.fleet.nodes}
+        self.assertEqual(names, {node.name, self.node.name})
+
     async def test_a_node_that_starts_serves_its_first_request(self):
         settings = fakes.make_settings(self.store, fakes.loopback())
         node = Node(settings, Clock())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,6 +13,7 @@
     EXCHANGE_MS,
     FORGET_MS,
     MAX_SHARED,
+    PRESUMED_MS,
     SEED_MS,
     Discovery,
 )
@@ -116,6 +117,19 @@
         fleet.run(ALONE_SEED_MS)
         self.assertEqual(fleet.views(), {frozenset(fleet.node_by_name)})
 
+    def test_a_node_that_starts_presumes_those_heard_of_late(self):
+        fleet = Fleet(5, [name_of(0)])
+        fleet.run(8_000)
+        fleet.down = {name_of(4)}
+        fleet.run(2 * PRESUMED_MS)
+        fleet.add(5, [name_of(0)])
+        fleet.run(STEP_MS)
+        node = fleet.node_by_name[name_of(5)]
+        presumed = {one.name for one in node.presumed()}
+        self.assertEqual(presumed, {name_of(number) for number in range(4)})
+        fleet.run(PRESUMED_MS)
+        self.assertEqual(node.presumed(), [])
+
     def test_two_groups_join_when_one_node_hears_of_the_other(self):
         fleet = Fleet(3, [name_of(0)])
         for number in (10, 11, 12):
--- a/tests/test_pulls.py
+++ b/tests/test_pulls.py
@@ -17,10 +17,10 @@
                 clock = FakeClock()
                 pulls = Pulls(clock, random.Random(1), lambda: ())
                 pulls.notice("n2", 5, held)
-                asked = pulls.tick(held, lambda revision: revision > held)
+                asked = pulls.tick(held, held.__lt__)
                 self.assertEqual(asked == [], waits)
                 clock.advance(4 * MIN_GRACE_MS)
-                asked += pulls.tick(held, lambda revision: revision > held)
+                asked += pulls.tick(held, held.__lt__)
                 self.assertEqual(
                     [(one.peer, one.message) for one in asked],
                     [("n2", AskConfiguration(held))],
