--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -39,8 +39,8 @@
         return node.label in self._busy
 
     def pick_servers(self, share):
-        """Return names of servers."""
-        names = sorted(self.world.servers)
+        """Return names of servers that do not leave."""
+        names = sorted(self.world.staying)
         return self.rng.sample(names, max(1, int(share * len(names))))
 
     async def hurt(self, names, begin, end, seconds, planned=False):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -57,6 +57,7 @@
         self.version = 0
         self.ways = []
         self.servers = {}
+        self.staying = set()
         self.proxy_by_server = {}
         self._counts = nodes, servers
         self._folder = folder
@@ -105,12 +106,14 @@
         host, _, port = server.address.partition(":")
         proxy = Proxy(host, (host, int(port)))
         await proxy.start()
+        self.staying.add(name)
         self.servers[name] = server
         self.proxy_by_server[name] = proxy
         self.store.put(f"servers/{name}", self._entry(name, "ready"))
 
     async def remove_server(self, name, linger_s):
         """Let a server leave, and end it after a while."""
+        self.staying.discard(name)
         self.promises.leave(name)
         self.store.put(f"servers/{name}", self._entry(name, "draining"))
         await asyncio.sleep(linger_s)
