Retry policies have defaults; the platform's variable is named in its folder

Cause: a policy took seven callables, of which most callers passed three that do nothing special; the name of the platform's environment variable stood outside peridotcove/platform. No behaviour changes.

Measured: tests of retries, router, endpoints, machine nodes, settings and the command line pass (31).

--- a/peridotcove/calls.py
+++ b/peridotcove/calls.py
@@ -9,10 +9,7 @@
     MAX_TRIES,
     RetryBudget,
     RetryPolicy,
-    backoff,
-    ignore,
     may_repeat,
-    never_free,
     run_tries,
 )
 from peridotcove.ticketed_calls import TicketedCall
@@ -209,10 +206,7 @@
                 and error.code != NO_ENDPOINT
                 and may_repeat(error, repeatable, False)
             ),
-            never_free,
-            ignore,
             lambda error, tries: self._metrics.retries.inc(),
-            backoff,
         )
         return await run_tries(policy, attempt)
 
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -142,9 +142,9 @@
             run.budget,
             self.rng,
             run.may_try_again,
+            run.note_retry,
             run.is_free,
             run.note_denied,
-            run.note_retry,
             lambda tries, rng: rng.uniform(0, PAUSE_MS),
         )
         try:
--- a/peridotcove/platform/settings.py
+++ b/peridotcove/platform/settings.py
@@ -8,6 +8,8 @@
 from peridotcove.platform.translation import REGION
 from peridotcove.settings import Address, Limits, Settings
 
+# Environment variable with the path of the file.
+PATH_VARIABLE = "PERIDOTCOVE_NODE_FILE"
 # Port of the metrics, as deploy/system.toml names it.
 METRICS_PORT = 9464
 # Time in ms between the end of a graceful shutdown and the kill that follows it.
--- a/peridotcove/retries.py
+++ b/peridotcove/retries.py
@@ -46,6 +46,41 @@
         return True
 
 
+def ignore(error):
+    """Do nothing about a retry that the budget does not allow.
+
+    Parameters
+    ----------
+    error : RequestError
+        How the last try failed.
+    """
+
+
+def never_free(error):
+    """Return that a retry takes from the budget, whatever the error.
+
+    Parameters
+    ----------
+    error : RequestError
+        How the last try failed.
+    """
+    return False
+
+
+def backoff(tries, rng):
+    """Return the wait in ms before a retry, with full jitter.
+
+    Parameters
+    ----------
+    tries : int
+        Tries made so far; at least 1.
+    rng : random.Random
+        Source of the jitter.
+    """
+    top = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(tries - 1, 10))
+    return rng.uniform(0, top)
+
+
 @frozen
 class RetryPolicy:
     """What decides whether one request is tried again.
@@ -59,13 +94,13 @@
     may_repeat : callable
         Takes the `RequestError` of a try and the number of tries made; returns whether
         the request may be tried again.
+    note : callable
+        Told of each retry: the error before it, and the number of tries made.
     is_free : callable
         Takes the `RequestError` of a try; returns whether the next try takes nothing
         from the budget, as after one that reached no endpoint.
     deny : callable
         Told of a retry that the budget does not allow: the error before it.
-    note : callable
-        Told of each retry: the error before it, and the number of tries made.
     pause_ms : callable
         Takes the number of tries made and `rng`; returns the wait in ms before the
         next one.
@@ -74,31 +109,10 @@
     budget: RetryBudget
     rng: object
     may_repeat: object
-    is_free: object
-    deny: object
     note: object
-    pause_ms: object
-
-
-def ignore(error):
-    """Do nothing about a retry that the budget does not allow.
-
-    Parameters
-    ----------
-    error : RequestError
-        How the last try failed.
-    """
-
-
-def never_free(error):
-    """Return that a retry takes from the budget, whatever the error.
-
-    Parameters
-    ----------
-    error : RequestError
-        How the last try failed.
-    """
-    return False
+    is_free: object = never_free
+    deny: object = ignore
+    pause_ms: object = backoff
 
 
 async def run_tries(policy, attempt):
@@ -155,17 +169,3 @@
     if started or error.status == 429:
         return False
     return repeatable or error.verdict is Verdict.NOT_RUN
-
-
-def backoff(tries, rng):
-    """Return the wait in ms before a retry, with full jitter.
-
-    Parameters
-    ----------
-    tries : int
-        Tries made so far; at least 1.
-    rng : random.Random
-        Source of the jitter.
-    """
-    top = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(tries - 1, 10))
-    return rng.uniform(0, top)
--- a/peridotcove/router.py
+++ b/peridotcove/router.py
@@ -6,10 +6,7 @@
     MAX_TRIES,
     RetryBudget,
     RetryPolicy,
-    backoff,
-    ignore,
     may_repeat,
-    never_free,
     run_tries,
 )
 
@@ -117,9 +114,7 @@
         def note(error, tries):
             self._note_retry(request_id, error, tries)
 
-        policy = RetryPolicy(
-            self._budget, self._rng, may_try_again, never_free, ignore, note, backoff
-        )
+        policy = RetryPolicy(self._budget, self._rng, may_try_again, note)
 
         def attempt(number):
             tried_hint = hint if number == 1 else ""
--- a/peridotcove/settings.py
+++ b/peridotcove/settings.py
@@ -10,9 +10,6 @@
 from peridotcove.exceptions import InvalidSettings, SettingError
 from peridotcove.schema import build, within
 
-# Environment variable that holds the path of the settings file.
-PATH_VARIABLE = "PERIDOTCOVE_NODE_FILE"
-
 
 @frozen
 class Address:
--- a/peridotcove/starting.py
+++ b/peridotcove/starting.py
@@ -4,7 +4,8 @@
 import os
 
 from peridotcove.exceptions import InvalidSettings, SettingError
-from peridotcove.settings import PATH_VARIABLE, read_any_settings
+from peridotcove.platform.settings import PATH_VARIABLE
+from peridotcove.settings import read_any_settings
 
 EXIT_OK = 0
 EXIT_FAULTS = 1
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -12,7 +12,6 @@
     RetryBudget,
     RetryPolicy,
     backoff,
-    ignore,
     may_repeat,
     run_tries,
 )
@@ -87,10 +86,8 @@
             budget,
             random.Random(1),
             lambda error, tries: tries < 3,
-            lambda error: error.code == "unreachable",
-            ignore,
             lambda error, tries: None,
-            backoff,
+            lambda error: error.code == "unreachable",
         )
         try:
             return await run_tries(policy, attempt), len(made), budget
