Strong machines own shards and read the store

Change: nodes tell their power with their address (cores and link, from the settings). Nodes of at least half of the best live node's power come first as owners and readers.

--- a/peridotcove/discovery.py
+++ b/peridotcove/discovery.py
@@ -34,6 +34,7 @@
 FORGET_MS = 300_000
 # Nodes named in one exchange beside the sender; bounds a message to about 1 KB.
 MAX_SHARED = 24
+# Fields of a record that each version sends; the power may follow.
 RECORD_FIELDS = 5
 
 
@@ -188,6 +189,7 @@
                 self.known_by_name[instance.name] = Known(instance, seen_ms)
             return
         known.seen_ms = max(known.seen_ms, seen_ms)
+        known.instance = instance
 
     def _share(self, reply):
         now = self._clock.now()
@@ -201,7 +203,8 @@
 
 
 def _record(instance, age_ms):
-    return [instance.name, instance.host, instance.port, instance.zone, age_ms]
+    place = [instance.name, instance.host, instance.port, instance.zone]
+    return [*place, age_ms, instance.power]
 
 
 def _read(record):
@@ -209,9 +212,12 @@
         raise ProtocolError(f"{record!r} describes no node")
     name, host, port, zone, age_ms = record[:RECORD_FIELDS]
     texts = all(isinstance(item, str) for item in (name, host, zone))
-    if not texts or not isinstance(port, int) or not isinstance(age_ms, int):
+    power = record[RECORD_FIELDS] if len(record) > RECORD_FIELDS else 1.0
+    numbers = isinstance(port, int) and isinstance(age_ms, int)
+    if not texts or not numbers or not isinstance(power, (int, float)):
         raise ProtocolError(f"{record!r} describes no node")
-    return Instance(name, "node", host, port, zone), max(0, age_ms)
+    instance = Instance(name, "node", host, port, zone, power=power)
+    return instance, max(0, age_ms)
 
 
 def _place(address):
--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -25,7 +25,7 @@
     View,
 )
 from peridotcove.nodes.network import Outgoing
-from peridotcove.ranking import rank
+from peridotcove.ownership import rank_able
 from peridotcove.zone_views import Record, ZoneViews, digest_records
 
 PAUSE_MS = 2_000
@@ -354,8 +354,9 @@
         self._own_digest = digest_records(own)
         self._minority = 2 * len(own) <= self.layout.count_zone()
         names = [one.name for one in own if not one.leaving] or [self.node.name]
-        zone = f"reader {self.node.zone}"
-        self._readers = tuple(rank(zone, dict.fromkeys(names, 1.0)))
+        known = self.layout.instance_by_name | {self.node.name: self.node}
+        powers = {name: known[name].power for name in names}
+        self._readers = tuple(rank_able(f"reader {self.node.zone}", powers))
 
     def _notice_pause(self, now):
         paused_ms = now - self._ran_ms
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -372,6 +372,8 @@
         Availability zone.
     state : State
         Live or leaving.
+    power : float
+        What a node can do beside its callers' requests, relative to others.
     """
 
     name: str
@@ -380,6 +382,7 @@
     port: int
     zone: str
     state: State = State.LIVE
+    power: float = 1.0
 
 
 @frozen
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -127,7 +127,9 @@
     def _wire_control(self):
         settings = self.settings
         host, port = settings.nodes.host, settings.nodes.port
-        me = Instance(self.name, "node", host, port, settings.zone)
+        me = Instance(
+            self.name, "node", host, port, settings.zone, power=settings.power
+        )
         interface = find_interface(settings.INTERFACE)
         self.control = Control(
             me, settings.region, self.clock, self.rng, interface.pace
--- a/peridotcove/nodes/membership_messages.py
+++ b/peridotcove/nodes/membership_messages.py
@@ -53,8 +53,8 @@
     Attributes
     ----------
     nodes : list
-        Lists of name, host, port, zone and the age in ms of the last sign of life; the
-        sender comes first.
+        Lists of name, host, port, zone, the age in ms of the last sign of life, and
+        the power; the sender comes first.
     reply : bool
         Whether the receiver is to answer with those that it knows.
     """
--- a/peridotcove/ownership.py
+++ b/peridotcove/ownership.py
@@ -11,6 +11,8 @@
 from peridotcove.ranking import hash_name, rank, score
 
 FILL = 0.8
+# Share of the best node's power from which a node counts as able.
+ABLE_SHARE = 0.5
 
 
 @frozen
@@ -108,5 +110,24 @@
     nodes : iterable of Instance
         Nodes of the shard's region; those not live are left out.
     """
-    live = {node.name: 1.0 for node in nodes if node.state is State.LIVE}
-    return rank(shard_name, live)
+    live = {node.name: node.power for node in nodes if node.state is State.LIVE}
+    return rank_able(shard_name, live)
+
+
+def rank_able(key, power_by_name):
+    """Return names of nodes in the order of a duty, able ones before all others.
+
+    An owner takes a message for each request and news of each engine, a reader sends
+    each change to its zone: beyond the links of the weakest machines in a large fleet.
+
+    Parameters
+    ----------
+    key : str
+        Names the duty.
+    power_by_name : dict of float
+        Power of each node.
+    """
+    least = ABLE_SHARE * max(power_by_name.values(), default=0.0)
+    able = [name for name, power in power_by_name.items() if power >= least]
+    rest = power_by_name.keys() - set(able)
+    return [*rank(key, dict.fromkeys(able, 1.0)), *rank(key, dict.fromkeys(rest, 1.0))]
--- a/peridotcove/platform/settings.py
+++ b/peridotcove/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the machines' platform writes for a process."""
 
+import math
 import tomllib
 
 from attrs import frozen
@@ -12,6 +13,10 @@
 PATH_VARIABLE = "PERIDOTCOVE_NODE_FILE"
 # Port of the metrics, as deploy/system.toml names it.
 METRICS_PORT = 9464
+# Processor, in cores, and link, in Mbit/s, of a machine of power 1: about those of the
+# weakest machines in use.
+POWER_CORES = 0.5
+POWER_MBPS = 10.0
 # Time in ms between the end of a graceful shutdown and the kill that follows it.
 KILL_MARGIN_MS = 300
 MS_PER_S = 1000
@@ -76,6 +81,8 @@
         Addresses of other nodes, which may be stale or down.
     metrics : Address
         Where the metrics are served.
+    power : float
+        What the machine can do, 1 for the weakest ones in use.
     """
 
     INTERFACE = "platform"
@@ -84,6 +91,7 @@
     file: str = ""
     seeds: tuple[str, ...] = ()
     metrics: Address = Address("", 0)
+    power: float = 1.0
 
     @property
     def log_name(self):
@@ -172,9 +180,19 @@
         file=file,
         seeds=tuple(str(seed) for seed in seeds or ()),
         metrics=Address(callers.host, METRICS_PORT),
+        power=_read_power(top.table("limits")),
     )
 
 
+def _read_power(limits):
+    number = (int, float)
+    # 'cpu_share' is the share of each core, of which there are 'cores'.
+    share = limits.get("cpu_share", number, "a number", 1.0) or 0.0
+    cores = limits.get("cores", int, "a number", 1) or 0
+    link_mbps = limits.get("link_mbps", number, "a number", math.inf) or 0.0
+    return min(share * cores / POWER_CORES, link_mbps / POWER_MBPS)
+
+
 def _make_store(top, bounds):
     number = (int, float)
     # 'provider' is the store.
--- a/peridotcove/settings.py
+++ b/peridotcove/settings.py
@@ -159,6 +159,8 @@
     """
 
     INTERFACE = "own"
+    # Not told by these settings; all nodes count as alike.
+    power = 1.0
 
     node: str
     zone: str
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -49,6 +49,20 @@
         self.assertEqual(settings.seeds, ("10.0.0.1:8000",))
         self.assertEqual(settings.platform.address, "10.9.0.1:8100")
 
+    def test_power(self):
+        cases = [
+            # processor share, cores, link in Mbit/s, power
+            (0.516, 1, 10.0, 1.0),
+            (0.717, 3, 200, 4.302),
+            (0.537, 2, 1000.0, 2.148),
+            (2.0, 4, 5, 0.5),
+        ]
+        for share, cores, link, power in cases:
+            with self.subTest(share=share, link=link):
+                limits = f"[limits]\ncpu_share = {share}\ncores = {cores}\n"
+                settings = self.read(f"{TEXT}{limits}link_mbps = {link}\n")
+                self.assertAlmostEqual(settings.power, power)
+
     def test_every_fault_is_named(self):
         text = TEXT.replace('"10.0.0.1:8001"', '"nowhere"').replace("= 58", '= "x"')
         text = text.replace('zone = "a"\n', "")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -130,6 +131,14 @@
         fleet.run(PRESUMED_MS)
         self.assertEqual(node.presumed(), [])
 
+    def test_the_power_of_nodes_is_told_on(self):
+        fleet = Fleet(3, [name_of(0)])
+        strong = fleet.node_by_name[name_of(1)]
+        strong.node = evolve(strong.node, power=4.0)
+        fleet.run(8_000)
+        told = fleet.node_by_name[name_of(2)].known_by_name[name_of(1)]
+        self.assertEqual(told.instance.power, 4.0)
+
     def test_two_groups_join_when_one_node_hears_of_the_other(self):
         fleet = Fleet(3, [name_of(0)])
         for number in (10, 11, 12):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -15,7 +15,7 @@
     Status,
     Zone,
 )
-from peridotcove.ownership import owner_rank, shards_of
+from peridotcove.ownership import owner_rank, rank_able, shards_of
 
 ZONES = {"z1": Zone("z1", "north"), "z2": Zone("z2", "south")}
 
@@ -76,3 +76,25 @@
         for shard in shards:
             expected = [name for name in before[shard] if name != "n3"]
             self.assertEqual(owner_rank(shard, reversed(nodes)), expected)
+
+
+class RankAbleTest(unittest.TestCase):
+    """Weak nodes get a duty only after all able ones."""
+
+    def test_able_nodes_come_first(self):
+        powers = {f"weak-{n}": 1.0 for n in range(60)}
+        powers |= {f"able-{n}": 2.0 + n % 3 for n in range(8)}
+        firsts = set()
+        for number in range(200):
+            order = rank_able(f"shard-{number}", powers)
+            self.assertEqual(sorted(order), sorted(powers))
+            self.assertTrue(all(name.startswith("able") for name in order[:8]))
+            firsts.add(order[0])
+        self.assertEqual(len(firsts), 8)
+
+    def test_a_lost_node_moves_only_its_own_duties(self):
+        powers = {f"node-{n}": 1.0 + 3.0 * (n < 8) for n in range(70)}
+        for number in range(50):
+            order = rank_able(f"shard-{number}", powers)
+            left = {name: power for name, power in powers.items() if name != order[0]}
+            self.assertEqual(rank_able(f"shard-{number}", left), order[1:])
