One copy of what the read-through found twice

Cause: reading the whole change again.

Change: `Node.owned_engines` serves both; answers of servers that both tests give live in tests/platform/fakes; the proxy takes HOST:PORT, its enum is `Direction`. No behaviour changes, no assertion does.

--- a/peridotcove/bench/fleet_cases.py
+++ b/peridotcove/bench/fleet_cases.py
@@ -5,7 +5,7 @@
 import tracemalloc
 
 from peridotcove.bench.samples import sample_configuration
-from peridotcove.clock import FakeClock
+from peridotcove.clock import MS_PER_S, FakeClock
 from peridotcove.control import Control
 from peridotcove.fragments import cut
 from peridotcove.manifests import Manifest
@@ -17,7 +17,6 @@
 from peridotcove.standins.fleet import MemoryFleet
 from peridotcove.standins.links import Faults, Links, count_wire_bytes
 
-MS_PER_S = 1000
 CHANGES_A_DAY = 9_100
 DAY_MS = 86_400_000
 SMALL_PART_BYTES = 512
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -373,10 +373,11 @@
         if request.part_ends:
             index = self._parts
             lookup = index.look(request.prefixes, request.part_ends)
+            backlogs = self._backlogs()
         else:
             index = self._index
             lookup = index.look(request.prefixes, request.blocks)
-        backlogs = self._backlogs() if request.part_ends else ()
+            backlogs = ()
         choice = self._chooser.choose(request, lookup, self._loads, backlogs)
         if not choice.engine or self._should_hold(item, held, choice):
             return None
--- a/peridotcove/kv_moves.py
+++ b/peridotcove/kv_moves.py
@@ -7,7 +7,7 @@
 
 from attrs import frozen
 
-MS_PER_S = 1000
+from peridotcove.clock import MS_PER_S
 
 
 @frozen
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -332,6 +332,15 @@
         rank_owners = self.fleet.rank_owners
         return [name for name in shards if rank_owners(name)[:1] == [self.name]]
 
+    def owned_engines(self):
+        """Return the names of the engines of the shards that this node owns."""
+        shard_by_name = self.fleet.shard_by_name
+        return [
+            engine
+            for shard in self.owned_shards()
+            for engine in shard_by_name[shard].engines
+        ]
+
     def take_instances(self, instances, asked_ms):
         """Take the platform's list of instances.
 
@@ -359,13 +368,7 @@
 
     def follow_orders(self):
         """Let the issuer of orders know its engines and what they are to run."""
-        fleet = self.fleet
-        engines = [
-            engine
-            for shard in self.owned_shards()
-            for engine in fleet.shard_by_name[shard].engines
-        ]
-        self.orders.set_configuration(fleet.configuration, engines)
+        self.orders.set_configuration(self.fleet.configuration, self.owned_engines())
 
     def peers(self):
         """Return the names of the other live nodes of the region."""
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -142,12 +142,10 @@
         self._caches.follow(self._owned_caches())
 
     def _owned_caches(self):
-        fleet = self.node.fleet
-        engine_by_name = fleet.configuration.engine_by_name
+        engine_by_name = self.node.fleet.configuration.engine_by_name
         return [
             engine_by_name[name]
-            for shard in self.node.owned_shards()
-            for name in fleet.shard_by_name[shard].engines
+            for name in self.node.owned_engines()
             if name in engine_by_name and engine_by_name[name].shares_cache
         ]
 
--- a/peridotcove/platform/settings.py
+++ b/peridotcove/platform/settings.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from peridotcove.clock import MS_PER_S
 from peridotcove.exceptions import InvalidSettings, SettingError
 from peridotcove.platform.translation import REGION
 from peridotcove.settings import Address, Limits, Settings
@@ -19,7 +20,6 @@
 POWER_MBPS = 10.0
 # Time in ms between the end of a graceful shutdown and the kill that follows it.
 KILL_MARGIN_MS = 300
-MS_PER_S = 1000
 # The network of the machines is closed and their settings hold no secret, so links
 # between nodes are proved with a value that says only which program speaks.
 LINK_SECRET = b"peridotcove links of closed machines"
--- a/peridotcove/publisher/client.py
+++ b/peridotcove/publisher/client.py
@@ -6,6 +6,7 @@
 from attrs import fields, frozen
 from tornado.httpclient import HTTPError
 
+from peridotcove.clock import MS_PER_S
 from peridotcove.curl import CurlClient
 from peridotcove.exceptions import InvalidSettings, PlatformDown
 from peridotcove.manifests import Manifest
@@ -13,7 +14,6 @@
 from peridotcove.parts import DIGEST_BYTES, Pointer
 from peridotcove.schema import build
 
-MS_PER_S = 1000
 CONNECT_S = 1.0
 ANSWER_S = 1.0
 MAX_CALLS = 4
--- a/peridotcove/publisher/watch.py
+++ b/peridotcove/publisher/watch.py
@@ -3,10 +3,10 @@
 import asyncio
 import logging
 
+from peridotcove.clock import MS_PER_S
 from peridotcove.exceptions import PlatformDown
 from peridotcove.reader import ReadPart
 
-MS_PER_S = 1000
 MAX_GAP_S = 0.25
 LIST_WAIT_MS = 4_000
 FIRST_BACKOFF_MS = 250
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -245,6 +245,41 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+async def reset(seen, writer):
+    """Take a request and close without an answer."""
+    writer.transport.abort()
+
+
+async def refuse(seen, writer):
+    """State that the request was not run."""
+    writer.write(head(seen, 503, 0, X_Not_Run="1"))
+
+
+async def fail(seen, writer):
+    """Answer with the server's own failure."""
+    writer.write(head(seen, 500, 4) + b"oops")
+
+
+def stream(count, first=1, cut=False, pause_s=0.0, torn=b""):
+    """Return an answer of events with ascending ids, after the one asked for."""
+
+    async def answer(seen, writer):
+        begin = int(seen.headers.get("Last-Event-Id", first - 1)) + 1
+        fields = {"Transfer_Encoding": "chunked", "Content_Type": "text/event-stream"}
+        writer.write(head(seen, 200, **fields))
+        for number in range(begin, count + 1):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        if torn:
+            writer.write(chunk(torn))
+        if not cut:
+            writer.write(chunk(b""))
+        await writer.drain()
+
+    return answer
+
+
 def make_route(name, kind, service="llm", **changes):
     """Return a route of the operator's document."""
     return {
--- a/tests/platform/test_machine_node.py
+++ b/tests/platform/test_machine_node.py
@@ -11,27 +11,21 @@
 from peridotcove.running import close, drain, open_ports, start
 from tests.platform import fakes
 from tests.platform.clients import Client
-from tests.platform.fakes import ServerStandin, StoreStandin, chunk, event, head
+from tests.platform.fakes import (
+    ServerStandin,
+    StoreStandin,
+    event,
+    fail,
+    head,
+    refuse,
+    reset,
+    stream,
+)
 
 WAIT_S = 5
 NOT_PASSED = {"api-key", "x-hold", "kv-from", "x-pin-ms", "x-kv-backup"}
 
 
-async def reset(seen, writer):
-    """Take a request and close without an answer."""
-    writer.transport.abort()
-
-
-async def refuse(seen, writer):
-    """State that the request was not run."""
-    writer.write(head(seen, 503, 0, X_Not_Run="1"))
-
-
-async def fail(seen, writer):
-    """Answer with the server's own failure."""
-    writer.write(head(seen, 500, 4) + b"oops")
-
-
 async def truncate(seen, writer):
     """Send a part of the body that the head announces."""
     writer.write(head(seen, 200, 100) + b"part")
@@ -72,26 +66,6 @@
     await asyncio.sleep(60)
 
 
-def stream(count, first=1, cut=False, pause_s=0.0, torn=b""):
-    """Return an answer of events with ascending ids, after the one asked for."""
-
-    async def answer(seen, writer):
-        begin = int(seen.headers.get("Last-Event-Id", first - 1)) + 1
-        fields = {"Transfer_Encoding": "chunked", "Content_Type": "text/event-stream"}
-        writer.write(head(seen, 200, **fields))
-        for number in range(begin, count + 1):
-            writer.write(chunk(event(number)))
-            await writer.drain()
-            await asyncio.sleep(pause_s)
-        if torn:
-            writer.write(chunk(torn))
-        if not cut:
-            writer.write(chunk(b""))
-        await writer.drain()
-
-    return answer
-
-
 class MachineTest(unittest.IsolatedAsyncioTestCase):
     """Rules that callers and servers see."""
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,7 +4,7 @@
 import signal
 
 from peridotcove.registry import Registry
-from tests.soak.proxy import Way
+from tests.soak.proxy import Direction
 
 FAULTS = Registry("fault")
 # A process that was ended is started again this long after, in s.
@@ -158,7 +158,7 @@
 async def store_cut(scene):
     """Cut some nodes from the store, one way or both."""
     ways = scene.pick_ways(0.5)
-    cut = scene.rng.choice(([Way.UP], [Way.DOWN], [Way.UP, Way.DOWN]))
+    cut = scene.rng.choice(([Direction.UP], [Direction.DOWN], list(Direction)))
 
     def begin():
         for way in ways:
@@ -253,7 +253,7 @@
     names = scene.pick_servers(0.3)
     proxies = [scene.world.proxy_by_server[name] for name in names]
     how = scene.rng.choice(("delay", "cut", "reset", "silence"))
-    ways = scene.rng.choice(([Way.UP], [Way.DOWN]))
+    ways = scene.rng.choice(([Direction.UP], [Direction.DOWN]))
     for proxy in proxies:
         if how == "delay":
             proxy.delay_ms = scene.rng.randint(20, 400)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -7,8 +7,10 @@
 import signal
 import sys
 
+from peridotcove.platform.settings import PATH_VARIABLE
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-FRONT_PORT, NODES_PORT, READY_PORT, METRICS_PORT = 7101, 7100, 7102, 9464
+FRONT_PORT, NODES_PORT, READY_PORT = 7101, 7100, 7102
 STARTED = b'"node: started"'
 log = logging.getLogger("soak")
 
@@ -67,7 +69,7 @@
         self._log = folder / f"{label}.log"
         self._fields = bounds | {"label": label, "host": host, "zone": zone}
         self._fields |= {"store": store, "front": FRONT_PORT, "nodes": NODES_PORT}
-        self._fields["ready"] = READY_PORT
+        self._fields |= {"ready": READY_PORT}
         self._log_begin = 0
         self._process = None
 
@@ -97,7 +99,7 @@
                 stdout=output,
                 stderr=output,
                 cwd=ROOT,
-                env={"PATH": os.environ["PATH"], "PERIDOTCOVE_NODE_FILE": self._file},
+                env={"PATH": os.environ["PATH"], PATH_VARIABLE: self._file},
             )
         self.stopped = False
         log.info("%s (process %d) starts", self.label, self.incarnation)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,10 +1,12 @@
 """What callers and servers saw, checked as they see it."""
 
-import time
 from collections import Counter
 
 from attrs import define, field, frozen
 
+from peridotcove.clock import Clock
+
+CLOCK = Clock()
 # Bounds in ms of the users' pages, for the settings that the soak gives.
 IN_FORCE_MS = 2_000
 DOWNGRADE_MS = 250
@@ -18,11 +20,6 @@
 NOT_RUN = {408, 421, 429, 503}
 
 
-def now_ms():
-    """Return the steady time in ms."""
-    return time.monotonic_ns() // 1_000_000
-
-
 @frozen
 class Violation:
     """A promise that was not kept.
@@ -96,7 +93,7 @@
 
     def end_trouble(self, trouble):
         """Take in that a trouble is over."""
-        trouble.end_ms = now_ms()
+        trouble.end_ms = CLOCK.now()
 
     def calm(self, node, since_ms, planned=True):
         """Return whether neither node nor store was harmed lately.
@@ -120,15 +117,15 @@
 
     def publish(self, version):
         """Take in that the store holds a version now."""
-        self._published_ms[version] = now_ms()
+        self._published_ms[version] = CLOCK.now()
 
     def leave(self, server):
         """Take in that the store says that a server leaves."""
-        self._left_ms[server] = now_ms()
+        self._left_ms[server] = CLOCK.now()
 
     def send(self, request_id, kind, node):
         """Take in that a client sends a request to a node."""
-        now = now_ms()
+        now = CLOCK.now()
         self._request_by_id[request_id] = _Request(kind, node, now)
         self._sent_ms.append(now)
 
@@ -138,7 +135,7 @@
         if request is None:
             self._break("unasked", f"{server} got {request_id}, which nobody sent")
             return False
-        now = now_ms()
+        now = CLOCK.now()
         request.arrivals += 1
         if request.arrivals > 1:
             self._repeats_ms.append(now)
@@ -202,7 +199,7 @@
         seen, seen_ms = self._version_seen.get(key, (0, 0))
         if known:
             if version > seen:
-                self._version_seen[key] = version, now_ms()
+                self._version_seen[key] = version, CLOCK.now()
             return
         where = f"{node} (process {incarnation}) denied {request_id} of {version}"
         if version <= seen and sent_ms > seen_ms + DOWNGRADE_MS:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,8 +6,8 @@
 BLOCK_BYTES = 1 << 16
 
 
-class Way(enum.Enum):
-    """Direction of bytes, as seen by who opened the connection."""
+class Direction(enum.Enum):
+    """Which way bytes go, as seen by who opened the connection."""
 
     UP = "up"
     DOWN = "down"
@@ -18,22 +18,21 @@
 
     Parameters
     ----------
-    host : str
-        Address to listen at.
-    target : tuple
-        Host and port to which connections are passed on.
+    target : str
+        ``HOST:PORT`` to which connections are passed on; the proxy listens at the same
+        host.
 
     Attributes
     ----------
     delay_ms : int
         How much later bytes arrive, each way.
-    cut : set of Way
+    cut : set of Direction
         Ways on which bytes wait until the cut ends.
     """
 
-    def __init__(self, host, target):
-        self.host = host
-        self.target = target
+    def __init__(self, target):
+        self.host, _, port = target.partition(":")
+        self.target = self.host, int(port)
         self.delay_ms = 0
         self.cut = set()
         self._healed = asyncio.Event()
@@ -89,8 +88,8 @@
         self._tasks.add(entry)
         try:
             async with asyncio.TaskGroup() as group:
-                up = self._carry(entry[0], reader, far_writer, Way.UP)
-                down = self._carry(entry[0], far_reader, writer, Way.DOWN)
+                up = self._carry(entry[0], reader, far_writer, Direction.UP)
+                down = self._carry(entry[0], far_reader, writer, Direction.DOWN)
                 group.create_task(up)
                 group.create_task(down)
         except* OSError:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.platform.fakes import ServerStandin, chunk, event, head
+from tests.platform.fakes import ServerStandin, event, fail, head, refuse, reset, stream
 
 EVENTS = 12
 EVENT_PAUSE_S = 0.03
@@ -56,31 +56,21 @@
         wrong = self._rng.random() < self.fault_share
         fault = self.fault if wrong else ""
         if fault == "refuse":
-            writer.write(head(seen, 503, 0, X_Not_Run="1"))
+            await refuse(seen, writer)
             return
         self._promises.run(request_id, self.name)
         if fault == "hang":
             await asyncio.sleep(HANG_S)
         await asyncio.sleep(WORK_S)
         if fault == "lose":
-            writer.transport.abort()
+            await reset(seen, writer)
         elif fault == "errors":
-            writer.write(head(seen, 500, 4) + b"oops")
+            await fail(seen, writer)
         elif seen.target.startswith("/chat/"):
-            await self._stream(seen, writer)
+            await stream(EVENTS, pause_s=EVENT_PAUSE_S)(seen, writer)
         else:
             body = body_of(request_id, seen.target)
             answer = head(seen, 200, len(body)) + body
             writer.write(answer + answer if fault == "twice" else answer)
         if not writer.is_closing():
             await writer.drain()
-
-    async def _stream(self, seen, writer):
-        begin = int(seen.headers.get("Last-Event-Id", 0)) + 1
-        fields = {"Transfer_Encoding": "chunked", "Content_Type": "text/event-stream"}
-        writer.write(head(seen, 200, **fields))
-        for number in range(begin, EVENTS + 1):
-            writer.write(chunk(event(number)))
-            await writer.drain()
-            await asyncio.sleep(EVENT_PAUSE_S)
-        writer.write(chunk(b""))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -73,9 +73,8 @@
         for _ in range(servers):
             await self.add_server()
         self.publish()
-        host, _, port = self.store.address.partition(":")
         for number in range(nodes):
-            proxy = Proxy(host, (host, int(port)))
+            proxy = Proxy(self.store.address)
             await proxy.start()
             zone = f"z{number % 2 + 1}"
             bounds = {"grace_s": GRACE_S} | BUDGET
@@ -105,8 +104,7 @@
         name = f"i-{next(self._numbers)}"
         server = SoakServer(name, self.promises, random.Random(self.rng.random()))
         await server.start()
-        host, _, port = server.address.partition(":")
-        proxy = Proxy(host, (host, int(port)))
+        proxy = Proxy(server.address)
         await proxy.start()
         self.staying.add(name)
         self.servers[name] = server
