Start: a platform node imports only what its interface needs

Cause: after a power loss callers wait for imports; a node on the platform imported the chat router, tickets, orders and rate limits of the native interface, tornado's web framework for five pages and the JSON parser of settings that it doesn't read, and the machine's own site packages.

--- a/demo/prepare.py
+++ b/demo/prepare.py
@@ -14,7 +14,7 @@
 from urllib.parse import urlsplit
 
 from peridotcove.configuration import parse_configuration
-from peridotcove.settings import read_json
+from peridotcove.json_files import read_json
 
 HOST = "127.0.0.1"
 PORT_SHIFTS = (0, 25, 50, 75)
--- a/peridotcove/__main__.py
+++ b/peridotcove/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of ``python -m peridotcove``."""
 
+import gc
 import signal
 import sys
 
@@ -10,6 +11,8 @@
         # SIGHUP may arrive while the node is still being imported. It can be ignored,
         # because the settings are read after this point.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        # Collections during the imports find nothing; `run_node` enables them.
+        gc.disable()
         # The platform starts nodes with this command. It bypasses the command-line
         # library, whose import takes as long as that of all routing code, because
         # callers wait while a node restarts.
--- a/peridotcove/callers/server.py
+++ b/peridotcove/callers/server.py
@@ -4,7 +4,6 @@
 
 from attrs import define
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application
 
 from peridotcove.callers.handlers import (
@@ -251,20 +250,3 @@
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     context.load_cert_chain(tls.certificate_file, tls.key_file)
     return context
-
-
-def listen(server, host, port):
-    """Bind a server to an address and return the port.
-
-    Parameters
-    ----------
-    server : HTTPServer
-        The server.
-    host : str
-        IP address.
-    port : int
-        Port; with 0 the operating system chooses one.
-    """
-    sockets = bind_sockets(port, host)
-    server.add_sockets(sockets)
-    return sockets[0].getsockname()[1]
--- a/peridotcove/configuration_files.py
+++ b/peridotcove/configuration_files.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from peridotcove.exceptions import InvalidSettings, SettingError
+from peridotcove.json_files import read_json
 from peridotcove.part_splitting import (
     SECTIONS,
     format_compact_json,
@@ -14,7 +15,6 @@
     split_into_parts,
 )
 from peridotcove.schema import build
-from peridotcove.settings import read_json
 
 MANIFEST_FILE = "manifest.json"
 
--- a/peridotcove/endpoint_state_sync.py
+++ b/peridotcove/endpoint_state_sync.py
@@ -1,7 +1,7 @@
 """Synchronizes between nodes which endpoints are leaving."""
 
+from peridotcove.nodes.leaving_messages import AskLeaving, EndpointsLeaving
 from peridotcove.nodes.network import OutgoingMessage
-from peridotcove.nodes.ticketed_call_messages import AskLeaving, EndpointsLeaving
 
 # Nodes that are asked after a pause of this process.
 QUERIED_PEERS = 3
--- a/peridotcove/interfaces.py
+++ b/peridotcove/interfaces.py
@@ -51,6 +51,12 @@
         """
         raise NotImplementedError
 
+    def wire(self):
+        """Create the parts that only this interface uses, and connect them.
+
+        Called once, after the parts that all nodes have are connected.
+        """
+
     def make_caller_server(self):
         """Return the HTTP server for callers, not yet listening."""
         raise NotImplementedError
@@ -67,6 +73,47 @@
         """Run the periodic work of this interface."""
         raise NotImplementedError
 
+    def apply_configuration(self, configuration):
+        """Apply the configuration that came into force.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            The configuration.
+        """
+
+    def update_owned_engines(self):
+        """Handle a change of the engines in the shards that this node owns."""
+
+    def set_live_instances(self, names):
+        """Set which of the listed instances are live.
+
+        Parameters
+        ----------
+        names : list of str
+            Names of the instances.
+        """
+
+    def handle_peer_joined(self, peer):
+        """Handle that a node was heard for the first time, or again.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the node.
+        """
+
+    def count_running(self):
+        """Return the calls in progress that `Node.request_counter` doesn't count."""
+        return 0
+
+    def hand_over(self):
+        """Start to transfer state of this node to another one, during the shutdown."""
+
+    def is_handed_over(self):
+        """Return whether the transfer that `hand_over` started has ended."""
+        return True
+
     def reload(self):
         """Handle SIGHUP; an interface that can't reload its settings logs that."""
         log.warning(
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -3,33 +3,23 @@
 import logging
 import random
 
-from peridotcove.chat_router import ChatRouter
-from peridotcove.continuation import ContinuationCodec
 from peridotcove.control_plane import ControlPlane
 from peridotcove.drain import DrainController
 from peridotcove.endpoint_state_sync import EndpointStateSync
 from peridotcove.endpoint_states import EndpointStates
-from peridotcove.endpoints.engine_client import EngineClient
-from peridotcove.endpoints.order_client import OrderClient
-from peridotcove.endpoints.service_client import ServiceClient
 from peridotcove.endpoints.streaming_client import StreamingClient
 from peridotcove.engine_retention import EngineRetention
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet_view import FleetView
 from peridotcove.interfaces import load_interface
-from peridotcove.key_derivation import (
-    CONTINUATION_PURPOSE,
-    LINK_PURPOSE,
-    TICKET_PURPOSE,
-    derive_key,
-)
+from peridotcove.key_derivation import LINK_PURPOSE, derive_key
 from peridotcove.lease_client import LeaseClient
 from peridotcove.lease_server import LeaseServer
-from peridotcove.load_poller import LoadPoller
 from peridotcove.logs import get_logger
 from peridotcove.metrics import Metrics
 from peridotcove.models import Instance, InstanceState
 from peridotcove.nodes.handshake import Identity
+from peridotcove.nodes.leaving_messages import AskLeaving, EndpointsLeaving
 from peridotcove.nodes.links import LinkManager
 from peridotcove.nodes.messages import (
     AskLease,
@@ -39,39 +29,12 @@
     RefuseLease,
     ReleaseLease,
 )
-from peridotcove.nodes.rate_limit_messages import ReportUsage, ShareRates
-from peridotcove.nodes.ticketed_call_messages import (
-    AskLeaving,
-    EndpointsLeaving,
-    HandOverTickets,
-    RunTicketed,
-    TicketedAnswer,
-    TicketsHeld,
-    TicketsTaken,
-)
 from peridotcove.operators.node_status import NodeStatus
 from peridotcove.operators.server import make_server as make_operator_server
-from peridotcove.orders import OrderIssuer
-from peridotcove.rate_limit_sync import RateLimitSync
-from peridotcove.rate_limits import EntryRateLimiter, HomeRateLimiter
-from peridotcove.rendezvous import rank
 from peridotcove.request_counter import RequestCounter
 from peridotcove.revision_events import RevisionEvents
-from peridotcove.service_router import ServiceRouter
-from peridotcove.ticket_authority import TicketAuthority
-from peridotcove.ticketed_call_coordinator import TicketedCallCoordinator
-from peridotcove.ticketed_call_events import TicketedCallEvents
-from peridotcove.ticketed_call_executor import TicketedCallExecutor
 from peridotcove.timeline import Timeline
 
-TICKETED_CALL_MESSAGES = (
-    RunTicketed,
-    TicketedAnswer,
-    HandOverTickets,
-    TicketsTaken,
-    TicketsHeld,
-)
-
 log = get_logger("node")
 
 
@@ -111,9 +74,8 @@
         self._wire_control()
         self._wire_links()
         self._wire_leases()
-        self._wire_tickets()
-        self._wire_requests()
-        self._wire_orders()
+        self.streaming_client = StreamingClient(clock)
+        self.interface.wire()
         self._wire_servers()
 
     def _wire_links(self):
@@ -124,11 +86,22 @@
             identity,
             secret,
             self.clock,
-            on_traffic=self._count_control_bytes,
+            on_traffic=self.count_control_bytes,
         )
         self.links.on_message = self._handle_message
 
-    def _count_control_bytes(self, way, kind, size):
+    def count_control_bytes(self, way, kind, size):
+        """Count bytes between nodes, or between a node and an engine, in the metrics.
+
+        Parameters
+        ----------
+        way : str
+            ``"in"`` or ``"out"``.
+        kind : str
+            Kind of the message.
+        size : int
+            Size on the wire in bytes.
+        """
         self.metrics.control_bytes.labels(way, kind).inc(size)
 
     def _wire_control(self):
@@ -169,11 +142,6 @@
             self.interface.grants_locally,
         )
         self.lease_server.client = self.lease_client
-        self.entry_limiter = EntryRateLimiter(clock)
-        home_limiter = HomeRateLimiter(clock)
-        self.rate_limit_sync = RateLimitSync(
-            self.name, fleet, links, self.entry_limiter, home_limiter
-        )
         self._handler_by_type |= {
             AskLease: self.lease_server.receive,
             ReleaseLease: self.lease_server.receive,
@@ -181,79 +149,24 @@
             GiveLease: self.lease_client.receive,
             RefuseLease: self.lease_client.receive,
             QueueLease: self.lease_client.receive,
-            ReportUsage: self.rate_limit_sync.handle_message,
-            ShareRates: self.rate_limit_sync.handle_message,
+            AskLeaving: self._handle_leaving_message,
+            EndpointsLeaving: self._handle_leaving_message,
         }
 
-    def _wire_tickets(self):
-        secret = derive_key(self.settings.secret.read("secret"), TICKET_PURPOSE)
-        self.ticket_authority = TicketAuthority(
-            self.name, self.incarnation, secret, self.clock
-        )
-        self.call_coordinator = TicketedCallCoordinator(
-            self.ticket_authority, self.clock
-        )
-        events = TicketedCallEvents(self.timeline)
-        self.call_executor = TicketedCallExecutor(
-            self.call_coordinator, self.links, self._run_ticketed, events
-        )
-        for kind in TICKETED_CALL_MESSAGES:
-            self._handler_by_type[kind] = self.call_executor.handle_message
-        for kind in (AskLeaving, EndpointsLeaving):
-            self._handler_by_type[kind] = self._handle_leaving_message
+    def add_message_handlers(self, handler_by_type):
+        """Add handlers of messages that only one interface uses.
 
-    async def _run_ticketed(self, call):
-        return await self.service_router.run_ticketed(call)
+        Parameters
+        ----------
+        handler_by_type : dict of callable
+            Handler by class of message, called with the sender and the message.
+        """
+        self._handler_by_type |= handler_by_type
 
     def _handle_leaving_message(self, peer, message):
         self.send_all(self.endpoint_state_sync.receive(peer, message))
         self.update_leaving_endpoints()
 
-    def _make_continuation_codec(self):
-        secret = self.settings.secret.read("secret")
-        return ContinuationCodec(derive_key(secret, CONTINUATION_PURPOSE), self.clock)
-
-    def _wire_requests(self):
-        settings = self.settings
-        self.streaming_client = StreamingClient(self.clock)
-        self.service_client = ServiceClient()
-        self.load_poller = LoadPoller(
-            self.clock,
-            self.service_client,
-            self.lease_server,
-            self._count_control_bytes,
-        )
-        engines = EngineClient(self.streaming_client, settings.limits)
-        self.chat_router = ChatRouter(
-            self.name,
-            settings.zone,
-            self.fleet,
-            self.lease_client,
-            self.endpoint_states,
-            engines,
-            self.entry_limiter,
-            self._make_continuation_codec(),
-            self.clock,
-            self.rng,
-            self.metrics,
-            self.timeline,
-        )
-        self.service_router = ServiceRouter(
-            settings.zone,
-            self.fleet,
-            self.endpoint_states,
-            self.service_client,
-            self.entry_limiter,
-            settings.limits,
-            self.rng,
-            self.metrics,
-        )
-        self.service_router.call_executor = self.call_executor
-
-    def _wire_orders(self):
-        self.order_issuer = OrderIssuer(self.clock, self.rng)
-        self.order_client = OrderClient(self.order_issuer, self.service_client)
-
     def _wire_servers(self):
         self.caller_server = self.interface.make_caller_server()
         self.operator_server = make_operator_server(
@@ -311,9 +224,8 @@
         self._record_endpoint_changes(current)
         self.fleet.set_configuration(current)
         self.endpoint_states.set_configuration(current)
-        self.ticket_authority.ticket_ms = current.bounds.ticket_ms
         self.lease_server.update_dispatchers()
-        self.update_orders()
+        self.interface.apply_configuration(current)
         self.revision_events.record_in_force(current.revision)
         log.info("configuration revision %d is in force", current.revision)
 
@@ -353,7 +265,7 @@
                 },
             )
             self.lease_server.update_dispatchers()
-            self.update_orders()
+            self.interface.update_owned_engines()
             self.lease_client.announce_leases()
 
     def owned_shards(self):
@@ -388,34 +300,17 @@
             self.endpoint_state_sync.set_instances(instances, requested_ms, peers)
         )
         live = [item.name for item in instances if item.state is InstanceState.LIVE]
-        self.order_issuer.set_listed(live)
+        self.interface.set_live_instances(live)
         self.update_leaving_endpoints()
         self.update_live_nodes()
 
     def update_leaving_endpoints(self):
-        """Update the lease server and the orders if the leaving endpoints changed."""
+        """Update the owned engines if the leaving endpoints changed."""
         if self.fleet.set_leaving(self.endpoint_states.leaving()):
             self.lease_server.update_dispatchers()
-            self.update_orders()
-
-    def update_orders(self):
-        """Update the order issuer with the owned engines and their configuration."""
-        self.order_issuer.set_configuration(
-            self.fleet.configuration, self.owned_engines()
-        )
+            self.interface.update_owned_engines()
 
     def peers(self):
         """Return the names of the other live nodes in the region."""
         live = self.control.membership.live_nodes()
         return [item.name for item in live if item.name != self.name]
-
-    def hand_over_tickets(self):
-        """Transfer this node's tickets to another live node, if there is one."""
-        peers = self.peers()
-        ranked_peers = rank(f"tickets of {self.name}", dict.fromkeys(peers, 1.0))
-        peer_by_name = self.control.membership.peer_by_name
-        for name in ranked_peers:
-            if name in peer_by_name and peer_by_name[name].incarnation:
-                incarnation = peer_by_name[name].incarnation
-                self.send_all(self.call_coordinator.hand_over(name, incarnation, peers))
-                return
--- a/peridotcove/node_lifecycle.py
+++ b/peridotcove/node_lifecycle.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import contextlib
+import gc
 import signal
 
 from peridotcove import __version__
-from peridotcove.callers.server import listen
+from peridotcove.callers.listening import listen
 from peridotcove.clock import Clock
 from peridotcove.drain import DrainStage
 from peridotcove.logs import configure_logging, get_logger
@@ -48,6 +49,9 @@
     loop.add_signal_handler(signal.SIGHUP, node.interface.reload)
     node.metrics.log_lines_dropped.set_function(lambda: handler.dropped)
     tasks = await start(node)
+    # Modules and parts of the node stay until it ends: no collection traverses them.
+    gc.freeze()
+    gc.enable()
     try:
         await stop.wait()
         await drain(node)
@@ -194,15 +198,14 @@
             )
         elif isinstance(event, NodeJoined):
             node.timeline.record("peer-up", peer=event.node)
-            node.send_all(node.call_coordinator.announce_held_ledgers(event.node))
+            node.interface.handle_peer_joined(event.node)
     node.update_live_nodes()
-    node.call_executor.tick()
     update_endpoints(node)
     node.interface.tick()
 
 
 def update_endpoints(node):
-    """Query peers for leaving endpoints if needed, and expire tickets.
+    """Query peers for leaving endpoints if needed.
 
     Peers are queried after a pause of this process, because it may have missed
     messages about leaving endpoints.
@@ -214,7 +217,6 @@
     """
     node.send_all(node.endpoint_state_sync.tick(node.peers()))
     node.update_leaving_endpoints()
-    node.ticket_authority.expire()
 
 
 async def drain(node):
@@ -234,8 +236,8 @@
     node.update_live_nodes()
     closing = handing_over = False
     while True:
-        in_progress = node.request_counter.count + node.ticket_authority.count_running()
-        handed_over = handing_over and not node.call_coordinator.count_pending()
+        in_progress = node.request_counter.count + node.interface.count_running()
+        handed_over = handing_over and node.interface.is_handed_over()
         stage = node.drain.tick(in_progress, handed_over)
         if stage is DrainStage.DONE:
             break
@@ -244,7 +246,7 @@
             node.interface.close_idle()
         if stage is DrainStage.HANDING_OVER and not handing_over:
             handing_over = True
-            node.hand_over_tickets()
+            node.interface.hand_over()
         await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
     node.timeline.record("drain-ended", {"cut": node.drain.aborted_count})
     log.info("drain ended; %d unfinished requests were cut", node.drain.aborted_count)
@@ -262,6 +264,5 @@
     node.operator_server.stop()
     await node.links.close()
     node.streaming_client.close()
-    node.service_client.close()
     node.configuration_client.close()
     node.interface.close()
--- a/peridotcove/nodes/ticketed_call_messages.py
+++ b/peridotcove/nodes/ticketed_call_messages.py
@@ -135,34 +135,3 @@
     salt: bytes
     holder: str
     incarnation: int
-
-
-@message(35)
-@frozen
-class AskLeaving:
-    """Requests the names of leaving endpoints, sent by a node after a pause.
-
-    Attributes
-    ----------
-    asked_ms : int
-        Time in ms on the sender's clock.
-    """
-
-    asked_ms: int
-
-
-@message(36)
-@frozen
-class EndpointsLeaving:
-    """Lists the engines and endpoints that are leaving.
-
-    Attributes
-    ----------
-    names : list
-        Names of the engines and endpoints.
-    asked_ms : int
-        Copied from the `AskLeaving` that this answers; -1 if it was not requested.
-    """
-
-    names: list
-    asked_ms: int = -1
--- a/peridotcove/operators/server.py
+++ b/peridotcove/operators/server.py
@@ -1,65 +1,64 @@
-"""HTTP server of the operators' port: health, metrics, configuration, timeline."""
+"""HTTP server of the operators' port: health, metrics, configuration, timeline.
+
+The pages need no framework of handlers, whose import would delay the start of a node.
+"""
+
+import json
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
+from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
+
+from peridotcove.registry import Registry
 
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 1_024
+MAX_SEQUENCE_DIGITS = 18
+JSON_TYPE = "application/json; charset=UTF-8"
 
+# A page takes the node's status and the request, and returns status, content type and
+# body.
+pages = Registry("page")
 
-class _Page(RequestHandler):
-    def initialize(self, node_status):
-        self.node_status = node_status
 
+def _json_page(value, status=200):
+    return status, JSON_TYPE, json.dumps(value).encode()
 
-class HealthPage(_Page):
-    """``GET /health``: liveness of the process and its event loop."""
 
-    def get(self):
-        """Answer with 200."""
-        self.write({"status": "ok"})
+@pages.register("/health")
+def show_health(node_status, request):
+    """``GET /health``: liveness of the process and its event loop."""
+    return _json_page({"status": "ok"})
 
 
-class ReadyPage(_Page):
+@pages.register("/ready")
+def show_readiness(node_status, request):
     """``GET /ready``: whether the load balancer may send callers to this node."""
-
-    def get(self):
-        """Answer with 200, or with 503 and the reason."""
-        reason = self.node_status.find_unready_reason()
-        self.set_status(503 if reason else 200)
-        self.write({"ready": not reason, "reason": reason})
+    reason = node_status.find_unready_reason()
+    return _json_page({"ready": not reason, "reason": reason}, 503 if reason else 200)
 
 
-class MetricsPage(_Page):
-    """``GET /metrics``: Prometheus metrics."""
+@pages.register("/metrics")
+def show_metrics(node_status, request):
+    """``GET /metrics``: metrics in the Prometheus text format."""
+    from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-    def get(self):
-        """Answer with the metrics in the Prometheus text format."""
-        self.node_status.update_gauges()
-        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
-        self.write(generate_latest(self.node_status.metrics.registry))
+    node_status.update_gauges()
+    return 200, CONTENT_TYPE_LATEST, generate_latest(node_status.metrics.registry)
 
 
-class ConfigurationPage(_Page):
+@pages.register("/configuration")
+def show_configuration(node_status, request):
     """``GET /configuration``: revision in force, and faults of a refused revision."""
+    return _json_page(node_status.describe_configuration())
 
-    def get(self):
-        """Answer with revision, age and faults."""
-        self.write(self.node_status.describe_configuration())
 
-
-class TimelinePage(_Page):
-    """``GET /timeline?after=SEQUENCE``: events of the node."""
-
-    def get(self):
-        """Answer with the buffered events after a sequence number."""
-        after = self.get_query_argument("after", "0")
-        if not after.isdigit() or len(after) > 18:
-            self.set_status(400)
-            self.write({"error": "'after' must be a whole number"})
-            return
-        self.write(self.node_status.timeline.export(int(after)))
+@pages.register("/timeline")
+def show_timeline(node_status, request):
+    """``GET /timeline?after=SEQUENCE``: buffered events after a sequence number."""
+    after = request.arguments.get("after", [b"0"])[-1]
+    if not after.isdigit() or len(after) > MAX_SEQUENCE_DIGITS:
+        return _json_page({"error": "'after' must be a whole number"}, 400)
+    return _json_page(node_status.timeline.export(int(after)))
 
 
 def make_server(node_status):
@@ -70,16 +69,26 @@
     node_status : NodeStatus
         Status that the pages show.
     """
-    arguments = {"node_status": node_status}
-    routes = [
-        (r"/health", HealthPage, arguments),
-        (r"/ready", ReadyPage, arguments),
-        (r"/metrics", MetricsPage, arguments),
-        (r"/configuration", ConfigurationPage, arguments),
-        (r"/timeline", TimelinePage, arguments),
-    ]
     return HTTPServer(
-        Application(routes),
+        lambda request: _answer(node_status, request),
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=MAX_BODY_BYTES,
     )
+
+
+def _answer(node_status, request):
+    page = pages.by_name.get(request.path)
+    if page is None:
+        answer = _json_page({"error": f"no page {request.path}"}, 404)
+    elif request.method not in ("GET", "HEAD"):
+        answer = _json_page({"error": "the pages can only be read"}, 405)
+    else:
+        answer = page(node_status, request)
+    status, content_type, body = answer
+    headers = HTTPHeaders(
+        {"Content-Type": content_type, "Content-Length": str(len(body))}
+    )
+    line = ResponseStartLine("HTTP/1.1", status, responses[status])
+    chunk = None if request.method == "HEAD" else body
+    request.connection.write_headers(line, headers, chunk)
+    request.connection.finish()
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from peridotcove.cache_watcher import CacheWatcher
-from peridotcove.callers.server import listen
+from peridotcove.callers.listening import listen
 from peridotcove.configuration_reader import ReadPolicy
 from peridotcove.discovery import Discovery
 from peridotcove.exceptions import InvalidSettings, ProtocolError
--- a/peridotcove/settings.py
+++ b/peridotcove/settings.py
@@ -1,14 +1,12 @@
 """Settings of a node, read from a file of JSON with comments."""
 
 import os
-import pathlib
 
-import pyjson5
 from attrs import frozen
 
-from peridotcove.duplicate_keys import find_duplicate_keys
-from peridotcove.exceptions import InvalidSettings, SettingError
+from peridotcove.exceptions import SettingError
 from peridotcove.schema import build, number_field
+from peridotcove.text_files import read_text
 
 
 @frozen
@@ -81,7 +79,7 @@
             source = f"environment variable {self.variable}"
         else:
             source = f"file {self.file}"
-            text = _read_text(self.file, path)
+            text = read_text(self.file, path)
         if len(text.strip()) < 16:
             raise SettingError(path, f"{source} is short", "16 characters or more")
         return text.strip().encode()
@@ -182,40 +180,6 @@
         return self.node
 
 
-def _read_text(file, path):
-    try:
-        return pathlib.Path(file).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingError(path, str(error), "a readable file of UTF-8 text") from None
-
-
-def read_json(file):
-    """Return the value of a file of JSON with comments.
-
-    Parameters
-    ----------
-    file : str
-        Path of the file.
-
-    Raises
-    ------
-    InvalidSettings
-        If the file can't be read, isn't JSON with comments, or has duplicate keys.
-    """
-    try:
-        text = _read_text(file, str(file))
-        raw = pyjson5.decode(text)
-        faults = list(find_duplicate_keys(text, str(file)))
-    except SettingError as error:
-        raise InvalidSettings(f"{file} is not valid", [error]) from None
-    except pyjson5.Json5Exception as error:
-        fault = SettingError(str(file), str(error), "JSON with comments")
-        raise InvalidSettings(f"{file} is not valid", [fault]) from None
-    if faults:
-        raise InvalidSettings(f"{file} is not valid", faults)
-    return raw
-
-
 def read_node_settings(file):
     """Return the settings of a node, read in the format of the file.
 
@@ -250,4 +214,7 @@
     InvalidSettings
         With all faults found in the file.
     """
+    # The platform's nodes have settings in TOML and don't need the JSON parser.
+    from peridotcove.json_files import read_json
+
     return build(Settings, read_json(file), str(file))
--- a/peridotcove/standins/commands.py
+++ b/peridotcove/standins/commands.py
@@ -6,7 +6,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from peridotcove.settings import read_json
+from peridotcove.json_files import read_json
 from peridotcove.standins.demo_caller import DemoCaller
 from peridotcove.standins.demo_report import Observer, render
 from peridotcove.standins.engine import EngineOptions, EngineStandin
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -334,7 +334,7 @@
                 )
                 self.assertGreaterEqual(answer.code, 400)
                 self.assertEqual(answer.headers[VERDICT], "may-have-run")
-        bucket = node.entry_limiter.bucket_by_customer["bakery"]
+        bucket = node.interface.entry_limiter.bucket_by_customer["bakery"]
         bucket.tokens, bucket.share, bucket.share_until_ms = 0, 0.001, 1 << 60
         answer = await self.http.fetch(
             url,
