--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -18,6 +18,8 @@
 RETRY_AFTER_MS = 1_000
 HASH_RANGE = 1 << 64
 MAX_DEFERRED_REQUESTS = 32
+# Time after its start in which a dispatcher expects the first lists of the caches.
+FIRST_LISTS_MS = 1_000
 # An engine that leaves takes no new work but can still serve its cache to others.
 FETCH_SOURCE_STATUSES = (LifecycleStatus.IN_SERVICE, LifecycleStatus.LEAVING)
 # A transfer has a fixed cost of some ms; recomputing fewer blocks is as fast.
@@ -28,11 +30,14 @@
 
 @frozen
 class _DeferredRequest:
-    """A request that waits for its preferred engine, which is at its load bound."""
+    """A request that waits for its preferred engine, which is at its load bound.
+
+    Without a preferred engine it waits for the first lists of the engines' caches.
+    """
 
     item: QueuedRequest
     preferred_engine: str
-    until_ms: int
+    until_ms: float
 
 
 class Dispatcher:
@@ -72,6 +77,13 @@
         self._queue = FairQueue()
         self._deferred_by_id = {}
         self._fetch_sources = frozenset()
+        # Engines whose caches may have contents that a new owner doesn't know yet.
+        self._unlisted_caches = {
+            engine.name
+            for engine in self.engines_of(configuration)
+            if engine.shares_cache and engine.status is LifecycleStatus.IN_SERVICE
+        }
+        self._lists_until_ms = clock.now() + FIRST_LISTS_MS
         self._loads = EngineLoads(configuration.bounds.load_bound)
         self.set_configuration(configuration)
 
@@ -152,7 +164,17 @@
 
     def engines(self):
         """Return the engines of the shard, as configured."""
-        engine_by_name = self._configuration.engine_by_name
+        return self.engines_of(self._configuration)
+
+    def engines_of(self, configuration):
+        """Return the engines of the shard in a configuration.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            Accepted configuration.
+        """
+        engine_by_name = configuration.engine_by_name
         names = self.shard.engines
         return [engine_by_name[name] for name in names if name in engine_by_name]
 
@@ -325,6 +347,10 @@
             The event; its hashes are those of prompt parts.
         """
         self._part_index.apply_event(event, self._clock.wall())
+        if not event.full or event.engine not in self._unlisted_caches:
+            return []
+        self._unlisted_caches.discard(event.engine)
+        return [] if self._unlisted_caches else self._grant_waiting()
 
     def tick(self):
         """Return the decisions that are due; to be called every 20 to 100 ms."""
@@ -377,8 +403,16 @@
             self._append_grant(granted, item, self._try_grant(item))
         return granted
 
+    def _awaits_lists(self):
+        """Return whether caches are unknown whose lists are still expected."""
+        if self._unlisted_caches and self._clock.now() >= self._lists_until_ms:
+            self._unlisted_caches.clear()
+        return bool(self._unlisted_caches)
+
     def _can_place_deferred(self, deferred):
         expired = self._clock.now() >= deferred.until_ms
+        if not deferred.preferred_engine:
+            expired = expired or not self._awaits_lists()
         ready = (
             self._loads.has_room()
             if expired
@@ -402,6 +436,13 @@
 
     def _try_grant(self, item, deferred=None):
         request = item.request
+        if deferred is None and request.part_ends and self._awaits_lists():
+            # Waits no longer than an engine takes to compute the whole prompt.
+            prompt_ms = request.part_ends[-1] / PREFILL_TOKENS_PER_MS
+            self._deferred_by_id[request.request_id] = _DeferredRequest(
+                item, "", self._clock.now() + prompt_ms
+            )
+            return None
         if request.part_ends:
             index = self._part_index
             lookup = index.look_up(request.prefixes, request.part_ends)
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -244,6 +244,18 @@
         """
         self._send_decisions(dispatcher.apply_load_report(report))
 
+    def apply_part_event(self, event):
+        """Apply an engine's cache event to the dispatcher of its shard.
+
+        Parameters
+        ----------
+        event : CacheEvent
+            The event; its hashes are those of prompt parts.
+        """
+        for dispatcher in list(self.dispatcher_by_shard.values()):
+            if event.engine in dispatcher.shard.engines:
+                self._send_decisions(dispatcher.apply_part_event(event))
+
     def drop_entry(self, entry):
         """Release all leases and requests of an entry node that is gone.
 
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
-from peridotcove.cache_watcher import CacheWatcher
+from peridotcove.cache_watcher import MIN_OWNERSHIP_MS, CacheWatcher
 from peridotcove.callers.listening import listen
+from peridotcove.clock import MS_PER_S
 from peridotcove.configuration_reader import ReadPolicy
 from peridotcove.discovery import Discovery
 from peridotcove.exceptions import InvalidSettings, ProtocolError
@@ -47,13 +48,14 @@
         super().__init__(node)
         node_name = node.control.node
         self.discovery = Discovery(node_name, node.clock, node.rng)
+        self._closed = False
         self._seeds = node.settings.seeds
         self.discovery.set_seeds(self._seeds)
         store = node.settings.platform
         self.retry_budgets = RetryBudgets(store.retry_share, store.retry_extra)
         self._cache_reader = ServerCacheReader()
         self._cache_watcher = CacheWatcher(
-            self._cache_reader, self._apply_cache_update, node.clock
+            self._cache_reader, self._apply_cache_event, node.clock
         )
 
     def make_configuration_client(self, settings):
@@ -149,7 +151,7 @@
         self.retry_budgets.set_node_count(len(self.discovery.instances()))
         hears = self.node.control.membership.hears
         self.node.send_all(self.discovery.tick(hears))
-        self._cache_watcher.set_engines(self._find_watched_engines())
+        self._watch_caches()
 
     def _find_watched_engines(self):
         if self.is_isolated():
@@ -163,13 +165,22 @@
             if name in engine_by_name and engine_by_name[name].shares_cache
         ]
 
-    def _apply_cache_update(self, event):
-        for dispatcher in self.node.lease_server.dispatcher_by_shard.values():
-            if event.engine in dispatcher.shard.engines:
-                dispatcher.apply_part_event(event)
+    def _apply_cache_event(self, event):
+        self.node.lease_server.apply_part_event(event)
+
+    def update_owned_engines(self):
+        """Watch the caches of the owned engines, once ownership has lasted enough."""
+        self._watch_caches()
+        loop = asyncio.get_running_loop()
+        loop.call_later(MIN_OWNERSHIP_MS / MS_PER_S, self._watch_caches)
+
+    def _watch_caches(self):
+        if not self._closed:
+            self._cache_watcher.set_engines(self._find_watched_engines())
 
     def close(self):
         """Close the connections that only this interface uses."""
+        self._closed = True
         self._cache_watcher.close()
         self._cache_reader.close()
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,8 +9,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from peridotcove.cache_events import CacheEvent
 from peridotcove.clock import FakeClock
-from peridotcove.dispatch import Dispatcher
+from peridotcove.dispatch import FIRST_LISTS_MS, Dispatcher
+from peridotcove.engine_loads import PREFILL_TOKENS_PER_MS
 from peridotcove.engine_selection import PART_WEIGHTS
 from peridotcove.models import (
     Bounds,
@@ -303,6 +305,16 @@
         self.engines = engines
         self.clock = FakeClock()
         self.dispatcher = make_dispatcher(engines, self.clock, load_bound=2.0)
+        self.list_caches()
+
+    def list_caches(self, stored_by_engine=None):
+        """Deliver the first list of each engine's cache; return the decisions."""
+        decisions = []
+        for name in self.engines:
+            stored = (stored_by_engine or {}).get(name, ())
+            event = CacheEvent(name, 1, self.clock.wall(), stored, full=True)
+            decisions += self.dispatcher.apply_part_event(event)
+        return decisions
 
     def grant(self, number, *parts, **values):
         (decision,) = self.dispatcher.request_lease(
@@ -357,3 +369,61 @@
         self.clock.advance(1)
         (decision,) = self.dispatcher.tick()
         self.assertIn(decision.engine, others)
+
+
+class UnknownCachesTest(unittest.TestCase):
+    """A new owner waits for the lists of the caches rather than compute prompts again.
+
+    After a power loss all callers return at once and the engines still have their
+    prompts; an owner that grants without their lists has them computed elsewhere.
+    """
+
+    SHARED = PromptPartDispatchTest.SHARED
+    PROMPT_MS = 8_960 / PREFILL_TOKENS_PER_MS
+
+    def setUp(self):
+        self.engines = {
+            name: evolve(one, shares_cache=True, weight=1.0)
+            for name, one in make_engines(capacity=64).items()
+        }
+        self.clock = FakeClock()
+        self.dispatcher = make_dispatcher(self.engines, self.clock, load_bound=2.0)
+
+    list_caches = PromptPartDispatchTest.list_caches
+
+    def ask(self, number, *parts):
+        return self.dispatcher.request_lease(make_part_request(number, *parts))
+
+    def test_callers_that_return_at_once_find_their_prompts(self):
+        for number in range(8):
+            self.assertEqual(self.ask(number, *self.SHARED), [])
+        keys, _ = hash_prompt_parts("m", self.SHARED)
+        sizes = [size for _, size in self.SHARED]
+        stored = tuple(zip(keys, sizes, strict=True))
+        grants = self.list_caches({"engine-1": stored, "engine-3": stored})
+        self.assertEqual(len(grants), 8)
+        self.assertEqual({one.engine for one in grants}, {"engine-1", "engine-3"})
+        self.assertEqual({one.cached_blocks for one in grants}, {140})
+
+    def test_a_request_waits_no_longer_than_its_prompt_takes(self):
+        self.assertEqual(self.ask(1, *self.SHARED), [])
+        self.clock.advance(int(self.PROMPT_MS) - 1)
+        self.assertEqual(self.dispatcher.tick(), [])
+        self.clock.advance(2)
+        (grant,) = self.dispatcher.tick()
+        self.assertEqual(grant.cached_blocks, 0)
+
+    def test_lists_that_do_not_come_delay_only_the_first_requests(self):
+        self.clock.advance(FIRST_LISTS_MS)
+        self.assertEqual(len(self.ask(1, *self.SHARED)), 1)
+
+    def test_requests_without_a_prompt_do_not_wait(self):
+        request = make_request(1, prefixes=())
+        self.assertEqual(len(self.dispatcher.request_lease(request)), 1)
+
+    def test_a_waiting_request_can_be_cancelled(self):
+        self.assertEqual(self.ask(1, *self.SHARED), [])
+        request_id = make_part_request(1, *self.SHARED).request_id
+        self.assertEqual(len(self.dispatcher.release(request_id, "cancelled")), 1)
+        self.assertEqual(self.list_caches(), [])
+        self.assertEqual(self.dispatcher.waiting, 0)
