Membership: a fleet that starts at once stays one fleet

A dial whose wait was cancelled left an exception in connection_lost, and the socket was never reported as closed.

--- a/peridotcove/cache_watcher.py
+++ b/peridotcove/cache_watcher.py
@@ -18,9 +18,10 @@
 MIN_OWNERSHIP_MS = 100
 # Longest wait of a call for an engine's next event.
 EVENT_WAIT_MS = 1_000
-# Pauses after a call that failed, and after one that returned.
+# Pauses after a call that failed, and after one that returned. A busy engine has events
+# all the time, and each answer costs its owner as much as a lease.
 RETRY_MS = 1_000
-POLL_PAUSE_MS = 100
+POLL_PAUSE_MS = 500
 
 log = get_logger("caches")
 
--- a/peridotcove/discovery.py
+++ b/peridotcove/discovery.py
@@ -28,10 +28,13 @@
 # know over the fleet in a few periods.
 EXCHANGE_PERIOD_MS = 2_000
 # For this long after its start, a node presumes nodes live that others heard this
-# recently. It hears nodes of other zones only about a second after its start, and would
-# until then take over shards that they own. Shorter than the time in which the loss of
-# a node is detected.
+# recently. It hears its neighbours only after a heartbeat, and would until then take
+# over shards that they own. Shorter than the time in which the loss of a node is
+# detected.
 PRESUMED_LIVE_MS = 1_500
+# The same for nodes of zones whose live nodes no contact there has reported yet. If all
+# nodes start at once, a contact reports only after it has heard its own neighbours.
+PRESUMED_ZONE_MS = 8_000
 # A node without a sign of life for this long is forgotten. Longer than any partition
 # after which nodes should find each other again without the seeds.
 FORGET_NODE_MS = 300_000
@@ -109,16 +112,25 @@
         unknown_seeds = [name for name in self.seeds if name not in self.known_by_name]
         return [*self.instances()[1:], *map(_make_instance, unknown_seeds)]
 
-    def presumed_live_nodes(self):
-        """Return the nodes that are presumed live shortly after this one's start."""
+    def presumed_live_nodes(self, is_reported):
+        """Return the nodes that are presumed live shortly after this one's start.
+
+        Parameters
+        ----------
+        is_reported : callable
+            Whether a node of a zone, given by name, reports which nodes are live there.
+        """
         now = self._clock.now()
-        if now - self._started_ms > PRESUMED_LIVE_MS:
+        started_ago_ms = now - self._started_ms
+        if started_ago_ms > PRESUMED_ZONE_MS:
             return []
-        return [
-            known.instance
-            for known in self.known_by_name.values()
-            if now - known.seen_ms <= PRESUMED_LIVE_MS
-        ]
+        presumed = []
+        for known in self.known_by_name.values():
+            reported = is_reported(known.instance.zone)
+            limit_ms = PRESUMED_LIVE_MS if reported else PRESUMED_ZONE_MS
+            if max(started_ago_ms, now - known.seen_ms) <= limit_ms:
+                presumed.append(known.instance)
+        return presumed
 
     def is_isolated(self):
         """Return whether this node has just started and its seeds have not answered."""
--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -186,6 +186,16 @@
         """Return the listed nodes, and unlisted ones that are still heard."""
         return list(self.topology.instance_by_name.values())
 
+    def reports_zone(self, zone):
+        """Return whether this node knows by itself which nodes of a zone are live.
+
+        Parameters
+        ----------
+        zone : str
+            Zone of this region.
+        """
+        return self.topology.has_neighbours_in(zone) or self._views.has_view(zone)
+
     def hears(self, name):
         """Return whether this node receives heartbeats of another.
 
--- a/peridotcove/nodes/links.py
+++ b/peridotcove/nodes/links.py
@@ -26,7 +26,7 @@
 # Connect timeout of the first dial, doubled by each failure up to `OPEN_TIMEOUT_MS`.
 # Nodes that start at the same time dial each other before all of them are reachable,
 # and the system sends a lost opening packet again only after a second.
-FIRST_CONNECT_TIMEOUT_MS = 125
+FIRST_CONNECT_TIMEOUT_MS = 250
 MAX_QUEUED_FRAMES = 1_024
 REDIAL_DELAY_MS = 100
 MAX_DOUBLINGS = 8
--- a/peridotcove/nodes/sockets.py
+++ b/peridotcove/nodes/sockets.py
@@ -97,7 +97,9 @@
         for future in (self._opened, self._read_waiter):
             if future is not None and not future.done():
                 future.set_exception(error)
-        self._opened.exception() if self._opened.done() else None
+        if self._opened.done() and not self._opened.cancelled():
+            # Marks the exception as retrieved: nothing may await the future any more.
+            self._opened.exception()
         if self._on_close is not None:
             self._on_close(self)
 
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -139,7 +139,8 @@
 
     def presumed_live_nodes(self):
         """Return the nodes that peers report as live, while this node starts."""
-        return self.discovery.presumed_live_nodes()
+        membership = self.node.control.membership
+        return self.discovery.presumed_live_nodes(membership.reports_zone)
 
     def is_isolated(self):
         """Return whether this node has just started and its seeds have not answered."""
--- a/peridotcove/topology.py
+++ b/peridotcove/topology.py
@@ -109,6 +109,16 @@
         """Return the number of other listed nodes in this node's zone."""
         return sum(self.zone_of(name) == self.node.zone for name in self.listed)
 
+    def has_neighbours_in(self, zone):
+        """Return whether this node exchanges heartbeats with all nodes of a zone.
+
+        Parameters
+        ----------
+        zone : str
+            Name of the zone.
+        """
+        return zone == self.node.zone or zone not in self._ranked_by_zone
+
     def has_max_contacts(self, zone):
         """Return whether a zone has as many contacts as are allowed at once.
 
--- a/peridotcove/zone_views.py
+++ b/peridotcove/zone_views.py
@@ -144,6 +144,21 @@
         for view in self.current_views():
             yield from view.records
 
+    def has_view(self, zone):
+        """Return whether the records of a zone are there and current.
+
+        Parameters
+        ----------
+        zone : str
+            Name of the zone.
+        """
+        view = self._view_by_zone.get(zone)
+        return (
+            view is not None
+            and bool(view.records)
+            and view.is_current(self.clock.now())
+        )
+
     def is_informed(self, name):
         """Return whether a node is heard and itself hears a majority of its zone.
 
