Bodies that are held in memory are bounded for every client

Cause: bytes that are no answer may come without end. Change: CurlClient limits a buffered body, 16 MiB by default, 4 MiB for services as before.

--- a/peridotcove/curl.py
+++ b/peridotcove/curl.py
@@ -5,6 +5,8 @@
 from tornado.ioloop import IOLoop
 
 INITIAL_HANDLES = 16
+# Largest body that is held in memory; several times the largest answer of any peer.
+MAX_BODY_BYTES = 16 << 20
 
 
 class CurlClient(CurlAsyncHTTPClient):
@@ -14,21 +16,25 @@
     ----------
     max_transfers : int
         Maximum number of concurrent transfers; further requests are queued.
+    max_body_bytes : int
+        Maximum size of a body that is held in memory; a longer one fails its request.
     """
 
-    def initialize(self, max_transfers, **kwargs):
+    def initialize(self, max_transfers, max_body_bytes=MAX_BODY_BYTES, **kwargs):
         """Initialize the client; tornado calls this in place of ``__init__``.
 
         Parameters
         ----------
         max_transfers : int
             Maximum number of concurrent transfers.
+        max_body_bytes : int
+            Maximum size of a body in bytes.
         **kwargs : object
             Options of tornado's client.
         """
         self._max_transfers = max_transfers
         first = min(INITIAL_HANDLES, max_transfers)
-        super().initialize(max_clients=first, **kwargs)
+        super().initialize(max_clients=first, max_body_size=max_body_bytes, **kwargs)
 
     def close(self):
         """Close all connections, and remove the timer that closing them may set."""
--- a/peridotcove/endpoints/service_client.py
+++ b/peridotcove/endpoints/service_client.py
@@ -65,9 +65,9 @@
         self._client = CurlClient(
             force_instance=True,
             max_transfers=MAX_CONCURRENT_CALLS,
+            max_body_bytes=MAX_RESPONSE_BYTES,
             defaults={"decompress_response": False},
         )
-        self._client.max_body_size = MAX_RESPONSE_BYTES
 
     def close(self):
         """Close all connections."""
