Start: the ports are opened before the program is imported

Change: the ports for clients and for other nodes are opened by a small module that needs the standard library only; connections wait in the system's queue and are served when the node is up.

--- a/peridotcove/__main__.py
+++ b/peridotcove/__main__.py
@@ -5,6 +5,10 @@
 import sys
 
 
+def _print_fault(fault):
+    print(fault, file=sys.stderr)
+
+
 def main():
     """Run the command named on the command line and exit with its exit code."""
     if sys.argv[1:] == ["node"]:
@@ -16,9 +20,12 @@
         # The platform starts nodes with this command. It bypasses the command-line
         # library, whose import takes as long as that of all routing code, because
         # callers wait while a node restarts.
+        from peridotcove.platform.early_ports import open_early_ports
+
+        early_sockets = open_early_ports()
         from peridotcove.startup import run_from_settings
 
-        sys.exit(run_from_settings("", lambda fault: print(fault, file=sys.stderr)))
+        sys.exit(run_from_settings("", _print_fault, early_sockets))
     from peridotcove.cli import make_application
 
     sys.exit(make_application().run())
--- a/peridotcove/cli.py
+++ b/peridotcove/cli.py
@@ -7,7 +7,7 @@
 from cleo.helpers import argument
 
 from peridotcove import __version__
-from peridotcove.platform.settings import SETTINGS_PATH_VARIABLE
+from peridotcove.platform.early_ports import SETTINGS_PATH_VARIABLE
 
 EXIT_OK = 0
 EXIT_FAULTS = 1
--- a/peridotcove/node_lifecycle.py
+++ b/peridotcove/node_lifecycle.py
@@ -30,7 +30,7 @@
 log = get_logger("node")
 
 
-async def run_node(settings):
+async def run_node(settings, early_sockets=None):
     """Run a node until SIGTERM or SIGINT, then drain and close it.
 
     SIGHUP reloads its settings.
@@ -39,6 +39,8 @@
     ----------
     settings : Settings
         Settings of the node.
+    early_sockets : dict of socket.socket or None
+        Sockets that listen already, by ``(host, port)``.
     """
     handler = configure_logging(settings.log_level, settings.log_name)
     stop = asyncio.Event()
@@ -48,6 +50,7 @@
     node = Node(settings, Clock())
     loop.add_signal_handler(signal.SIGHUP, node.interface.reload)
     node.metrics.log_lines_dropped.set_function(lambda: handler.dropped)
+    await open_ports(node, early_sockets)
     tasks = await start(node)
     # Modules and parts of the node stay until it ends: no collection traverses them.
     gc.freeze()
@@ -62,20 +65,25 @@
         await close(node)
 
 
-async def open_ports(node):
+async def open_ports(node, early_sockets=None):
     """Open the listening ports of a node and set its `ports`.
 
     Parameters
     ----------
     node : Node
         The node.
+    early_sockets : dict of socket.socket or None
+        Sockets that listen already, by ``(host, port)``.
     """
     settings = node.settings
     callers, nodes = settings.callers, settings.nodes
     operators = settings.operators
+    early = early_sockets or {}
+    caller_socket = early.get((callers.host, callers.port))
+    node_socket = early.get((nodes.host, nodes.port))
     node.ports = (
-        listen(node.caller_server, callers.host, callers.port),
-        await node.links.listen(nodes.host, nodes.port),
+        listen(node.caller_server, callers.host, callers.port, caller_socket),
+        await node.links.listen(nodes.host, nodes.port, node_socket),
         listen(node.operator_server, operators.host, operators.port),
     )
 
--- a/peridotcove/nodes/links.py
+++ b/peridotcove/nodes/links.py
@@ -93,7 +93,7 @@
         self._accepted = set()
         self._tasks = set()
 
-    async def listen(self, host, port):
+    async def listen(self, host, port, early_socket=None):
         """Start accepting links and return the port.
 
         Parameters
@@ -102,12 +102,17 @@
             IP address.
         port : int
             Port; 0 lets the system choose one.
+        early_socket : socket.socket or None
+            Socket that listens at the address already.
         """
         make_socket = make_server_factory(
             MAX_FRAME_BYTES, self._accept, self._accepted.discard
         )
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(make_socket, host, port)
+        address = (
+            {"sock": early_socket} if early_socket else {"host": host, "port": port}
+        )
+        self._server = await loop.create_server(make_socket, **address)
         return self._server.sockets[0].getsockname()[1]
 
     def set_peers(self, instances):
--- a/peridotcove/platform/settings.py
+++ b/peridotcove/platform/settings.py
@@ -10,8 +10,6 @@
 from peridotcove.platform.translation import REGION
 from peridotcove.settings import Address, Limits, Settings
 
-# Environment variable with the path of the settings file.
-SETTINGS_PATH_VARIABLE = "PERIDOTCOVE_NODE_FILE"
 # Port of the metrics server; the same as in deploy/system.toml.
 METRICS_PORT = 9464
 # CPU in cores and network link in Mbit/s of an instance of power 1, about those of the
--- a/peridotcove/startup.py
+++ b/peridotcove/startup.py
@@ -4,14 +4,14 @@
 import os
 
 from peridotcove.exceptions import InvalidSettings, SettingError
-from peridotcove.platform.settings import SETTINGS_PATH_VARIABLE
+from peridotcove.platform.early_ports import SETTINGS_PATH_VARIABLE
 from peridotcove.settings import read_node_settings
 
 EXIT_OK = 0
 EXIT_FAULTS = 1
 
 
-def run_from_settings(file, report_error):
+def run_from_settings(file, report_error, early_sockets=None):
     """Run a node until a signal stops it, and return the exit code.
 
     Parameters
@@ -21,6 +21,8 @@
         named by `SETTINGS_PATH_VARIABLE`.
     report_error : callable
         Called with each `SettingError` found in the file.
+    early_sockets : dict of socket.socket or None
+        Sockets that listen already, by ``(host, port)``.
 
     Returns
     -------
@@ -41,5 +43,5 @@
     except SettingError as fault:
         report_error(fault)
         return EXIT_FAULTS
-    asyncio.run(run_node(settings))
+    asyncio.run(run_node(settings, early_sockets))
     return EXIT_OK
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -8,14 +8,14 @@
 
 from tests.platform import fakes
 from tests.platform.fakes import StoreStandin
-from tests.soak.processes import NodeProcess
+from tests.soak.processes import FRONT_PORT, NodeProcess
 
 WAIT_S = 10
 BOUNDS = {"grace_s": 4, "ratio": 0.2, "extra": 30}
 
 
-class NodeProcessTest(unittest.IsolatedAsyncioTestCase):
-    """A node reloads its settings on SIGHUP and exits on SIGTERM."""
+class NodeProcessCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a node process and a store; base class of the tests."""
 
     async def asyncSetUp(self):
         self.store = StoreStandin()
@@ -47,6 +47,10 @@
         text = (self.folder / "node-1.log").read_text()
         return [json.loads(line) for line in text.splitlines() if line.endswith("}")]
 
+
+class NodeProcessTest(NodeProcessCase):
+    """A node reloads its settings on SIGHUP and exits on SIGTERM."""
+
     async def test_sighup_reloads_the_settings(self):
         self.node.reload()
         line = await self.wait_for("settings-reloaded")
@@ -58,3 +62,28 @@
         async with asyncio.timeout(WAIT_S):
             self.assertEqual(await self.node.wait(), 0)
         self.assertTrue(await self.wait_for("drain-ended"))
+
+
+class StartingProcessTest(NodeProcessCase):
+    """Clients that come while a node starts are served, not refused."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.node.kill()
+        await self.node.wait()
+        await self.node.start([self.node.host])
+
+    async def test_a_request_that_comes_during_the_start_is_answered(self):
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                try:
+                    reader, writer = await asyncio.open_connection(
+                        self.node.host, FRONT_PORT
+                    )
+                    break
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0)
+            self.assertFalse(self.node.has_started)
+            writer.write(b"GET /none HTTP/1.1\r\nHost: nobody.example\r\n\r\n")
+            self.assertIn(b" 404 ", await reader.readline())
+        writer.close()
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 
-from peridotcove.platform.settings import SETTINGS_PATH_VARIABLE
+from peridotcove.platform.early_ports import SETTINGS_PATH_VARIABLE
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 FRONT_PORT, NODES_PORT, READY_PORT = 7101, 7100, 7102
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -16,6 +16,19 @@
 load_interface("{interface}")
 print(*sys.modules)
 """
+LIST_MODULES_AT_OPENING = """
+import sys
+import peridotcove.platform.early_ports as early_ports
+from peridotcove.__main__ import main
+
+def stop():
+    print(*sys.modules)
+    sys.exit(0)
+
+early_ports.open_early_ports = stop
+sys.argv = ["peridotcove", "node"]
+main()
+"""
 # Parts of the other interface, of the command line, and of its measurements.
 NATIVE_MODULES = (
     "peridotcove.chat_router",
@@ -35,7 +48,11 @@
 
 def list_modules(interface):
     """Return the names of the modules that a node of an interface imports."""
-    script = LIST_MODULES.format(interface=interface)
+    return run_script(LIST_MODULES.format(interface=interface))
+
+
+def run_script(script):
+    """Run a script in a process of its own and return the words that it prints."""
     run = subprocess.run(
         [sys.executable, "-c", script],
         cwd=ROOT,
@@ -59,3 +76,10 @@
         modules = list_modules("own")
         self.assertEqual([one for one in NATIVE_MODULES if one not in modules], [])
         self.assertNotIn("peridotcove.platform.interface", modules)
+
+    def test_ports_are_opened_before_the_libraries_are_imported(self):
+        """Clients that come during the imports wait in a queue and are not refused."""
+        modules = run_script(LIST_MODULES_AT_OPENING)
+        self.assertIn("peridotcove.platform.early_ports", modules)
+        slow = ("asyncio", "attrs", "tornado", "peridotcove.node")
+        self.assertEqual([one for one in slow if one in modules], [])
