Start: requests wait for the first engines that are listed after an outage

Change: a node that has just got its first configuration holds a request until a model of its route has had an engine, 2 s at most (the time in which entries come back), and half of the request's time. Models whose engines went away later are refused at once as before.

--- a/peridotcove/fleet_view.py
+++ b/peridotcove/fleet_view.py
@@ -29,6 +29,8 @@
         Shards of the region by name.
     shards_by_model : dict of list of Shard
         Shards of the region by name of their model.
+    seen_models : set of str
+        Names of the models that have had engines since this node started.
     """
 
     def __init__(self, region):
@@ -39,6 +41,7 @@
         self._zone_by_node = {}
         self.shard_by_name = {}
         self.shards_by_model = {}
+        self.seen_models = set()
         self._picker_by_model = {}
         self._total_by_shard = {}
         self._customer_by_digest = {}
@@ -88,6 +91,7 @@
         self.shards_by_model = {}
         for shard in shards:
             self.shards_by_model.setdefault(shard.model, []).append(shard)
+        self.seen_models |= self.shards_by_model.keys()
         self._picker_by_model = {
             model: ShardSelector(shards, self._sum_weights(shards))
             for model, shards in self.shards_by_model.items()
--- a/peridotcove/host_route_gateway.py
+++ b/peridotcove/host_route_gateway.py
@@ -16,6 +16,12 @@
 # for several calls to the configuration service or one to a peer. A refused caller
 # would not retry sooner.
 START_WAIT_MS = 1_000
+# Time after the first configuration for which requests wait for the first engine of
+# their route. Engines whose entries expired during an outage of the service are back
+# within about this time.
+FIRST_ENGINES_WAIT_MS = 2_000
+# Share of a request's time that it waits for them; the rest is left to run it.
+FIRST_ENGINES_WAIT_SHARE = 0.5
 START_POLL_INTERVAL_MS = 10
 
 
@@ -62,6 +68,7 @@
         self._metrics = metrics
         self._timeline = timeline
         self._started_ms = clock.now()
+        self._configured_ms = None
 
     @property
     def leaving(self):
@@ -83,6 +90,19 @@
         end_ms = self._started_ms + START_WAIT_MS
         while not self.fleet.configuration.revision and self.clock.now() < end_ms:
             await asyncio.sleep(START_POLL_INTERVAL_MS / 1000)
+        if self._configured_ms is None and self.fleet.configuration.revision:
+            self._configured_ms = self.clock.now()
+
+    async def _wait_for_first_engines(self, forward):
+        """Wait until a model of the route has had an engine since this node started."""
+        models = {target.model for target in forward.route.targets}
+        left_ms = forward.end_ms - self.clock.now()
+        end_ms = min(
+            self._configured_ms + FIRST_ENGINES_WAIT_MS,
+            self.clock.now() + left_ms * FIRST_ENGINES_WAIT_SHARE,
+        )
+        while models.isdisjoint(self.fleet.seen_models) and self.clock.now() < end_ms:
+            await asyncio.sleep(START_POLL_INTERVAL_MS / 1000)
 
     def admit(self, host, path, key):
         """Return the route of a request and the customer that owns its API key.
@@ -145,6 +165,8 @@
         left_ms = max(1, forward.end_ms - self.clock.now())
         try:
             async with asyncio.timeout(left_ms / 1000):
+                if self._configured_ms is not None:
+                    await self._wait_for_first_engines(forward)
                 return await self._forwarder.run(forward, sink)
         except TimeoutError:
             text = "no engine answered before the request's deadline"
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -222,6 +222,19 @@
         self.addAsyncCleanup(self.stop, node, tasks)
         self.assertEqual((await client.read()).status, 200)
 
+    async def test_a_starting_node_waits_for_servers_that_are_listed_again(self):
+        """After an outage of the store, entries come back later than routes."""
+        for server in self.servers:
+            self.store.drop(f"servers/{server.name}")
+        node = await self.start()
+        await self.wait_for(lambda: node.fleet.configuration.revision)
+        client = await self.connect(node)
+        client.send("r1", "/booking/")
+        await self.wait_for(lambda: node.request_counter.count)
+        server = self.servers[0]
+        self.store.put(f"servers/{server.name}", server.make_entry("llm"))
+        self.assertEqual((await client.read()).status, 200)
+
     async def test_only_repeatable_requests_are_retried(self):
         cases = [
             # target, answers, status, whole, arrivals
