--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -63,6 +63,15 @@
     await asyncio.sleep(0.2)
 
 
+async def drip(seen, writer):
+    """Send a byte of an event now and then, and never its end."""
+    writer.write(make_head(seen, 200, Transfer_Encoding="chunked"))
+    while not writer.is_closing():
+        writer.write(b"1\r\nx\r\n")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+
+
 async def stay_silent(seen, writer):
     """Never answer."""
     await asyncio.sleep(60)
@@ -328,6 +337,37 @@
         got = await self.fetch("r1", "/booking/", X_Deadline_Ms="300")
         self.assertEqual(got.status, 504)
 
+    async def test_a_server_that_drips_bytes_does_not_hold_a_request(self):
+        """Bytes now and then are no sign that an answer will be whole."""
+        for target in ("/booking/", "/chat/", "/resumed/"):
+            with self.subTest(target=target):
+                self.set_answers(*[drip] * 5)
+                async with asyncio.timeout(WAIT_S):
+                    got = await self.fetch("r1", target, X_Deadline_Ms="400")
+                self.assertEqual(got.status, 504)
+        await self.wait_for(lambda: not self.node.lease_client.lease_by_id)
+
+    async def test_a_body_without_end_is_no_answer(self):
+        ended = []
+
+        async def flood(seen, writer):
+            writer.write(make_head(seen, 200, Transfer_Encoding="chunked"))
+            try:
+                while True:
+                    writer.write(b"10000\r\n" + b"x" * 0x10000 + b"\r\n")
+                    await writer.drain()
+            except ConnectionError:
+                ended.append(seen)
+
+        for target in ("/booking/", "/chat/"):
+            with self.subTest(target=target):
+                self.set_answers(*[flood] * 5)
+                ended.clear()
+                async with asyncio.timeout(WAIT_S):
+                    got = await self.fetch("r1", target, X_Deadline_Ms="30000")
+                self.assertEqual(got.status, 502)
+                await self.wait_for(lambda: ended)
+
     async def test_a_leaving_server_gets_no_new_requests(self):
         leaving, other = self.servers
         for change in ("draining", "gone"):
