--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -79,6 +79,11 @@
         self._log_offset = 0
         self._process = None
 
+    @property
+    def pid(self):
+        """Id of the current process."""
+        return self._process.pid
+
     @property
     def is_running(self):
         """Whether the process exists, paused or not."""
