--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -148,6 +148,11 @@
         """Number of requests that wait for a lease."""
         return len(self._queue) + len(self._deferred_by_id)
 
+    @property
+    def lease_count(self):
+        """Number of leases that this dispatcher knows."""
+        return len(self._leases)
+
     @property
     def is_recovering(self):
         """Whether leases granted by an earlier owner may still be unknown."""
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -177,6 +177,12 @@
             shard = self._fleet.shard_by_name.get(name)
             if shard is None or self._fleet.rank_owners(name)[:1] != [self._node]:
                 del self.dispatcher_by_shard[name]
+                inputs = {
+                    "shard": name,
+                    "leases": dispatcher.lease_count,
+                    "waiting": dispatcher.waiting,
+                }
+                self._timeline.record("dispatcher-closed", inputs)
                 self._send_decisions(dispatcher.close())
                 continue
             dispatcher.shard = shard
@@ -292,9 +298,14 @@
                 kind = "lease-granted" if is_grant else "lease-refused"
                 detail = decision.engine if is_grant else decision.code
                 inputs = _event_inputs(decision)
+                inputs["rank"] = self._owner_rank(tracked.shard)
                 self._record(kind, tracked.trace_id, tracked.entry, detail, inputs)
                 self._send_answer(tracked.entry, message)
 
+    def _owner_rank(self, shard):
+        owners = self._fleet.rank_owners(shard)
+        return owners.index(self._node) if self._node in owners else -1
+
     def _record(self, kind, request_id, peer, detail="", inputs=None):
         self._timeline.record(
             kind, inputs, request_id=request_id, peer=peer, detail=detail
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -146,6 +146,7 @@
 )
 add_kind("endpoints-changed", "other endpoints are in service")
 add_kind("owners-changed", "other nodes own shards")
+add_kind("dispatcher-closed", "the node grants no more leases of a shard")
 add_kind(
     "service-lost", "the configuration service can not be read", level=logging.WARNING
 )
