Owners: leases outlive a change of configuration at an owner that stands in

Cause: a node that isn't the first owner dropped its dispatcher, with the leases it had granted, at each revision and each change of live nodes, and counted from zero; neither owner heard of the other's leases before the announcement each 10 s. Change: a dispatcher is kept until no entry has used it for 10 s. An entry that asks another owner than before first sends it the leases it holds, and tells both of releases. A node that becomes the first owner recovers as a new one does. The old check that the first owner knows one lease after it answers again is replaced: it now has to know all four, and to have granted the last one. Conclusion: the count of a standing-in owner is whole.

--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -65,8 +65,7 @@
     def __init__(self, shard, configuration, clock, entries=(), weights=None):
         self.shard = shard
         self._clock = clock
-        self._unreported_entries = set(entries)
-        self._recovery_until_ms = clock.now() + LEASE_RECOVERY_MS
+        self.start_recovery(entries)
         self._weights = weights
         block_chars = configuration.bounds.block_chars
         self._prefix_index = CacheIndex(block_chars)
@@ -87,6 +86,17 @@
         self._loads = EngineLoads(configuration.bounds.load_bound)
         self.set_configuration(configuration)
 
+    def start_recovery(self, entries):
+        """Expect the leases that an earlier owner granted.
+
+        Parameters
+        ----------
+        entries : iterable of str
+            Nodes that may hold such leases.
+        """
+        self._unreported_entries = set(entries)
+        self._recovery_until_ms = self._clock.now() + LEASE_RECOVERY_MS
+
     def set_configuration(self, configuration):
         """Apply a new revision of the configuration.
 
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -28,6 +28,8 @@
 UNRESPONSIVE_OWNER_MS = 1_000
 RETRY_PAUSE_MS = 100
 MAX_OWNERS = 2
+# Period in which each node announces its leases to the owners.
+LEASE_ANNOUNCE_INTERVAL_MS = 10_000
 NOT_OWNER = "not-owner"
 MOVED = "moved"
 
@@ -79,6 +81,9 @@
         self._unresponsive_until_by_owner = {}
         self._grants_locally = grants_locally
         self._queued_ids = set()
+        self._asked_owner_by_shard = {}
+        # Owners that know leases of this node, and are told of each release.
+        self._informed_by_shard = {}
         self.lease_by_id = {}
 
     async def request_lease(self, shard, request):
@@ -137,6 +142,7 @@
         model = self._fleet.shard_by_name[shard].model
         self._future_by_id[request_id] = future
         try:
+            self._inform_owner(shard, owner)
             self._send(owner, make_ask_lease(shard, model, request, left))
             return await self._wait_for_answer(owner, future, request_id, left)
         except LinkDown:
@@ -186,9 +192,11 @@
             Prefix blocks that the engine reported as reused; -1 if not reported.
         """
         lease = self.lease_by_id.pop(request_id, None)
-        if lease is not None:
-            message = ReleaseLease(request_id, outcome, cached_blocks)
-            self._send_or_log(lease.owner, message)
+        if lease is None:
+            return
+        message = ReleaseLease(request_id, outcome, cached_blocks)
+        for owner in {lease.owner, *self._informed_by_shard.get(lease.shard, ())}:
+            self._send_or_log(owner, message)
 
     def receive(self, peer, message):
         """Handle an owner's answer; a grant that arrives too late is released.
@@ -214,7 +222,7 @@
 
     def announce_leases(self):
         """Send each owner of a shard the full list of leases that this node holds."""
-        leases_by_shard = {}
+        items_by_shard = {}
         for request_id, lease in list(self.lease_by_id.items()):
             owners = self._fleet.rank_owners(lease.shard)
             if not owners:
@@ -223,12 +231,30 @@
                 moved = HeldLease(lease.shard, owners[0], lease.engine, lease.customer)
                 self.lease_by_id[request_id] = moved
             item = [request_id, lease.engine, lease.customer]
-            leases_by_shard.setdefault(lease.shard, []).append(item)
+            items_by_shard.setdefault(lease.shard, []).append(item)
         for shard in self._fleet.shard_by_name:
-            owners = self._fleet.rank_owners(shard)
-            if owners:
-                leases = leases_by_shard.get(shard, [])
-                self._send_or_log(owners[0], HoldLeases(shard, leases))
+            items = items_by_shard.get(shard, [])
+            owners = self._fleet.rank_owners(shard)[:1]
+            informed = self._informed_by_shard.get(shard, set())
+            for owner in {*owners, *informed}:
+                self._send_or_log(owner, HoldLeases(shard, items))
+            self._informed_by_shard[shard] = set(owners)
+
+    def _inform_owner(self, shard, owner):
+        """Send an owner the leases that others granted, if it is asked in their place.
+
+        Without them it would count the load of the engines from zero.
+        """
+        if self._asked_owner_by_shard.get(shard) == owner:
+            return
+        items = [
+            [request_id, lease.engine, lease.customer]
+            for request_id, lease in self.lease_by_id.items()
+            if lease.shard == shard
+        ]
+        self._send(owner, HoldLeases(shard, items))
+        self._asked_owner_by_shard[shard] = owner
+        self._informed_by_shard.setdefault(shard, set()).add(owner)
 
     def _send(self, owner, message):
         if owner == self._node:
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -6,7 +6,11 @@
 
 from peridotcove.dispatch import Dispatcher
 from peridotcove.exceptions import LinkDown
-from peridotcove.lease_client import MAX_OWNERS, NOT_OWNER
+from peridotcove.lease_client import (
+    LEASE_ANNOUNCE_INTERVAL_MS,
+    MAX_OWNERS,
+    NOT_OWNER,
+)
 from peridotcove.logs import get_logger
 from peridotcove.models import LeaseGrant, LeaseRequest, LifecycleStatus
 from peridotcove.nodes.messages import (
@@ -20,6 +24,9 @@
 from peridotcove.outlier_detection import OutlierDetector
 
 DEFAULT_PRIORITY = 1
+# A node that isn't the first owner of a shard keeps its leases until no entry has asked
+# it for this long. By then the entries have announced them to the first owner.
+STANDBY_IDLE_MS = LEASE_ANNOUNCE_INTERVAL_MS
 
 log = get_logger("leases")
 
@@ -77,6 +84,8 @@
         self._tracked_by_id = {}
         self._outlier_detector = OutlierDetector(clock)
         self._ejected_by_shard = {}
+        self._owned_shards = frozenset()
+        self._used_ms_by_shard = {}
         self.request_queued = asyncio.Event()
         self.client = None
         self.dispatcher_by_shard = {}
@@ -159,40 +168,66 @@
             self._send_decisions(decisions)
 
     def _dispatcher(self, shard):
+        self._used_ms_by_shard[shard] = self._clock.now()
         dispatcher = self.dispatcher_by_shard.get(shard)
         if dispatcher is None:
-            entries = [one.name for one in self._fleet.nodes if one.name != self._node]
             dispatcher = Dispatcher(
                 self._fleet.shard_by_name[shard],
                 self._fleet.configuration,
                 self._clock,
-                entries,
+                self._other_nodes(),
             )
             self.dispatcher_by_shard[shard] = dispatcher
         return dispatcher
 
+    def _other_nodes(self):
+        return [one.name for one in self._fleet.nodes if one.name != self._node]
+
     def update_dispatchers(self):
-        """Update the dispatchers to the fleet's current shards, engines and owners."""
+        """Update the dispatchers to the fleet's current shards, engines and owners.
+
+        The dispatcher of a shard that another node owns keeps its leases, because
+        entries still ask this node while that owner does not answer.
+        """
+        owned = frozenset(
+            name
+            for name in self._fleet.shard_by_name
+            if self._fleet.rank_owners(name)[:1] == [self._node]
+        )
+        previously_owned, self._owned_shards = self._owned_shards, owned
         for name, dispatcher in list(self.dispatcher_by_shard.items()):
             shard = self._fleet.shard_by_name.get(name)
-            if shard is None or self._fleet.rank_owners(name)[:1] != [self._node]:
-                del self.dispatcher_by_shard[name]
-                inputs = {
-                    "shard": name,
-                    "leases": dispatcher.lease_count,
-                    "waiting": dispatcher.waiting,
-                }
-                self._timeline.record("dispatcher-closed", inputs)
-                self._send_decisions(dispatcher.close())
+            if shard is None:
+                self._close_dispatcher(name)
                 continue
+            if name in previously_owned - owned:
+                self._send_decisions(dispatcher.close())
+            elif name in owned - previously_owned:
+                dispatcher.start_recovery(self._other_nodes())
             dispatcher.shard = shard
             self._send_decisions(
                 dispatcher.set_configuration(self._fleet.configuration)
             )
             self._ejected_by_shard.pop(name, None)
-        for name in self._fleet.shard_by_name:
-            if self._fleet.rank_owners(name)[:1] == [self._node]:
-                self._dispatcher(name)
+        for name in owned:
+            self._dispatcher(name)
+
+    def _close_dispatcher(self, shard):
+        dispatcher = self.dispatcher_by_shard.pop(shard)
+        inputs = {
+            "shard": shard,
+            "leases": dispatcher.lease_count,
+            "waiting": dispatcher.waiting,
+        }
+        self._timeline.record("dispatcher-closed", inputs)
+        self._send_decisions(dispatcher.close())
+
+    def _close_idle_dispatchers(self):
+        now = self._clock.now()
+        for name in self.dispatcher_by_shard.keys() - self._owned_shards:
+            used_ms = self._used_ms_by_shard.get(name)
+            if used_ms is None or now - used_ms >= STANDBY_IDLE_MS:
+                self._close_dispatcher(name)
 
     def load_by_shard(self):
         """Return the load of each shard that this node owns, to send in heartbeats."""
@@ -217,6 +252,7 @@
 
     def tick(self):
         """Update the ejected engines, and send the decisions that are due."""
+        self._close_idle_dispatchers()
         for name, dispatcher in list(self.dispatcher_by_shard.items()):
             self._update_ejected(name, dispatcher)
             self._send_decisions(dispatcher.tick())
--- a/peridotcove/node_lifecycle.py
+++ b/peridotcove/node_lifecycle.py
@@ -9,6 +9,7 @@
 from peridotcove.callers.listening import listen
 from peridotcove.clock import Clock
 from peridotcove.drain import DrainStage
+from peridotcove.lease_client import LEASE_ANNOUNCE_INTERVAL_MS
 from peridotcove.logs import configure_logging, get_logger
 from peridotcove.membership_events import (
     LinkSilent,
@@ -25,7 +26,6 @@
 STARTING_CONTROL_INTERVAL_MS = 50
 QUEUED_LEASES_INTERVAL_MS = 20
 DRAIN_POLL_INTERVAL_MS = 100
-LEASE_ANNOUNCE_INTERVAL_MS = 10_000
 
 log = get_logger("node")
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,9 +1,12 @@
 """Tests of the lease protocol between entry nodes and owners, with lost messages."""
 
 import asyncio
+import random
 import unittest
+from collections import Counter
 
 from peridotcove.configuration import parse_configuration
+from peridotcove.dispatch import LEASE_RECOVERY_MS
 from peridotcove.exceptions import LinkDown, RequestRefused
 from peridotcove.fleet_view import FleetView
 from peridotcove.lease_client import (
@@ -11,7 +14,7 @@
     UNRESPONSIVE_OWNER_MS,
     LeaseClient,
 )
-from peridotcove.lease_server import LeaseServer
+from peridotcove.lease_server import STANDBY_IDLE_MS, LeaseServer
 from peridotcove.models import Instance, LeaseRequest
 from peridotcove.nodes.messages import (
     AskLease,
@@ -39,6 +42,21 @@
     "customers": {"c": {}},
 }
 OWNER_MESSAGES = (GiveLease, RefuseLease)
+# Limit of the users' rules: load of an engine against the mean of its service.
+LIMIT_FACTOR, LIMIT_EXTRA = 2, 3
+MEAN_LOAD = 4
+# Fewer than the engines, so that the choices of several owners meet on some of them.
+CHAT_KEYS = 4
+TICK_MS = 20
+
+
+def make_large_configuration():
+    """Return a configuration with as many engines as a deployment of tens of nodes."""
+    engine = {"zone": "a", "model": "m", "capacity": 4 * CAPACITY}
+    engines = {
+        f"e{i}": {"url": f"http://127.0.0.1:{i}", **engine} for i in range(1, 17)
+    }
+    return RAW | {"engines": engines, "customers": {"c": {"concurrency": 1_000}}}
 
 
 class LossyNetwork(Network):
@@ -59,28 +77,39 @@
 
 
 class Cluster:
-    """Three nodes that know each other, and the links between them."""
-
-    def __init__(self):
+    """Three nodes that know each other, and the links between them.
+
+    Parameters
+    ----------
+    raw : dict
+        Configuration of the nodes, in its file format.
+    names : tuple of str
+        Names of the nodes.
+    """
+
+    def __init__(self, raw=RAW, names=NAMES):
+        self.raw = raw
+        self.names = names
         self.down = set()
         self.is_dropped = lambda sender, peer, message: False
         self.receive_by_node = {}
         self.client_by_node = {}
         self.server_by_node = {}
         self.fleet_by_node = {}
-        for name in NAMES:
+        for name in names:
             self.add(name)
         for server in self.server_by_node.values():
             server.update_dispatchers()
         self.shard = next(iter(self.fleet_by_node["n1"].shard_by_name))
         self.owners = self.fleet_by_node["n1"].rank_owners(self.shard)
-        self.entry = next(name for name in NAMES if name not in self.owners[:2])
+        self.entries = [name for name in names if name not in self.owners[:2]]
+        self.entry = self.entries[0]
 
     def add(self, name):
         """Add a node."""
         fleet, network = FleetView("r"), LossyNetwork(name, self)
-        fleet.set_configuration(parse_configuration(RAW))
-        fleet.set_nodes(tuple(Instance(n, "node", "", 1, "a") for n in NAMES))
+        fleet.set_configuration(parse_configuration(self.raw))
+        fleet.set_nodes(tuple(Instance(n, "node", "", 1, "a") for n in self.names))
         clock = VirtualClock()
         timeline = Timeline(clock, name)
         server = LeaseServer(name, fleet, network, clock, timeline)
@@ -97,15 +126,38 @@
         self.server_by_node[name] = server
         self.fleet_by_node[name] = fleet
 
-    def start_request(self, number, deadline_ms=3000):
-        """Return a task that requests a lease as the entry node."""
+    def start_request(self, number, deadline_ms=3000, entry=None, chat_key=0):
+        """Return a task that requests a lease as an entry node."""
+        entry = entry or self.entry
         request_id = number.to_bytes(8, "big")
         request = LeaseRequest(
-            request_id, self.entry, "c", "m", (), deadline_ms=deadline_ms
+            request_id,
+            entry,
+            "c",
+            "m",
+            (),
+            deadline_ms=deadline_ms,
+            chat_key=chat_key,
         )
-        asking = self.client_by_node[self.entry].request_lease(self.shard, request)
+        asking = self.client_by_node[entry].request_lease(self.shard, request)
         return asyncio.ensure_future(asking)
 
+    def silence(self, owner):
+        """Drop all messages from and to a node, or none if it is empty."""
+        self.is_dropped = lambda sender, peer, message: owner in (sender, peer)
+
+    def update_dispatchers(self):
+        """Update the dispatchers of all nodes, as each new revision does."""
+        for server in self.server_by_node.values():
+            server.update_dispatchers()
+
+    async def tick_forever(self):
+        """Run the periodic work of all owners."""
+        while True:
+            for server in self.server_by_node.values():
+                server.tick()
+            await asyncio.sleep(TICK_MS / 1000)
+
     def load(self, owner):
         """Return the number of leases that an owner knows."""
         dispatcher = self.server_by_node[owner].dispatcher_by_shard.get(self.shard)
@@ -185,11 +237,112 @@
             self.assertEqual(waits, [OWNER_ANSWER_TIMEOUT_MS, 0, 0])
             await deliver(UNRESPONSIVE_OWNER_MS)
             cluster.is_dropped = lambda sender, peer, message: False
-            await cluster.start_request(4)
-            self.assertEqual(cluster.load(first), 1)
+            grant = await cluster.start_request(4)
+            lease = cluster.client_by_node[cluster.entry].lease_by_id[grant.request_id]
+            self.assertEqual(lease.owner, first)
+            self.assertEqual(cluster.load(first), 4)
+
+        run(case())
+
+    def test_second_owner_does_not_forget_leases_when_a_revision_comes(self):
+        async def case():
+            cluster = Cluster()
+            cluster.silence(cluster.owners[0])
+            grants = [await cluster.start_request(n) for n in range(3)]
+            cluster.update_dispatchers()
+            self.assertEqual(cluster.load(cluster.owners[1]), len(grants))
+            for grant in grants:
+                cluster.client_by_node[cluster.entry].release(grant.request_id, "done")
+            await deliver()
+            self.assertEqual(cluster.load(cluster.owners[1]), 0)
 
         run(case())
 
+    def test_owner_that_is_asked_instead_counts_the_leases_of_the_other(self):
+        async def case():
+            cluster = Cluster()
+            first, second = cluster.owners[:2]
+            grants = [await cluster.start_request(1)]
+            cluster.silence(first)
+            grants.append(await cluster.start_request(2))
+            await deliver()
+            self.assertEqual(cluster.load(second), 2)
+            cluster.silence("")
+            await deliver(UNRESPONSIVE_OWNER_MS)
+            grants.append(await cluster.start_request(3))
+            await deliver()
+            self.assertEqual(cluster.load(first), 3)
+            for grant in grants:
+                cluster.client_by_node[cluster.entry].release(grant.request_id, "done")
+            await deliver()
+            self.assertEqual((cluster.load(first), cluster.load(second)), (0, 0))
+
+        run(case())
+
+    def test_second_owner_drops_its_dispatcher_once_nobody_asks_it(self):
+        async def case():
+            cluster = Cluster()
+            first, second = cluster.owners[:2]
+            cluster.silence(first)
+            await cluster.start_request(1)
+            server = cluster.server_by_node[second]
+            server.tick()
+            self.assertIn(cluster.shard, server.dispatcher_by_shard)
+            await deliver(STANDBY_IDLE_MS)
+            server.tick()
+            self.assertNotIn(cluster.shard, server.dispatcher_by_shard)
+
+        run(case())
+
+    def test_second_owner_that_becomes_the_first_waits_for_announcements(self):
+        async def case():
+            cluster = Cluster()
+            first, second = cluster.owners[:2]
+            cluster.silence(first)
+            await cluster.start_request(1)
+            dispatcher = cluster.server_by_node[second].dispatcher_by_shard[
+                cluster.shard
+            ]
+            await deliver(LEASE_RECOVERY_MS)
+            self.assertFalse(dispatcher.is_recovering)
+            live = tuple(Instance(n, "node", "", 1, "a") for n in NAMES if n != first)
+            cluster.fleet_by_node[second].set_nodes(live)
+            cluster.server_by_node[second].update_dispatchers()
+            self.assertTrue(dispatcher.is_recovering)
+            cluster.client_by_node[cluster.entry].announce_leases()
+            self.assertEqual(cluster.load(second), 1)
+
+        run(case())
+
+    def test_load_stays_below_the_limit_while_two_owners_grant(self):
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                run(self._grant_while_first_owner_is_flaky(random.Random(seed)))
+
+    async def _grant_while_first_owner_is_flaky(self, rng):
+        cluster = Cluster(make_large_configuration(), NAMES + ("n4", "n5", "n6"))
+        engine_count = len(cluster.raw["engines"])
+        ticking = asyncio.create_task(cluster.tick_forever())
+        await deliver(LEASE_RECOVERY_MS)
+        held = []
+        for number in range(1_200):
+            if not number % 100:
+                cluster.silence(cluster.owners[0] if rng.random() < 0.5 else "")
+            if not number % 30:
+                cluster.update_dispatchers()
+            entry = rng.choice(cluster.entries)
+            chat_key = rng.randint(1, CHAT_KEYS)
+            grant = await cluster.start_request(number, entry=entry, chat_key=chat_key)
+            held.append((grant, entry))
+            load_by_engine = Counter(item.engine for item, _ in held)
+            limit = LIMIT_FACTOR * len(held) / engine_count + LIMIT_EXTRA
+            self.assertLessEqual(max(load_by_engine.values()), limit)
+            if len(held) > MEAN_LOAD * engine_count:
+                ended, entry = held.pop(rng.randrange(len(held)))
+                cluster.client_by_node[entry].release(ended.request_id, "done")
+            await deliver(10)
+        ticking.cancel()
+
     def test_lost_release_is_corrected_by_the_next_announcement(self):
         async def case():
             cluster = Cluster()
