Leases: nodes that grant without an owner place by load alone

Cause: each node then grants within a bound over its own leases, and chooses by prompt, zone and its own few entries of the cache index, so that the choices of all nodes meet on the same engines. Class of fault: a bound that is kept by each node does not bound the sum. Change: a node that is not among a shard's owners drops prompt, zone and hint from the request before it places it; what is left are its own load and a random order. Conclusion: a random choice keeps the sum near the mean with no message; caches are read again only while no owner answers.

--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -117,6 +117,8 @@
             self._send_answer(peer, RefuseLease(message.request_id, NOT_OWNER, 0))
             return
         request = self._make_lease_request(peer, message)
+        if self._node not in owners:
+            request = _ignore_caches(request)
         trace_id = message.trace_id or message.request_id
         tracked = TrackedRequest(peer, message.shard, trace_id=trace_id)
         self._tracked_by_id[message.request_id] = tracked
@@ -369,6 +371,17 @@
     }
 
 
+def _ignore_caches(request):
+    """Return a request that is placed by load alone.
+
+    While no owner answers, many nodes grant leases, and each knows only its own. Chosen
+    for their caches, the same few engines would get the requests of all nodes.
+    """
+    return evolve(
+        request, prefixes=(), part_ends=(), blocks=0, hint="", chat_key=0, zone=""
+    )
+
+
 def _effective_priority(message, customer):
     if message.priority >= 0:
         return message.priority
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -44,6 +44,7 @@
 OWNER_MESSAGES = (GiveLease, RefuseLease)
 # Limit of the users' rules: load of an engine against the mean of its service.
 LIMIT_FACTOR, LIMIT_EXTRA = 2, 3
+MAX_SHARE_OVER_LIMIT = 0.03
 MEAN_LOAD = 4
 # Fewer than the engines, so that the choices of several owners meet on some of them.
 CHAT_KEYS = 4
@@ -343,6 +344,33 @@
             await deliver(10)
         ticking.cancel()
 
+    def test_load_stays_below_the_limit_while_all_nodes_grant_locally(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                run(self._grant_without_owners(random.Random(seed)))
+
+    async def _grant_without_owners(self, rng):
+        names = tuple(f"n{number}" for number in range(40))
+        cluster = Cluster(make_large_configuration(), names)
+        engine_count = len(cluster.raw["engines"])
+        cluster.down = set(cluster.owners[:2])
+        for client in cluster.client_by_node.values():
+            client._grants_locally = True
+        held, over_limit = [], 0
+        for number in range(1_000):
+            entry = rng.choice(cluster.entries)
+            chat_key = rng.randint(1, CHAT_KEYS)
+            grant = await cluster.start_request(number, entry=entry, chat_key=chat_key)
+            load_by_engine = Counter(item.engine for item, _ in held)
+            limit = LIMIT_FACTOR * len(held) / engine_count + LIMIT_EXTRA
+            over_limit += load_by_engine[grant.engine] > limit
+            held.append((grant, entry))
+            if len(held) > MEAN_LOAD * engine_count:
+                ended, entry = held.pop(rng.randrange(len(held)))
+                cluster.client_by_node[entry].release(ended.request_id, "done")
+            await deliver(10)
+        self.assertLessEqual(over_limit, MAX_SHARE_OVER_LIMIT * 1_000)
+
     def test_lost_release_is_corrected_by_the_next_announcement(self):
         async def case():
             cluster = Cluster()
