Log the parts of a prompt whose answer was cut

Change: answer-cut with the hashes of the parts, the bytes received and the time since the request was sent; only a cut answer costs a line.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -322,11 +322,22 @@
             text = f"engine {engine.name} did not answer before the deadline"
             raise EndpointFailed("timeout", text, verdict, 504) from None
         except RequestError as error:
+            if error.code == "cut":
+                self._record_cut(engine, left_ms)
             raise self._replace_error(error) from None
         finally:
             self.sent_count += transfer.connected
         return self._finish_answer(engine)
 
+    def _record_cut(self, engine, left_ms):
+        forward = self.forward
+        inputs = {
+            "parts": [f"{part:016x}" for part in forward.prefixes],
+            "received_bytes": self.transfer.received_bytes,
+            "after_ms": left_ms - (forward.end_ms - self.forwarder.clock.now()),
+        }
+        self._record("answer-cut", inputs, peer=engine.name)
+
     def _start_transfer(self, engine, left_ms):
         route = self.forward.route
         first_ms = left_ms
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -139,6 +139,11 @@
 add_kind(
     "request-failed", "the request ended without a whole answer", level=logging.WARNING
 )
+add_kind(
+    "answer-cut",
+    "the endpoint's connection ended before the answer did",
+    level=logging.WARNING,
+)
 add_kind("retry-denied", "the budget of retries is used up", level=logging.WARNING)
 add_kind("owner-silent", "an owner did not answer in time", level=logging.WARNING)
 add_kind(
