Quarantine prompt parts that crash engines

Cause: nothing remembered which prompts were there when an engine ended. Class of fault: a failure is put down to the place where it shows, the engine, though the request brings it. Change: the owner sees an engine's requests cut at once (engine-crashed), accuses the shared parts of those whose answer had not begun, and clears the parts of each answered request. A part accused in two crashes in succession, four if it was sound before, is quarantined: its requests are refused as not run, with the time to the next probe; 10 s, doubled by each crash. Engines that fail together accuse a part once. Nodes share suspects, so that a new owner knows them; they expire. A request costs two dictionary entries at the owner, no message.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from peridotcove.clock import MS_PER_S
+from peridotcove.crash_suspects import CUT, CUT_BEFORE_ANSWER
 from peridotcove.endpoints.streaming_client import Transfer
 from peridotcove.event_splitter import EventSplitter
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
@@ -256,7 +257,7 @@
             outcome = "done"
             return forwarded
         except EndpointFailed as error:
-            outcome = OUTCOME_BY_CODE.get(error.code, "failed")
+            outcome = self._select_outcome(error)
             self.avoided_engines.append(grant.engine)
             raise
         except RequestRefused:
@@ -266,6 +267,11 @@
             forwarder.metrics.attempts.labels(outcome).inc()
             forwarder.leases.release(request.request_id, outcome)
 
+    def _select_outcome(self, error):
+        if error.code == "cut":
+            return CUT if self.transfer.received_bytes else CUT_BEFORE_ANSWER
+        return OUTCOME_BY_CODE.get(error.code, "failed")
+
     def _make_lease_request(self, left_ms):
         forward = self.forward
         customer = forward.customer
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -31,6 +31,7 @@
 # Period in which each node announces its leases to the owners.
 LEASE_ANNOUNCE_INTERVAL_MS = 10_000
 NOT_OWNER = "not-owner"
+QUARANTINED = "quarantined"
 MOVED = "moved"
 
 log = get_logger("leases")
@@ -253,6 +254,7 @@
             if lease.shard == shard
         ]
         self._send(owner, HoldLeases(shard, items))
+        self._server.send_suspects(owner)
         self._asked_owner_by_shard[shard] = owner
         self._informed_by_shard.setdefault(shard, set()).add(owner)
 
@@ -316,6 +318,7 @@
         "overloaded": "all engines of this model are busy",
         "deadline": "no engine became available in time",
         "concurrency": "the customer has too many requests in progress",
+        QUARANTINED: "engines crashed on a part of the prompt",
     }
     message = sentences.get(reply.code, "the request was refused")
     status = 429 if reply.code == "concurrency" else 503
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -4,12 +4,14 @@
 
 from attrs import define, evolve
 
+from peridotcove.crash_suspects import CrashSuspects
 from peridotcove.dispatch import Dispatcher
-from peridotcove.exceptions import LinkDown
+from peridotcove.exceptions import LinkDown, ProtocolError
 from peridotcove.lease_client import (
     LEASE_ANNOUNCE_INTERVAL_MS,
     MAX_OWNERS,
     NOT_OWNER,
+    QUARANTINED,
 )
 from peridotcove.logs import get_logger
 from peridotcove.models import LeaseGrant, LeaseRequest, LifecycleStatus
@@ -19,6 +21,7 @@
     QueueLease,
     RefuseLease,
     ReleaseLease,
+    ShareSuspects,
     unpack_hashes,
 )
 from peridotcove.outlier_detection import OutlierDetector
@@ -41,12 +44,15 @@
         Names; `engine` is empty while the request waits.
     trace_id : bytes
         Id of the request in the event log.
+    shared_parts : tuple of int
+        Hashes of the parts of its prompt that other requests may have too.
     """
 
     entry: str
     shard: str
     engine: str = ""
     trace_id: bytes = b""
+    shared_parts: tuple = ()
 
 
 class LeaseServer:
@@ -69,6 +75,8 @@
     ----------
     client : LeaseClient
         This node's side of the protocol as an entry node.
+    suspects : CrashSuspects
+        Parts of prompts that are suspected to crash engines.
     dispatcher_by_shard : dict
         `Dispatcher` by name of the shard, for the shards that this node serves.
     request_queued : asyncio.Event
@@ -83,6 +91,8 @@
         self._timeline = timeline
         self._tracked_by_id = {}
         self._outlier_detector = OutlierDetector(clock)
+        self.suspects = CrashSuspects(clock)
+        self._changed_suspects = set()
         self._ejected_by_shard = {}
         self._owned_shards = frozenset()
         self._used_ms_by_shard = {}
@@ -97,13 +107,15 @@
         ----------
         peer : str
             Name of the entry node.
-        message : AskLease, ReleaseLease or HoldLeases
+        message : AskLease, ReleaseLease, HoldLeases or ShareSuspects
             The message.
         """
         if isinstance(message, AskLease):
             self._handle_ask(peer, message)
         elif isinstance(message, ReleaseLease):
             self._handle_release(message)
+        elif isinstance(message, ShareSuspects):
+            self._merge_suspects(peer, message)
         elif message.shard in self._fleet.shard_by_name:
             leases = [tuple(item) for item in message.leases]
             self._send_decisions(
@@ -117,11 +129,17 @@
             self._send_answer(peer, RefuseLease(message.request_id, NOT_OWNER, 0))
             return
         request = self._make_lease_request(peer, message)
-        if self._node not in owners:
-            request = _ignore_caches(request)
         trace_id = message.trace_id or message.request_id
-        tracked = TrackedRequest(peer, message.shard, trace_id=trace_id)
+        shared_parts = request.prefixes[:-1] if request.part_ends else ()
+        tracked = TrackedRequest(
+            peer, message.shard, trace_id=trace_id, shared_parts=shared_parts
+        )
         self._tracked_by_id[message.request_id] = tracked
+        is_first_owner = owners[:1] == [self._node]
+        if self._refuse_if_quarantined(message.request_id, tracked, is_first_owner):
+            return
+        if self._node not in owners:
+            request = _ignore_caches(request)
         decisions = self._dispatcher(message.shard).request_lease(request)
         self._send_decisions(decisions)
         if not any(item.request_id == message.request_id for item in decisions):
@@ -154,6 +172,10 @@
         tracked = self._tracked_by_id.pop(message.request_id, None)
         if tracked is not None:
             self._record("release-received", tracked.trace_id, tracked.entry)
+            crashes, cleared = self.suspects.record_outcome(
+                message.request_id, message.outcome
+            )
+            self._report_crashes(crashes, cleared)
         shard = tracked.shard if tracked else None
         if tracked and tracked.engine and message.outcome != "cancelled":
             known_shard = self._fleet.shard_by_name.get(shard)
@@ -169,6 +191,99 @@
             )
             self._send_decisions(decisions)
 
+    def _merge_suspects(self, peer, message):
+        try:
+            self.suspects.merge_records(message.records)
+        except ProtocolError as error:
+            log.warning("suspected parts from %s are ignored: %s", peer, error)
+            return
+        self._refuse_quarantined()
+
+    def _refuse_if_quarantined(self, request_id, tracked, may_probe):
+        """Refuse a request with a quarantined part; return whether it was refused."""
+        quarantine = self.suspects.find_quarantine(
+            tracked.shared_parts, request_id, may_probe
+        )
+        if quarantine is None:
+            return False
+        del self._tracked_by_id[request_id]
+        inputs = {
+            "part": _format_part(quarantine.part),
+            "crashes": quarantine.crashes,
+            "retry_after_ms": quarantine.left_ms,
+        }
+        self._record(
+            "lease-refused", tracked.trace_id, tracked.entry, QUARANTINED, inputs
+        )
+        refusal = RefuseLease(request_id, QUARANTINED, quarantine.left_ms)
+        self._send_answer(tracked.entry, refusal)
+        return True
+
+    def _refuse_quarantined(self):
+        """Refuse the waiting requests that have a quarantined part."""
+        for request_id, tracked in list(self._tracked_by_id.items()):
+            if tracked.engine or not tracked.shared_parts:
+                continue
+            if self._refuse_if_quarantined(request_id, tracked, False):
+                dispatcher = self.dispatcher_by_shard.get(tracked.shard)
+                if dispatcher is not None:
+                    self._send_decisions(dispatcher.release(request_id, "cancelled"))
+
+    def _report_crashes(self, crashes, cleared):
+        """Record what was found about suspected parts, to share it on the next tick."""
+        self._changed_suspects.update(cleared)
+        for crash in crashes:
+            inputs = {
+                "cut_requests": crash.cut_requests,
+                "crashes_by_part": {
+                    _format_part(part): count
+                    for part, count in crash.crashes_by_part.items()
+                },
+            }
+            self._timeline.record("engine-crashed", inputs, peer=crash.engine)
+            self._changed_suspects.update(crash.crashes_by_part)
+            for part in crash.quarantined:
+                self._record_quarantine(part)
+        for part in cleared:
+            self._timeline.record("part-cleared", detail=_format_part(part))
+        if crashes:
+            self._refuse_quarantined()
+
+    def _record_quarantine(self, part):
+        suspect = self.suspects.suspect_by_part[part]
+        inputs = {
+            "crashes": suspect.crashes,
+            "left_ms": suspect.blocked_until_ms - self._clock.now(),
+            "rivals": [_format_part(rival) for rival in sorted(suspect.rivals)],
+        }
+        self._timeline.record("part-quarantined", inputs, detail=_format_part(part))
+
+    def _share_suspects(self):
+        if not self._changed_suspects:
+            return
+        records = self.suspects.records(sorted(self._changed_suspects))
+        self._changed_suspects.clear()
+        for name in self._other_nodes():
+            self._send_records(name, records)
+
+    def send_suspects(self, node):
+        """Send a node all parts that this node suspects.
+
+        Parameters
+        ----------
+        node : str
+            Name of the node.
+        """
+        records = self.suspects.records()
+        if records and node != self._node:
+            self._send_records(node, records)
+
+    def _send_records(self, node, records):
+        try:
+            self._network.send(node, ShareSuspects(records))
+        except LinkDown as error:
+            log.info("suspected parts were not sent to %s: %s", node, error)
+
     def _dispatcher(self, shard):
         self._used_ms_by_shard[shard] = self._clock.now()
         dispatcher = self.dispatcher_by_shard.get(shard)
@@ -254,6 +369,8 @@
 
     def tick(self):
         """Update the ejected engines, and send the decisions that are due."""
+        self._report_crashes(self.suspects.tick(), ())
+        self._share_suspects()
         self._close_idle_dispatchers()
         for name, dispatcher in list(self.dispatcher_by_shard.items()):
             self._update_ejected(name, dispatcher)
@@ -313,6 +430,7 @@
         for request_id, tracked in list(self._tracked_by_id.items()):
             if tracked.entry == entry:
                 del self._tracked_by_id[request_id]
+                self.suspects.record_outcome(request_id, "cancelled")
 
     def _send_decisions(self, decisions):
         for decision in decisions:
@@ -320,6 +438,9 @@
             if isinstance(decision, LeaseGrant):
                 if tracked is not None:
                     tracked.engine = decision.engine
+                    self.suspects.record_grant(
+                        decision.request_id, decision.engine, tracked.shared_parts
+                    )
                 message = GiveLease(
                     decision.request_id,
                     decision.engine,
@@ -328,6 +449,7 @@
                 )
             else:
                 self._tracked_by_id.pop(decision.request_id, None)
+                self.suspects.cancel_probe(decision.request_id)
                 message = RefuseLease(
                     decision.request_id, decision.code, decision.retry_after_ms
                 )
@@ -359,6 +481,10 @@
             log.info("lease answer to %s was not sent and is dropped: %s", entry, error)
 
 
+def _format_part(part):
+    return f"{part:016x}"
+
+
 def _event_inputs(decision):
     if not isinstance(decision, LeaseGrant):
         return {"retry_after_ms": decision.retry_after_ms}
--- a/peridotcove/metrics.py
+++ b/peridotcove/metrics.py
@@ -72,6 +72,10 @@
         self.skew = self._add_gauge(
             "peridotcove_shard_skew", "Highest load over mean, at the owner.", "shard"
         )
+        self.quarantined_parts = self._add_gauge(
+            "peridotcove_quarantined_parts",
+            "Prompt parts that crashed engines and are refused.",
+        )
         self.draining = self._add_gauge(
             "peridotcove_draining", "1 while the node leaves."
         )
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -28,6 +28,7 @@
     QueueLease,
     RefuseLease,
     ReleaseLease,
+    ShareSuspects,
 )
 from peridotcove.operators.node_status import NodeStatus
 from peridotcove.operators.server import make_server as make_operator_server
@@ -146,6 +147,7 @@
             AskLease: self.lease_server.receive,
             ReleaseLease: self.lease_server.receive,
             HoldLeases: self.lease_server.receive,
+            ShareSuspects: self.lease_server.receive,
             GiveLease: self.lease_client.receive,
             RefuseLease: self.lease_client.receive,
             QueueLease: self.lease_client.receive,
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -147,7 +147,8 @@
     request_id : bytes
         Id of the request.
     outcome : str
-        ``"done"``, ``"failed"``, ``"unreachable"`` or ``"cancelled"``.
+        ``"done"``, ``"failed"``, ``"cut"`` or ``"cut-before-answer"`` if the connection
+        to the engine ended early, ``"unreachable"`` or ``"cancelled"``.
     cached_blocks : int
         Prefix blocks that the engine reported as reused; -1 if it reported none.
     """
@@ -188,6 +189,20 @@
     request_id: bytes
 
 
+@message(8)
+@frozen
+class ShareSuspects:
+    """Lists parts of prompts that are suspected to crash engines.
+
+    Attributes
+    ----------
+    records : list
+        Records of `peridotcove.crash_suspects.CrashSuspects.records`.
+    """
+
+    records: list
+
+
 def pack_hashes(hashes):
     """Return hashes in their wire encoding.
 
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -144,6 +144,17 @@
     "the endpoint's connection ended before the answer did",
     level=logging.WARNING,
 )
+add_kind(
+    "engine-crashed",
+    "most requests of an engine were cut at once",
+    level=logging.WARNING,
+)
+add_kind(
+    "part-quarantined",
+    "requests with a part that crashes engines are refused",
+    level=logging.WARNING,
+)
+add_kind("part-cleared", "a request with a suspected part was answered")
 add_kind("retry-denied", "the budget of retries is used up", level=logging.WARNING)
 add_kind("owner-silent", "an owner did not answer in time", level=logging.WARNING)
 add_kind(
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 
 from peridotcove.clock import Clock
+from peridotcove.crash_suspects import SOUND_QUARANTINE_CRASHES
 from peridotcove.node import Node
 from peridotcove.node_lifecycle import close, drain, open_ports, start
 from tests.platform import fakes
@@ -368,6 +369,51 @@
                 self.assertEqual(got.status, 502)
                 await self.wait_for(lambda: ended)
 
+    async def test_requests_with_a_part_that_crashes_servers_are_refused(self):
+        crash_by_name = {}
+        released = asyncio.Event()
+
+        def make_crashing_answer(server):
+            async def answer(seen, writer):
+                crash = crash_by_name.setdefault(server.name, asyncio.Event())
+                if "dead" in seen.headers["X-Prompt-Prefix"]:
+                    self.crashes += 1
+                    await asyncio.sleep(0.05)
+                    crash.set()
+                waits = [asyncio.create_task(one.wait()) for one in (crash, released)]
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+                if crash.is_set():
+                    writer.transport.abort()
+                else:
+                    await make_stream_answer(2)(seen, writer)
+
+            return answer
+
+        async def send_round(number):
+            crash_by_name.clear()
+            released.clear()
+            parts = [f"aa:100,{number}{one}:9" for one in range(5)]
+            tasks = [
+                asyncio.create_task(
+                    self.fetch(f"r{number}{one}", "/chat/", X_Prompt_Prefix=text)
+                )
+                for one, text in enumerate([f"aa:100,dead:50,{number}:9", *parts])
+            ]
+            await asyncio.sleep(0.3)
+            released.set()
+            return await asyncio.gather(*tasks)
+
+        self.crashes = 0
+        for server in self.servers:
+            server.answer = make_crashing_answer(server)
+        rounds = SOUND_QUARANTINE_CRASHES + 2
+        answers = [await send_round(number) for number in range(rounds)]
+        self.assertLessEqual(self.crashes, SOUND_QUARANTINE_CRASHES)
+        deadly, *sound = answers[-1]
+        self.assertEqual(deadly.status, 503)
+        self.assertGreater(float(deadly.headers["retry-after"]), 1)
+        self.assertEqual({one.status for one in sound}, {200})
+
     async def test_a_leaving_server_gets_no_new_requests(self):
         leaving, other = self.servers
         for change in ("draining", "gone"):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,11 +6,19 @@
 from collections import Counter
 
 from peridotcove.configuration import parse_configuration
+from peridotcove.crash_suspects import (
+    CRASH_WINDOW_MS,
+    CUT,
+    CUT_BEFORE_ANSWER,
+    LEARNING_MS,
+    QUARANTINE_CRASHES,
+)
 from peridotcove.dispatch import LEASE_RECOVERY_MS
 from peridotcove.exceptions import LinkDown, RequestRefused
 from peridotcove.fleet_view import FleetView
 from peridotcove.lease_client import (
     OWNER_ANSWER_TIMEOUT_MS,
+    QUARANTINED,
     UNRESPONSIVE_OWNER_MS,
     LeaseClient,
 )
@@ -22,6 +30,7 @@
     HoldLeases,
     RefuseLease,
     ReleaseLease,
+    ShareSuspects,
 )
 from peridotcove.nodes.network import Network
 from peridotcove.outlier_detection import CONSECUTIVE_FAILURES
@@ -46,6 +55,7 @@
 LIMIT_FACTOR, LIMIT_EXTRA = 2, 3
 MAX_SHARE_OVER_LIMIT = 0.03
 MEAN_LOAD = 4
+KIND_PART, SOUND_PART, DEADLY_PART = 1, 2, 3
 # Fewer than the engines, so that the choices of several owners meet on some of them.
 CHAT_KEYS = 4
 TICK_MS = 20
@@ -118,7 +128,7 @@
         server.client = client
 
         def receive(peer, message):
-            owner_side = (AskLease, ReleaseLease, HoldLeases)
+            owner_side = (AskLease, ReleaseLease, HoldLeases, ShareSuspects)
             part = server if isinstance(message, owner_side) else client
             part.receive(peer, message)
 
@@ -127,7 +137,7 @@
         self.server_by_node[name] = server
         self.fleet_by_node[name] = fleet
 
-    def start_request(self, number, deadline_ms=3000, entry=None, chat_key=0):
+    def start_request(self, number, deadline_ms=3000, entry=None, chat_key=0, parts=()):
         """Return a task that requests a lease as an entry node."""
         entry = entry or self.entry
         request_id = number.to_bytes(8, "big")
@@ -136,9 +146,10 @@
             entry,
             "c",
             "m",
-            (),
+            parts,
             deadline_ms=deadline_ms,
             chat_key=chat_key,
+            part_ends=tuple(range(1, len(parts) + 1)),
         )
         asking = self.client_by_node[entry].request_lease(self.shard, request)
         return asyncio.ensure_future(asking)
@@ -165,6 +176,44 @@
         return sum(dispatcher.load_by_engine().values()) if dispatcher else 0
 
 
+class CrashingFleet:
+    """A cluster whose engines crash under requests with one part."""
+
+    def __init__(self):
+        self.cluster = Cluster(make_large_configuration())
+        self.owner = self.cluster.owners[0]
+        self.server = self.cluster.server_by_node[self.owner]
+        self._number = 0
+
+    async def learn(self):
+        """Answer a request, and end the time in which nothing is known yet."""
+        self.ticking = asyncio.create_task(self.cluster.tick_forever())
+        grant = await self.request((KIND_PART, SOUND_PART))
+        self.release(grant, "done")
+        await deliver(LEARNING_MS)
+
+    async def request(self, shared_parts):
+        """Request a lease for a prompt with the given parts and one of its own."""
+        self._number += 1
+        parts = (*shared_parts, 10_000 + self._number)
+        return await self.cluster.start_request(self._number, parts=parts)
+
+    def release(self, grant, outcome):
+        """Release a lease as the entry node."""
+        client = self.cluster.client_by_node[self.cluster.entry]
+        client.release(grant.request_id, outcome)
+
+    async def crash(self):
+        """Let an engine crash under a request with the deadly part, and others."""
+        deadly = await self.request((KIND_PART, DEADLY_PART))
+        others = [await self.request((KIND_PART, SOUND_PART)) for _ in range(40)]
+        for other in others:
+            crashed = other.engine == deadly.engine
+            self.release(other, CUT if crashed else "done")
+        self.release(deadly, CUT_BEFORE_ANSWER)
+        await deliver(2 * CRASH_WINDOW_MS)
+
+
 async def deliver(ms=0):
     """Wait until messages have been delivered."""
     await asyncio.sleep(ms / 1000 + 0.001)
@@ -470,3 +519,81 @@
             await cluster.start_request(99)
 
         run(case())
+
+
+class QuarantineTest(unittest.TestCase):
+    """Requests with a part that crashes engines."""
+
+    async def _quarantine(self, fleet):
+        await fleet.learn()
+        for _ in range(QUARANTINE_CRASHES):
+            await fleet.crash()
+
+    async def _assert_refused(self, fleet):
+        with self.assertRaises(RequestRefused) as caught:
+            await fleet.request((KIND_PART, DEADLY_PART))
+        self.assertEqual(caught.exception.code, QUARANTINED)
+        self.assertEqual(caught.exception.status, 503)
+        self.assertGreater(caught.exception.retry_after_ms, 0)
+
+    def test_part_that_crashed_engines_is_refused_and_others_are_granted(self):
+        async def case():
+            fleet = CrashingFleet()
+            await self._quarantine(fleet)
+            await self._assert_refused(fleet)
+            await fleet.request((KIND_PART, SOUND_PART))
+
+        run(case())
+
+    def test_quarantine_outlives_the_owner_that_found_it(self):
+        async def case():
+            fleet = CrashingFleet()
+            await self._quarantine(fleet)
+            fleet.cluster.down = {fleet.owner}
+            await self._assert_refused(fleet)
+
+        run(case())
+
+    def test_restarted_owner_learns_the_quarantine_from_the_entries(self):
+        async def case():
+            fleet = CrashingFleet()
+            await self._quarantine(fleet)
+            cluster = fleet.cluster
+            cluster.silence(fleet.owner)
+            await fleet.request((KIND_PART, SOUND_PART))
+            cluster.add(fleet.owner)
+            cluster.silence("")
+            await deliver(UNRESPONSIVE_OWNER_MS)
+            await self._assert_refused(fleet)
+
+        run(case())
+
+    def test_waiting_request_with_a_quarantined_part_is_refused(self):
+        async def case():
+            fleet = CrashingFleet()
+            await self._quarantine(fleet)
+            other = Cluster()
+            owner = other.owners[0]
+            await deliver(LEASE_RECOVERY_MS)
+            for number in range(2 * CAPACITY):
+                await other.start_request(number)
+            waiting = other.start_request(99, parts=(KIND_PART, DEADLY_PART, 77))
+            await deliver()
+            self.assertEqual(other.server_by_node[owner].waiting, 1)
+            records = ShareSuspects(fleet.server.suspects.records())
+            other.server_by_node[owner].receive(other.entry, records)
+            await deliver()
+            self.assertEqual(other.server_by_node[owner].waiting, 0)
+            with self.assertRaises(RequestRefused) as caught:
+                await waiting
+            self.assertEqual(caught.exception.code, QUARANTINED)
+
+        run(case())
+
+    def test_malformed_suspects_of_a_peer_are_ignored(self):
+        async def case():
+            fleet = CrashingFleet()
+            fleet.server.receive("n9", ShareSuspects([["x"]]))
+            await fleet.request((KIND_PART, DEADLY_PART))
+
+        run(case())
