Streams: one that ends inside an event was broken off

Cause: the bytes after the last complete event were passed on, and the answer ended as whole. Change: a stream of events that ends inside one is cut: resumed where the route allows it, else the caller's connection is closed inside the body, and the torn event reaches nobody. Other bodies on such routes pass as before. Measured: test_a_stream_that_ends_inside_an_event_was_broken_off failed before in 4 of 5 cases, tests.platform.test_platform_node: 23 passed, 0 failed after.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -44,6 +44,7 @@
 # Share of the remaining time that a request may wait in the queue for a lease.
 QUEUE_WAIT_SHARE = 0.5
 MAX_ANSWER_BYTES = 16 << 20
+EVENT_STREAM_TYPE = "text/event-stream"
 # Codes of errors that mean that no engine was reached.
 UNREACHED_CODES = frozenset(("unreachable", "leaving", "stale-view"))
 RETRY_AFTER_MS = 1_000
@@ -406,6 +407,18 @@
             return EndpointFailed("mixed-up", self.head.fault, Verdict.MAY_HAVE_RUN)
         return error
 
+    def _check_event_end(self, head, remainder):
+        """Raise an error if a stream of events ended inside of one.
+
+        A stream without length or chunks ends with its connection, also if its engine
+        broke off.
+        """
+        names = {name.lower(): value for name, value in head.headers}
+        is_events = names.get("content-type", "").startswith(EVENT_STREAM_TYPE)
+        if is_events and not remainder.endswith(b"\r\n\r\n"):
+            text = "the stream ended inside an event"
+            raise EndpointFailed("cut", text, Verdict.MAY_HAVE_RUN)
+
     def _finish_answer(self, engine):
         head = self._read_head()
         if head.fault:
@@ -424,6 +437,7 @@
             return forwarded
         remainder = self.splitter.flush()
         if remainder:
+            self._check_event_end(head, remainder)
             self._write_to_caller(head, remainder)
         if self.forward.head is None:
             self.forward.head = head
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -260,6 +260,19 @@
     writer.write(make_head(seen, 500, 4) + b"oops")
 
 
+def make_unframed_answer(count, torn=b""):
+    """Return an answer that streams events and ends with its connection."""
+
+    async def answer(seen, writer):
+        begin = int(seen.headers.get("Last-Event-Id", 0)) + 1
+        events = b"".join(map(make_event, range(begin, count + 1)))
+        writer.write(make_head(seen, 200, Content_Type="text/event-stream"))
+        writer.write(events + torn)
+        await writer.drain()
+
+    return answer
+
+
 def make_stream_answer(count, first=1, cut=False, pause_s=0.0, torn=b""):
     """Return an answer that streams events with ids after the requested one."""
 
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -19,6 +19,7 @@
     make_event,
     make_head,
     make_stream_answer,
+    make_unframed_answer,
     refuse,
     reset,
 )
@@ -297,6 +298,35 @@
                     expected = b"".join(map(make_event, range(1, 6)))
                     self.assertEqual(got.body, expected)
 
+    async def test_a_stream_that_ends_inside_an_event_was_broken_off(self):
+        torn = b"id: 3\nda"
+        cases = [
+            # target, answers, status, whole, arrivals
+            ("/chat/", [make_unframed_answer(5)], 200, True, 1),
+            ("/chat/", [make_unframed_answer(2, torn)], 200, False, 1),
+            ("/chat/", [make_unframed_answer(0, torn)], 502, True, 1),
+            ("/chat/", [make_stream_answer(2, torn=torn)], 200, False, 1),
+            (
+                "/resumed/",
+                [make_unframed_answer(2, torn), make_unframed_answer(5)],
+                200,
+                True,
+                2,
+            ),
+        ]
+        for target, answers, status, whole, arrivals in cases:
+            with self.subTest(target=target, answers=answers):
+                self.set_answers(*answers)
+                before = self.arrivals()
+                got = await self.fetch("r1", target, body=b"b")
+                self.assertEqual((got.status, got.is_complete), (status, whole))
+                self.assertEqual(self.arrivals() - before, arrivals)
+                if got.is_complete and status == 200:
+                    expected = b"".join(map(make_event, range(1, 6)))
+                    self.assertEqual(got.body, expected)
+                else:
+                    self.assertNotIn(torn, got.body)
+
     async def test_a_second_answer_is_discarded(self):
         self.set_answers(answer_twice, answer_twice)
         client = await self.connect()
