Quarantine: of parts that share all their crashes, the least trusted one

Cause: a node that has just started knows no sound parts; all parts that were accused of the same crashes reached the threshold together. Change: a part is not quarantined while another one explains its crashes better: accused as often, and less trusted by answers and by the number of its requests that run on other engines. Measured: two new tests failed before, tests.test_crash_suspects and tests.test_leases pass now. Conclusion: parts that are equally rare are still told apart by probes.

--- a/peridotcove/crash_suspects.py
+++ b/peridotcove/crash_suspects.py
@@ -385,19 +385,28 @@
     def _is_conclusive(self, part, suspect):
         if suspect.blocked_until_ms:
             return True
-        if not self._may_be_sound(part):
-            return suspect.crashes >= QUARANTINE_CRASHES
-        if suspect.crashes < SOUND_QUARANTINE_CRASHES:
+        is_sound = self._may_be_sound(part)
+        min_crashes = SOUND_QUARANTINE_CRASHES if is_sound else QUARANTINE_CRASHES
+        if suspect.crashes < min_crashes:
             return False
+        trust = (is_sound, self._count_open(part))
         return not any(
-            self._explains(rival, suspect.crashes) for rival in suspect.rivals
+            self._explains(rival, suspect.crashes, trust) for rival in suspect.rivals
         )
 
-    def _explains(self, part, crashes):
-        """Return whether a part that was never sound is accused of as many crashes."""
+    def _explains(self, part, crashes, trust):
+        """Return whether a part is accused of as many crashes and trusted less."""
         suspect = self.suspect_by_part.get(part)
-        accused = suspect is not None and suspect.crashes >= crashes
-        return accused and not self._may_be_sound(part)
+        if suspect is None or suspect.crashes < crashes:
+            return False
+        return (self._may_be_sound(part), self._count_open(part)) < trust
+
+    def _count_open(self, part):
+        """Return the number of requests with a part that run on engines that live."""
+        return sum(
+            part in lease.parts and lease.engine not in self._failure_by_engine
+            for lease in self._lease_by_id.values()
+        )
 
     def _may_be_sound(self, part):
         now = self._clock.now()
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -34,15 +34,21 @@
 
 
 class Engines:
-    """Engines that run requests and crash, and the suspects of their owner."""
+    """Engines that run requests and crash, and the suspects of their owner.
 
-    def __init__(self):
+    Parameters
+    ----------
+    learned : bool
+        Whether the time in which nothing is known yet has passed.
+    """
+
+    def __init__(self, learned=True):
         self.clock = FakeClock()
         self.suspects = CrashSuspects(self.clock)
         self._last_id = 0
-        # The first answer ends the time in which nothing is known yet.
-        self.answer((KIND, SUBJECT))
-        self.clock.advance(LEARNING_MS)
+        if learned:
+            self.answer((KIND, SUBJECT))
+            self.clock.advance(LEARNING_MS)
 
     def grant(self, parts, engine="e"):
         """Grant a lease and return its id, or None if the request is refused."""
@@ -163,6 +169,26 @@
             engines.clock.advance(STEP_MS)
         self.assertTrue(engines.answer((KIND, SUBJECT)))
 
+    def test_part_that_runs_elsewhere_is_not_quarantined_for_a_rarer_one(self):
+        engines = Engines()
+        for number in range(QUARANTINE_CRASHES):
+            self.assertIsNotNone(engines.grant((77,), f"f{number}"))
+            self.assertTrue(engines.crash((77, DEADLY), f"e{number}"))
+            engines.clock.advance(STEP_MS)
+        self.assertIsNotNone(engines.grant((77,)))
+        self.assertIsNotNone(engines.grant((77,)), "more than a probe")
+        self.assertIsNone(engines.grant((88, DEADLY)))
+
+    def test_node_that_knows_nothing_yet_quarantines_the_rarest_part(self):
+        engines = Engines(learned=False)
+        for number in range(SOUND_QUARANTINE_CRASHES):
+            self.assertIsNotNone(engines.grant((KIND, 70 + number), f"f{number}"))
+            self.assertTrue(engines.crash((KIND, DEADLY), f"e{number}"))
+            engines.clock.advance(STEP_MS // 2)
+        self.assertIsNone(engines.grant((88, DEADLY)))
+        self.assertIsNotNone(engines.grant((KIND, 80)))
+        self.assertIsNotNone(engines.grant((KIND, 81)))
+
     def test_quarantine_ends_with_one_probe_and_doubles_if_it_crashes(self):
         engines = Engines()
         engines.crash_in_turn((DEADLY,), QUARANTINE_CRASHES)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -187,7 +187,6 @@
 
     async def learn(self):
         """Answer a request, and end the time in which nothing is known yet."""
-        self.ticking = asyncio.create_task(self.cluster.tick_forever())
         grant = await self.request((KIND_PART, SOUND_PART))
         self.release(grant, "done")
         await deliver(LEARNING_MS)
@@ -524,10 +523,20 @@
 class QuarantineTest(unittest.TestCase):
     """Requests with a part that crashes engines."""
 
-    async def _quarantine(self, fleet):
-        await fleet.learn()
-        for _ in range(QUARANTINE_CRASHES):
-            await fleet.crash()
+    def _run(self, case):
+        """Run a test case with a fleet that has quarantined the deadly part."""
+        run(self._run_case(case))
+
+    async def _run_case(self, case):
+        fleet = CrashingFleet()
+        ticking = asyncio.create_task(fleet.cluster.tick_forever())
+        try:
+            await fleet.learn()
+            for _ in range(QUARANTINE_CRASHES):
+                await fleet.crash()
+            await case(fleet)
+        finally:
+            ticking.cancel()
 
     async def _assert_refused(self, fleet):
         with self.assertRaises(RequestRefused) as caught:
@@ -537,27 +546,21 @@
         self.assertGreater(caught.exception.retry_after_ms, 0)
 
     def test_part_that_crashed_engines_is_refused_and_others_are_granted(self):
-        async def case():
-            fleet = CrashingFleet()
-            await self._quarantine(fleet)
+        async def case(fleet):
             await self._assert_refused(fleet)
             await fleet.request((KIND_PART, SOUND_PART))
 
-        run(case())
+        self._run(case)
 
     def test_quarantine_outlives_the_owner_that_found_it(self):
-        async def case():
-            fleet = CrashingFleet()
-            await self._quarantine(fleet)
+        async def case(fleet):
             fleet.cluster.down = {fleet.owner}
             await self._assert_refused(fleet)
 
-        run(case())
+        self._run(case)
 
     def test_restarted_owner_learns_the_quarantine_from_the_entries(self):
-        async def case():
-            fleet = CrashingFleet()
-            await self._quarantine(fleet)
+        async def case(fleet):
             cluster = fleet.cluster
             cluster.silence(fleet.owner)
             await fleet.request((KIND_PART, SOUND_PART))
@@ -566,12 +569,10 @@
             await deliver(UNRESPONSIVE_OWNER_MS)
             await self._assert_refused(fleet)
 
-        run(case())
+        self._run(case)
 
     def test_waiting_request_with_a_quarantined_part_is_refused(self):
-        async def case():
-            fleet = CrashingFleet()
-            await self._quarantine(fleet)
+        async def case(fleet):
             other = Cluster()
             owner = other.owners[0]
             await deliver(LEASE_RECOVERY_MS)
@@ -588,12 +589,11 @@
                 await waiting
             self.assertEqual(caught.exception.code, QUARANTINED)
 
-        run(case())
+        self._run(case)
 
     def test_malformed_suspects_of_a_peer_are_ignored(self):
-        async def case():
-            fleet = CrashingFleet()
+        async def case(fleet):
             fleet.server.receive("n9", ShareSuspects([["x"]]))
-            await fleet.request((KIND_PART, DEADLY_PART))
+            await self._assert_refused(fleet)
 
-        run(case())
+        self._run(case)
