Quarantine: the part that is accused more often explains the crashes of others

Cause: each part was judged by its own count; a node that knows nothing yet waited for four crashes of the deadly part. Change: a part that is accused more often in the same crashes explains the others; a node that has just started trusts only parts of which several requests run elsewhere. The evidence is gathered once a crash, not once a pair of parts. Conclusion: what is known is still lost when all nodes lose power at once.

--- a/peridotcove/crash_suspects.py
+++ b/peridotcove/crash_suspects.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections import Counter
 
 from attrs import define, field, frozen
 
@@ -44,8 +45,10 @@
 SOUND_MS = 60_000
 # A request that has run this long on an engine that lives has begun its answer.
 ANSWER_BEGUN_MS = 1_000
-# Time after the first request in which it is not known yet which parts are sound.
+# Time after the first request in which it is not known yet which parts are sound, and
+# requests on engines that live by which a part may be sound then.
 LEARNING_MS = 3_000
+LEARNING_OPEN_REQUESTS = 3
 # A part without a further crash is forgotten after this time.
 FORGET_SUSPECT_MS = 60_000
 FORGET_QUARANTINE_MS = 600_000
@@ -70,8 +73,6 @@
         Time in ms at which its quarantine ends; 0 if it is not quarantined.
     rivals : frozenset of int
         Parts that are accused of all the same crashes.
-    probe_id : bytes
-        Id of the lease that probes it; empty without a probe.
     probe_until_ms : int
         Time in ms until which there is no other probe.
     """
@@ -80,7 +81,6 @@
     last_crash_ms: int = 0
     blocked_until_ms: int = 0
     rivals: frozenset = frozenset()
-    probe_id: bytes = b""
     probe_until_ms: int = 0
 
 
@@ -132,6 +132,14 @@
     since_ms: int
 
 
+@frozen
+class _Trust:
+    """What speaks for a part: whether it may be sound, and its running requests."""
+
+    may_be_sound: bool
+    open_count: int
+
+
 @define
 class _Failure:
     """Cut requests of one engine that may turn out to be a crash."""
@@ -173,6 +181,7 @@
         self._first_lease_ms = None
         self._incident_ms = -math.inf
         self._incident_parts = set()
+        self._probed_parts_by_id = {}
 
     @property
     def quarantined_count(self):
@@ -194,22 +203,23 @@
         if not self.suspect_by_part:
             return None
         now = self._clock.now()
+        if lease_id in self._probed_parts_by_id:
+            return None
         probed = []
         for part in parts:
             suspect = self.suspect_by_part.get(part)
             if suspect is None or not suspect.blocked_until_ms:
                 continue
-            if suspect.probe_id == lease_id:
-                continue
             left_ms = suspect.blocked_until_ms - now
             due = left_ms <= 0 or self._tells_rivals_apart(suspect, parts)
             if not may_probe or not due or now < suspect.probe_until_ms:
                 left_ms = max(left_ms, MIN_RETRY_AFTER_MS)
                 return Quarantine(part, suspect.crashes, left_ms)
-            probed.append(suspect)
-        for suspect in probed:
-            suspect.probe_id = lease_id
-            suspect.probe_until_ms = now + PROBE_TIMEOUT_MS
+            probed.append(part)
+        for part in probed:
+            self.suspect_by_part[part].probe_until_ms = now + PROBE_TIMEOUT_MS
+        if probed:
+            self._probed_parts_by_id[lease_id] = probed
         return None
 
     def _tells_rivals_apart(self, suspect, parts):
@@ -264,9 +274,9 @@
             return [], []
         open_count = len(self._ids_by_engine[lease.engine])
         self._remove_lease(lease_id, lease)
+        is_probe = self._end_probe(lease_id)
         if outcome == "done":
             return [], self._clear(lease)
-        is_probe = self._end_probes(lease.parts, lease_id)
         if outcome in CUT_OUTCOMES:
             self._add_cut(lease, outcome, open_count, is_probe)
         elif outcome == "unreachable" and lease.engine in self._failure_by_engine:
@@ -311,21 +321,19 @@
         lease_id : bytes
             Id of the lease that was requested.
         """
-        self._end_probes(tuple(self.suspect_by_part), lease_id)
+        self._end_probe(lease_id)
 
-    def _end_probes(self, parts, lease_id):
-        """End the probes of a request; return whether it was one.
+    def _end_probe(self, lease_id):
+        """End the probe of a request; return whether it was one.
 
         Until its crash is confirmed, the part is not probed again.
         """
-        is_probe = False
-        for part in parts:
+        probed = self._probed_parts_by_id.pop(lease_id, ())
+        for part in probed:
             suspect = self.suspect_by_part.get(part)
-            if suspect is not None and suspect.probe_id == lease_id:
-                suspect.probe_id = b""
+            if suspect is not None:
                 suspect.probe_until_ms = self._clock.now() + PROBE_PAUSE_MS
-                is_probe = True
-        return is_probe
+        return bool(probed)
 
     def tick(self):
         """Return the crashes that are confirmed now; forget what is too old.
@@ -358,10 +366,11 @@
             self._incident_parts = set()
         for part in failure.parts:
             self._add_crash(part, failure.parts, now)
+        trust_by_part = self._assess_parts(failure.parts)
         quarantined = []
         for part in sorted(failure.parts):
             suspect = self.suspect_by_part[part]
-            if self._is_conclusive(part, suspect):
+            if self._is_conclusive(part, suspect, trust_by_part):
                 suspect.blocked_until_ms = now + _quarantine_ms(suspect.crashes)
                 quarantined.append(part)
         crashes_by_part = {
@@ -382,44 +391,51 @@
             suspect.crashes += 1
             suspect.last_crash_ms = now
 
-    def _is_conclusive(self, part, suspect):
+    def _assess_parts(self, parts):
+        """Return the `_Trust` of parts by hash."""
+        now = self._clock.now()
+        open_count_by_part = Counter()
+        begun_parts = set()
+        for lease in self._lease_by_id.values():
+            if lease.engine not in self._failure_by_engine:
+                open_count_by_part.update(lease.parts)
+                if now - lease.since_ms >= ANSWER_BEGUN_MS:
+                    begun_parts.update(lease.parts)
+        is_learning = now - self._first_lease_ms < LEARNING_MS
+        trust_by_part = {}
+        for part in parts:
+            open_count = open_count_by_part[part]
+            may_be_sound = (
+                part in begun_parts
+                or now - self._sound_ms_by_part.get(part, -math.inf) < SOUND_MS
+                or (is_learning and open_count >= LEARNING_OPEN_REQUESTS)
+            )
+            trust_by_part[part] = _Trust(may_be_sound, open_count)
+        return trust_by_part
+
+    def _is_conclusive(self, part, suspect, trust_by_part):
         if suspect.blocked_until_ms:
             return True
-        is_sound = self._may_be_sound(part)
+        is_sound = trust_by_part[part].may_be_sound
         min_crashes = SOUND_QUARANTINE_CRASHES if is_sound else QUARANTINE_CRASHES
-        if suspect.crashes < min_crashes:
-            return False
-        trust = (is_sound, self._count_open(part))
-        return not any(
-            self._explains(rival, suspect.crashes, trust) for rival in suspect.rivals
+        return suspect.crashes >= min_crashes and not any(
+            self._explains(rival, part, trust_by_part) for rival in suspect.rivals
         )
 
-    def _explains(self, part, crashes, trust):
-        """Return whether a part is accused of as many crashes and trusted less."""
-        suspect = self.suspect_by_part.get(part)
-        if suspect is None or suspect.crashes < crashes:
-            return False
-        return (self._may_be_sound(part), self._count_open(part)) < trust
-
-    def _count_open(self, part):
-        """Return the number of requests with a part that run on engines that live."""
-        return sum(
-            part in lease.parts and lease.engine not in self._failure_by_engine
-            for lease in self._lease_by_id.values()
-        )
+    def _explains(self, rival, part, trust_by_part):
+        """Return whether a rival explains the crashes of a part better.
 
-    def _may_be_sound(self, part):
-        now = self._clock.now()
-        if now - self._first_lease_ms < LEARNING_MS:
-            return True
-        if now - self._sound_ms_by_part.get(part, -math.inf) < SOUND_MS:
-            return True
-        return any(
-            part in lease.parts
-            and now - lease.since_ms >= ANSWER_BEGUN_MS
-            and lease.engine not in self._failure_by_engine
-            for lease in self._lease_by_id.values()
-        )
+        It is accused more often or, if as often, has fewer requests on engines that
+        live. A part that may be sound does not explain those of one that was never.
+        """
+        rival_crashes = self.suspect_by_part[rival].crashes
+        crashes = self.suspect_by_part[part].crashes
+        trust, rival_trust = trust_by_part[part], trust_by_part[rival]
+        if rival_crashes < crashes:
+            return False
+        if rival_trust.may_be_sound != trust.may_be_sound:
+            return trust.may_be_sound
+        return rival_crashes > crashes or rival_trust.open_count < trust.open_count
 
     def _forget_old(self, now):
         # Leases are in the order of their grants.
@@ -428,6 +444,7 @@
             if now - lease.since_ms < FORGET_LEASE_MS:
                 break
             self._remove_lease(lease_id, lease)
+            self._end_probe(lease_id)
         for part, suspect in list(self.suspect_by_part.items()):
             if suspect.blocked_until_ms:
                 end_ms = suspect.blocked_until_ms + FORGET_QUARANTINE_MS
