Engines: a pause of this process is no timeout of an engine

Nodes that were paused took sound engines for unreachable; one such outcome ejects an engine, at the owner for all nodes. Change: the client checks all timeouts itself, every 50 ms; a check that runs more than 50 ms late moves the timeouts of all transfers by that time.

--- a/peridotcove/endpoints/streaming_client.py
+++ b/peridotcove/endpoints/streaming_client.py
@@ -19,7 +19,10 @@
 
 MAX_CONCURRENT_TRANSFERS = 4_096
 CONNECT_TIMEOUT_MS = 1_000
-TIMEOUT_CHECK_INTERVAL_MS = 100
+TIMEOUT_CHECK_INTERVAL_MS = 50
+# A check that runs later than this shows that the process was not running. That time
+# does not count against the endpoints.
+LATE_CHECK_MS = 50
 
 
 @frozen
@@ -108,6 +111,8 @@
     @property
     def timeout_ms(self):
         """Timeout in ms that applies in the current state."""
+        if not self.connected:
+            return self.connect_ms
         if self.paused:
             return self.stall_ms
         return self.gap_ms if self.received_bytes else self.first_byte_ms
@@ -224,7 +229,9 @@
             method=method,
             headers=headers,
             body=body,
-            connect_timeout=transfer.connect_ms / 1000,
+            # Both timeouts are checked by this client, since libcurl's also run while
+            # the process does not.
+            connect_timeout=0,
             request_timeout=0,
             follow_redirects=False,
             decompress_response=False,
@@ -278,9 +285,16 @@
         return len(data)
 
     async def _cancel_timed_out(self):
+        checked_ms = self._clock.now()
         while self._transfers:
             now = self._clock.now()
+            late_ms = now - checked_ms - TIMEOUT_CHECK_INTERVAL_MS
+            checked_ms = now
             for transfer in list(self._transfers):
+                if late_ms > LATE_CHECK_MS:
+                    transfer.last_activity_ms = min(
+                        now, transfer.last_activity_ms + late_ms
+                    )
                 if now - transfer.last_activity_ms > transfer.timeout_ms:
                     transfer.timed_out = True
                     transfer.cancel()
