Quarantine: an engine that still runs most requests has not crashed

What callers saw: nothing; found by reading. An engine that refuses one connection, as engines do above their limit, within two seconds after one cut answer counted as crashed. Cause: an unreachable outcome confirmed a crash without regard to the requests that still ran. Change: most requests must be cut in each case; only a probe that is cut needs no other sign. Measured: the new test failed before; tests.test_crash_suspects, tests.test_leases and tests.platform.test_platform_node pass.

--- a/peridotcove/crash_suspects.py
+++ b/peridotcove/crash_suspects.py
@@ -148,13 +148,14 @@
     since_ms: int
     open_count: int
     cut_count: int = 0
-    is_confirmed: bool = False
+    unreachable: bool = False
+    cut_probe: bool = False
     parts: set = field(factory=set)
 
     def is_crash(self):
-        enough = self.cut_count >= MIN_CUT_REQUESTS
+        enough = self.cut_count >= MIN_CUT_REQUESTS or self.unreachable
         most = self.cut_count >= MIN_CUT_SHARE * self.open_count
-        return self.is_confirmed or (enough and most)
+        return self.cut_probe or (enough and most)
 
 
 class CrashSuspects:
@@ -280,7 +281,7 @@
         if outcome in CUT_OUTCOMES:
             self._add_cut(lease, outcome, open_count, is_probe)
         elif outcome == "unreachable" and lease.engine in self._failure_by_engine:
-            self._failure_by_engine[lease.engine].is_confirmed = True
+            self._failure_by_engine[lease.engine].unreachable = True
         return self.tick(), []
 
     def _remove_lease(self, lease_id, lease):
@@ -311,7 +312,7 @@
         failure.cut_count += 1
         if outcome == CUT_BEFORE_ANSWER:
             failure.parts.update(lease.parts)
-            failure.is_confirmed |= is_probe
+            failure.cut_probe |= is_probe
 
     def cancel_probe(self, lease_id):
         """End the probe of a request that was not sent to an engine.
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -155,6 +155,19 @@
             engines.clock.advance(STEP_MS)
         self.assertFalse(engines.crash((DEADLY,), "e9"))
 
+    def test_engine_that_refuses_a_connection_but_runs_others_has_not_crashed(self):
+        engines = Engines()
+        for number in range(QUARANTINE_CRASHES + 1):
+            cut = engines.grant((9,), f"e{number}")
+            self.assertIsNotNone(cut)
+            for _ in range(4):
+                engines.grant((KIND,), f"e{number}")
+            refused = engines.grant((KIND,), f"e{number}")
+            engines.suspects.record_outcome(cut, CUT_BEFORE_ANSWER)
+            engines.suspects.record_outcome(refused, "unreachable")
+            engines.clock.advance(STEP_MS)
+            self.assertEqual(engines.suspects.tick(), [])
+
     def test_part_that_was_sound_takes_more_crashes(self):
         engines = Engines()
         granted = engines.crash_in_turn((KIND, SUBJECT), 10)
