Move the exchange of suspected prompt parts into a module of its own

Cause: lease_server.py had got a second job. Change: suspect_sync.py records what crashes show and shares it; behaviour is the same. Measured: tests of leases, suspects, platform nodes and pages: 95 passed, 0 failed.

--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -266,7 +266,7 @@
             if lease.shard == shard
         ]
         self._send(owner, HoldLeases(shard, items))
-        self._server.send_suspects(owner)
+        self._server.suspect_sync.send_suspects(owner)
         self._asked_owner_by_shard[shard] = owner
         self._informed_by_shard.setdefault(shard, set()).add(owner)
 
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -4,9 +4,8 @@
 
 from attrs import define, evolve
 
-from peridotcove.crash_suspects import CrashSuspects
 from peridotcove.dispatch import Dispatcher
-from peridotcove.exceptions import LinkDown, ProtocolError
+from peridotcove.exceptions import LinkDown
 from peridotcove.lease_client import (
     LEASE_ANNOUNCE_INTERVAL_MS,
     MAX_OWNERS,
@@ -25,6 +24,7 @@
     unpack_hashes,
 )
 from peridotcove.outlier_detection import OutlierDetector
+from peridotcove.suspect_sync import SuspectSync, format_part
 
 DEFAULT_PRIORITY = 1
 # A node that isn't the first owner of a shard keeps its leases until no entry has asked
@@ -75,7 +75,7 @@
     ----------
     client : LeaseClient
         This node's side of the protocol as an entry node.
-    suspects : CrashSuspects
+    suspect_sync : SuspectSync
         Parts of prompts that are suspected to crash engines.
     dispatcher_by_shard : dict
         `Dispatcher` by name of the shard, for the shards that this node serves.
@@ -91,8 +91,8 @@
         self._timeline = timeline
         self._tracked_by_id = {}
         self._outlier_detector = OutlierDetector(clock)
-        self.suspects = CrashSuspects(clock)
-        self._changed_suspects = set()
+        self.suspect_sync = SuspectSync(node, fleet, network, clock, timeline)
+        self._suspects = self.suspect_sync.suspects
         self._ejected_by_shard = {}
         self._owned_shards = frozenset()
         self._used_ms_by_shard = {}
@@ -115,7 +115,8 @@
         elif isinstance(message, ReleaseLease):
             self._handle_release(message)
         elif isinstance(message, ShareSuspects):
-            self._merge_suspects(peer, message)
+            self.suspect_sync.receive(peer, message)
+            self._refuse_quarantined()
         elif message.shard in self._fleet.shard_by_name:
             leases = [tuple(item) for item in message.leases]
             self._send_decisions(
@@ -172,10 +173,8 @@
         tracked = self._tracked_by_id.pop(message.request_id, None)
         if tracked is not None:
             self._record("release-received", tracked.trace_id, tracked.entry)
-            crashes, cleared = self.suspects.record_outcome(
-                message.request_id, message.outcome
-            )
-            self._report_crashes(crashes, cleared)
+            if self.suspect_sync.record_outcome(message.request_id, message.outcome):
+                self._refuse_quarantined()
         shard = tracked.shard if tracked else None
         if tracked and tracked.engine and message.outcome != "cancelled":
             known_shard = self._fleet.shard_by_name.get(shard)
@@ -191,24 +190,16 @@
             )
             self._send_decisions(decisions)
 
-    def _merge_suspects(self, peer, message):
-        try:
-            self.suspects.merge_records(message.records)
-        except ProtocolError as error:
-            log.warning("suspected parts from %s are ignored: %s", peer, error)
-            return
-        self._refuse_quarantined()
-
     def _refuse_if_quarantined(self, request_id, tracked, may_probe):
         """Refuse a request with a quarantined part; return whether it was refused."""
-        quarantine = self.suspects.find_quarantine(
+        quarantine = self._suspects.find_quarantine(
             tracked.shared_parts, request_id, may_probe
         )
         if quarantine is None:
             return False
         del self._tracked_by_id[request_id]
         inputs = {
-            "part": _format_part(quarantine.part),
+            "part": format_part(quarantine.part),
             "crashes": quarantine.crashes,
             "retry_after_ms": quarantine.left_ms,
         }
@@ -229,61 +220,6 @@
                 if dispatcher is not None:
                     self._send_decisions(dispatcher.release(request_id, "cancelled"))
 
-    def _report_crashes(self, crashes, cleared):
-        """Record what was found about suspected parts, to share it on the next tick."""
-        self._changed_suspects.update(cleared)
-        for crash in crashes:
-            inputs = {
-                "cut_requests": crash.cut_requests,
-                "crashes_by_part": {
-                    _format_part(part): count
-                    for part, count in crash.crashes_by_part.items()
-                },
-            }
-            self._timeline.record("engine-crashed", inputs, peer=crash.engine)
-            self._changed_suspects.update(crash.crashes_by_part)
-            for part in crash.quarantined:
-                self._record_quarantine(part)
-        for part in cleared:
-            self._timeline.record("part-cleared", detail=_format_part(part))
-        if crashes:
-            self._refuse_quarantined()
-
-    def _record_quarantine(self, part):
-        suspect = self.suspects.suspect_by_part[part]
-        inputs = {
-            "crashes": suspect.crashes,
-            "left_ms": suspect.blocked_until_ms - self._clock.now(),
-            "rivals": [_format_part(rival) for rival in sorted(suspect.rivals)],
-        }
-        self._timeline.record("part-quarantined", inputs, detail=_format_part(part))
-
-    def _share_suspects(self):
-        if not self._changed_suspects:
-            return
-        records = self.suspects.records(sorted(self._changed_suspects))
-        self._changed_suspects.clear()
-        for name in self._other_nodes():
-            self._send_records(name, records)
-
-    def send_suspects(self, node):
-        """Send a node all parts that this node suspects.
-
-        Parameters
-        ----------
-        node : str
-            Name of the node.
-        """
-        records = self.suspects.records()
-        if records and node != self._node:
-            self._send_records(node, records)
-
-    def _send_records(self, node, records):
-        try:
-            self._network.send(node, ShareSuspects(records))
-        except LinkDown as error:
-            log.info("suspected parts were not sent to %s: %s", node, error)
-
     def _dispatcher(self, shard):
         self._used_ms_by_shard[shard] = self._clock.now()
         dispatcher = self.dispatcher_by_shard.get(shard)
@@ -369,8 +305,8 @@
 
     def tick(self):
         """Update the ejected engines, and send the decisions that are due."""
-        self._report_crashes(self.suspects.tick(), ())
-        self._share_suspects()
+        if self.suspect_sync.tick():
+            self._refuse_quarantined()
         self._close_idle_dispatchers()
         for name, dispatcher in list(self.dispatcher_by_shard.items()):
             self._update_ejected(name, dispatcher)
@@ -430,7 +366,7 @@
         for request_id, tracked in list(self._tracked_by_id.items()):
             if tracked.entry == entry:
                 del self._tracked_by_id[request_id]
-                self.suspects.record_outcome(request_id, "cancelled")
+                self._suspects.record_outcome(request_id, "cancelled")
 
     def _send_decisions(self, decisions):
         for decision in decisions:
@@ -438,7 +374,7 @@
             if isinstance(decision, LeaseGrant):
                 if tracked is not None:
                     tracked.engine = decision.engine
-                    self.suspects.record_grant(
+                    self._suspects.record_grant(
                         decision.request_id, decision.engine, tracked.shared_parts
                     )
                 message = GiveLease(
@@ -449,7 +385,7 @@
                 )
             else:
                 self._tracked_by_id.pop(decision.request_id, None)
-                self.suspects.cancel_probe(decision.request_id)
+                self._suspects.cancel_probe(decision.request_id)
                 message = RefuseLease(
                     decision.request_id, decision.code, decision.retry_after_ms
                 )
@@ -481,10 +417,6 @@
             log.info("lease answer to %s was not sent and is dropped: %s", entry, error)
 
 
-def _format_part(part):
-    return f"{part:016x}"
-
-
 def _event_inputs(decision):
     if not isinstance(decision, LeaseGrant):
         return {"retry_after_ms": decision.retry_after_ms}
--- a/peridotcove/operators/node_status.py
+++ b/peridotcove/operators/node_status.py
@@ -54,7 +54,9 @@
         metrics.refused_revision.set(refused.revision if refused else 0)
         metrics.configuration_age.set((revisions.age_ms() or 0) / 1000)
         metrics.live_nodes.set(len(self._control.membership.live_nodes()))
-        metrics.quarantined_parts.set(self._leases.suspects.quarantined_count)
+        metrics.quarantined_parts.set(
+            self._leases.suspect_sync.suspects.quarantined_count
+        )
         metrics.draining.set(int(not self._drain.ready))
         for name, dispatcher in self._leases.dispatcher_by_shard.items():
             load_by_engine = dispatcher.load_by_engine()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -598,7 +598,7 @@
             waiting = other.start_request(99, parts=(KIND_PART, DEADLY_PART, 77))
             await deliver()
             self.assertEqual(other.server_by_node[owner].waiting, 1)
-            records = ShareSuspects(fleet.server.suspects.records())
+            records = ShareSuspects(fleet.server.suspect_sync.suspects.records())
             other.server_by_node[owner].receive(other.entry, records)
             await deliver()
             self.assertEqual(other.server_by_node[owner].waiting, 0)
