Tests of answers share their check

Cause: two tables of answers repeated the same five lines. Change: check_answer; what is checked is the same. Conclusion: none.

--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -154,6 +154,15 @@
         for server in self.servers:
             server.answer = answer
 
+    async def check_answer(self, target, answers, status, whole, arrivals):
+        """Check what a client gets and how often the servers are asked; return it."""
+        self.set_answers(*answers)
+        before = self.arrivals()
+        got = await self.fetch("r1", target, body=b"b")
+        self.assertEqual((got.status, got.is_complete), (status, whole))
+        self.assertEqual(self.arrivals() - before, arrivals)
+        return got
+
     async def test_requests_pass_unchanged(self):
         body = bytes(range(256))
         got = await self.fetch(
@@ -287,11 +296,7 @@
         ]
         for target, answers, status, whole, arrivals in cases:
             with self.subTest(target=target, answers=answers):
-                self.set_answers(*answers)
-                before = self.arrivals()
-                got = await self.fetch("r1", target, body=b"b")
-                self.assertEqual((got.status, got.is_complete), (status, whole))
-                self.assertEqual(self.arrivals() - before, arrivals)
+                got = await self.check_answer(target, answers, status, whole, arrivals)
                 if status in (502, 503):
                     self.assertNotIn("x-server-stamp", got.headers)
                 if target == "/resumed/" and whole:
@@ -316,11 +321,7 @@
         ]
         for target, answers, status, whole, arrivals in cases:
             with self.subTest(target=target, answers=answers):
-                self.set_answers(*answers)
-                before = self.arrivals()
-                got = await self.fetch("r1", target, body=b"b")
-                self.assertEqual((got.status, got.is_complete), (status, whole))
-                self.assertEqual(self.arrivals() - before, arrivals)
+                got = await self.check_answer(target, answers, status, whole, arrivals)
                 if got.is_complete and status == 200:
                     expected = b"".join(map(make_event, range(1, 6)))
                     self.assertEqual(got.body, expected)
