Configurations past version 461 are put in force

Cause: the revision number packs the operator's version, the store's epoch and its count; the version is multiplied by 10**16, while Configuration.revision still had the limit of 1 << 62 of a plain count. Every node refused each version from 462 on for good: callers got 404 on new routes, withdrawn keys were served, and a restarted node served nobody. Change: no upper limit on the revision of a configuration. It is a Python integer and a CBOR integer of any size; nothing else bounds it.

--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -1,6 +1,7 @@
 """Data classes of the domain: customers, zones, engines, services, lease requests."""
 
 import enum
+import math
 
 from attrs import field, frozen
 
@@ -335,7 +336,8 @@
     Attributes
     ----------
     revision : int
-        Increases with every change; 0 is the empty configuration.
+        Increases with every change; 0 is the empty configuration. It has no upper
+        limit: `peridotcove.revision_numbers` packs the operator's version into it.
     bounds : Bounds
         Limits for the whole fleet.
     zone_by_name, model_by_name, engine_by_name : dict
@@ -344,7 +346,7 @@
         Services, customers and host routes by name.
     """
 
-    revision: int = number_field(0, 1 << 62, default=0)
+    revision: int = number_field(0, math.inf, default=0)
     bounds: Bounds = Bounds()
     zone_by_name: dict[str, Zone] = field(factory=dict, metadata=ZONES_KEY)
     model_by_name: dict[str, Model] = field(factory=dict, metadata=MODELS_KEY)
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import types
 import unittest
 from unittest import mock
@@ -14,6 +15,7 @@
 from peridotcove.clock import Clock
 from peridotcove.exceptions import PlatformDown
 from peridotcove.nodes.configuration_messages import AskConfiguration
+from peridotcove.nodes.messages import decode, encode
 from peridotcove.platform.configuration_client import StoreConfigurationClient
 from peridotcove.platform.settings import StoreSettings
 from peridotcove.revision_numbers import get_epoch
@@ -26,6 +28,7 @@
 NODES = ("n1", "n2", "n3")
 SERVERS = ("s1", "s2", "s3")
 STEPS = 30
+LARGEST_EXACT_VERSION = 2**53 - 1
 
 
 class MemoryHttp:
@@ -103,6 +106,35 @@
                 with self.assertRaises(PlatformDown):
                     await self.client.read_manifest(0, 0)
 
+    # A limit on the revision number refused every version from 462 on for good.
+    async def test_every_version_that_json_carries_exactly_is_put_in_force(self):
+        revisions = Revisions(Clock(), mock.Mock())
+        for version in (0, 460, 461, 462, 4_000, 10**7, LARGEST_EXACT_VERSION):
+            with self.subTest(version=version):
+                self.put_version(version)
+                manifest = await self.client.read_manifest(revisions.revision, 0)
+                revisions.apply_manifest(manifest, manifest.data_by_name)
+                self.assertEqual(revisions.refused_revision, 0)
+                routes = list(revisions.current().host_route_by_name)
+                self.assertEqual(routes, [f"v{version}"])
+
+    # Revision numbers past 64 bits stand in each frame and in the descriptors of parts.
+    async def test_a_peer_takes_a_version_past_64_bits_over(self):
+        self.put_version(LARGEST_EXACT_VERSION)
+        manifest = await self.client.read_manifest(0, 0)
+        reader = Revisions(Clock(), mock.Mock())
+        peer = Revisions(Clock(), random.Random(1))
+        reader.apply_manifest(manifest, manifest.data_by_name)
+        questions = [AskConfiguration(0)]
+        while questions:
+            answers = reader.receive("n2", questions.pop())
+            for answer in answers:
+                message, revision = decode(encode(answer.message, reader.revision))
+                self.assertEqual(revision, reader.revision)
+                questions += [one.message for one in peer.receive("n1", message)]
+        self.assertEqual(peer.revision, manifest.revision)
+        self.assertEqual(peer.current(), reader.current())
+
     async def test_numbers_out_of_range_are_an_error(self):
         self.put_version(7)
         self.store.epoch = 10**7
