Background jobs that fail unexpectedly are logged and start again

Cause: an error that no one expected ended the task that read the store; no line of the log said so and nothing started it again, which made one odd entry a loss for good. Other jobs of a node had the same weakness, and one had the same cause: a count of another type in a server's report of its cache ended the task that follows that cache. Counts in reports of caches are checked; an odd one fails that read. Conclusion: the supervision is the second line; each known error is caught at its place.

--- a/peridotcove/cache_watcher.py
+++ b/peridotcove/cache_watcher.py
@@ -9,6 +9,7 @@
 
 from attrs import frozen
 
+from peridotcove.background import restarting
 from peridotcove.cache_events import CacheEvent
 from peridotcove.exceptions import RequestError
 from peridotcove.logs import get_logger
@@ -134,6 +135,7 @@
         """Stop watching all engines."""
         self.set_engines(())
 
+    @restarting
     async def _watch_engine(self, engine):
         epoch = since = None
         while True:
--- a/peridotcove/native_interface.py
+++ b/peridotcove/native_interface.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from peridotcove.background import restarting
 from peridotcove.callers.server import CallerGateway
 from peridotcove.callers.server import make_server as make_caller_server
 from peridotcove.chat_router import ChatRouter
@@ -247,6 +248,7 @@
         self.service_client.close()
 
 
+@restarting
 async def _report_usage(interface):
     elapsed_ms = 0
     while True:
@@ -259,6 +261,7 @@
             interface.rate_limit_sync.tick(urgent_only=True)
 
 
+@restarting
 async def _poll_engines(poller):
     while True:
         polls = [poller.poll_engine(*pair) for pair in poller.pop_due_engines()]
--- a/peridotcove/node_lifecycle.py
+++ b/peridotcove/node_lifecycle.py
@@ -6,6 +6,7 @@
 import signal
 
 from peridotcove import __version__
+from peridotcove.background import restarting
 from peridotcove.callers.listening import listen
 from peridotcove.clock import Clock
 from peridotcove.drain import DrainStage
@@ -146,6 +147,7 @@
     node.apply_configuration()
 
 
+@restarting
 async def _tick_leases(server):
     while True:
         server.tick()
--- a/peridotcove/platform/cache_reader.py
+++ b/peridotcove/platform/cache_reader.py
@@ -14,6 +14,8 @@
 ANSWER_TIMEOUT_S = 1.0
 # Concurrent long polls: one for each server of the shards that a node may own.
 MAX_CONCURRENT_CALLS = 256
+# Largest number that JSON carries exactly.
+MAX_COUNT = 2**53 - 1
 
 
 class ServerCacheReader(CacheReader):
@@ -43,10 +45,10 @@
         try:
             # An entry is [empty string, ID, tokens, model].
             stored = tuple(
-                (hash_prompt_part(model, part_id), tokens)
+                (hash_prompt_part(model, part_id), _read_count(tokens))
                 for _, part_id, tokens, model in page["held"]
             )
-            return CacheUpdate(page["epoch"], page["next"], stored=stored)
+            return CacheUpdate(page["epoch"], _read_count(page["next"]), stored=stored)
         except (KeyError, TypeError, ValueError) as error:
             raise _make_error(engine, error) from None
 
@@ -73,11 +75,13 @@
             # An entry is [sequence number, + or -, empty string, ID, tokens now cached,
             # model].
             for _, sign, _, part_id, tokens, model in page["events"]:
-                kept[hash_prompt_part(model, part_id)] = tokens if sign == "+" else 0
+                key = hash_prompt_part(model, part_id)
+                kept[key] = _read_count(tokens) if sign == "+" else 0
             stored = tuple((key, tokens) for key, tokens in kept.items() if tokens)
             removed = tuple(key for key, tokens in kept.items() if not tokens)
             lost = bool(page["lost"])
-            return CacheUpdate(page["epoch"], page["next"], lost, stored, removed)
+            following = _read_count(page["next"])
+            return CacheUpdate(page["epoch"], following, lost, stored, removed)
         except (KeyError, TypeError, ValueError) as error:
             raise _make_error(engine, error) from None
 
@@ -97,6 +101,12 @@
             raise _make_error(engine, error) from None
 
 
+def _read_count(value):
+    if type(value) is not int or not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"{value!r} is not a count")
+    return value
+
+
 def _make_error(engine, error):
     text = f"the cache of {engine.name} can't be read: {error!r}"
     return EndpointFailed("no-news", text, Verdict.NOT_RUN)
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from peridotcove.background import restarting
 from peridotcove.cache_watcher import MIN_OWNERSHIP_MS, CacheWatcher
 from peridotcove.callers.listening import listen
 from peridotcove.clock import MS_PER_S
@@ -105,6 +106,7 @@
         self._update_instances()
         return [self._poll_settings()] if self.node.settings.file else []
 
+    @restarting
     async def _poll_settings(self):
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
--- a/peridotcove/publisher/watch.py
+++ b/peridotcove/publisher/watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from peridotcove.background import restarting
 from peridotcove.clock import MS_PER_S
 from peridotcove.configuration_reader import ReadPart
 from peridotcove.exceptions import PlatformDown
@@ -15,6 +16,7 @@
 log = logging.getLogger("peridotcove.platform")
 
 
+@restarting
 async def watch_configuration(
     client,
     reader,
@@ -60,6 +62,7 @@
         on_messages(messages)
 
 
+@restarting
 async def watch_instances(client, clock, rng, on_instances):
     """Read the list of instances repeatedly, until cancelled.
 
--- a/tests/test_cache_watcher.py
+++ b/tests/test_cache_watcher.py
@@ -36,6 +36,8 @@
         update = self.script.pop(0)
         if update is None:
             raise EndpointFailed("no-news", "x", Verdict.NOT_RUN)
+        if isinstance(update, Exception):
+            raise update
         return update
 
 
@@ -75,6 +77,14 @@
                 found = [(one.full, len(one.stored)) for one in events]
                 self.assertEqual(found, expected)
 
+    def test_unexpected_error_does_not_end_the_watch(self):
+        first = CacheUpdate(7, 5, stored=((1, 10),))
+        reader = ScriptedReader(first, KeyError("odd"), first)
+        with self.assertLogs("peridotcove.background", "ERROR"):
+            events = run(collect_events(reader, 4_000))
+        self.assertEqual(reader.calls, ["list", 5, "list", 5])
+        self.assertEqual(len(events), 2)
+
     def test_node_that_owns_a_shard_only_briefly_makes_no_call(self):
         reader = ScriptedReader(CacheUpdate(7, 5))
         run(collect_events(reader, MIN_OWNERSHIP_MS - 100))
