A second copy of an unframed answer is no part of its body

Cause: an answer without length or chunks ends with its connection; when its server sends it twice, head and body of the copy were passed on as a part of the body (MIXED), and the events of a stream came a second time (ORDER). Change: find_copy takes a copy off an unframed body, also one that is cut at any byte or has other header values; copies of other content, and an end that may be one or not, count as broken off. A status line ends the events of an unframed stream. The soak's servers send copies in all framings, and its versions begin near limits.

--- a/peridotcove/endpoints/streaming_client.py
+++ b/peridotcove/endpoints/streaming_client.py
@@ -69,6 +69,8 @@
         HTTP status of the response; 0 before its head.
     headers : tornado.httputil.HTTPHeaders
         Header fields of the response.
+    head_lines : list of bytes
+        Lines of the head, without the empty line at its end.
     connected : bool
         Whether a connection was made and the request may have been sent.
     curl : pycurl.Curl or None
@@ -97,6 +99,7 @@
     before_send_error: object = None
     status: int = 0
     headers: HTTPHeaders = field(factory=HTTPHeaders)
+    head_lines: list = field(factory=list)
     connected: bool = False
     curl: object = None
     paused: bool = False
@@ -140,8 +143,10 @@
             code = words[1] if len(words) > 1 else ""
             self.status = int(code) if code.isdigit() else 0
             self.headers = HTTPHeaders()
+            self.head_lines = [line]
         elif text and ":" in text:
             self.headers.parse_line(text)
+            self.head_lines.append(line)
 
     def handle_connected(self, *addresses):
         """Decide whether the request is sent; libcurl calls it on a new connection.
--- a/peridotcove/event_splitter.py
+++ b/peridotcove/event_splitter.py
@@ -17,11 +17,18 @@
         Id of the last complete event, or empty.
     count : int
         Complete events so far.
+    end_prefix : bytes
+        What begins like this after a whole event is none, and ends the events of the
+        engine; empty if nothing does.
+    ended : bool
+        Whether bytes with that prefix came.
     """
 
     def __init__(self):
         self.last_id = ""
         self.count = 0
+        self.end_prefix = b""
+        self.ended = False
         self._partial = b""
 
     def feed(self, data):
@@ -42,7 +49,11 @@
         ValueError
             If an event is larger than `MAX_EVENT_BYTES`.
         """
+        if self.ended:
+            return b""
         rest = self._partial + data
+        if self.end_prefix:
+            rest = self._cut_at_end_prefix(rest)
         end = rest.rfind(EVENT_END)
         if end < 0:
             if len(rest) > MAX_EVENT_BYTES:
@@ -55,6 +66,16 @@
             self._record_event(event)
         return complete_events
 
+    def _cut_at_end_prefix(self, rest):
+        end = 0
+        if not rest.startswith(self.end_prefix):
+            end = rest.find(EVENT_END + self.end_prefix)
+            if end < 0:
+                return rest
+            end += len(EVENT_END)
+        self.ended = True
+        return rest[:end]
+
     def _record_event(self, event):
         self.count += 1
         for line in event.split(b"\n"):
@@ -67,10 +88,14 @@
         return len(self._partial)
 
     def discard_partial(self):
-        """Discard the partial event at the end of an interrupted stream."""
+        """Discard the partial event of an interrupted stream, to read another one."""
         self._partial = b""
+        self.ended = False
 
     def flush(self):
         """Return the bytes after the last complete event, once the answer has ended."""
         rest, self._partial = self._partial, b""
+        if rest and self.end_prefix.startswith(rest):
+            self.ended = True
+            return b""
         return rest
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 from tornado.httputil import HTTPHeaders
 
+from peridotcove.answer_copies import HTTP_PREFIX, find_copy
 from peridotcove.clock import MS_PER_S
 from peridotcove.crash_suspects import CUT, CUT_BEFORE_ANSWER
 from peridotcove.endpoints.connection_check import refuses_connections
@@ -330,15 +331,39 @@
             text = f"engine {engine.name} did not answer before the deadline"
             raise EndpointFailed("timeout", text, verdict, 504) from None
         except RequestError as error:
-            if error.code == "cut":
-                self._record_cut(engine, left_ms)
-            raise self._replace_error(error) from None
+            # A second copy shows that the engine has sent the whole answer.
+            if not self.splitter.ended:
+                if error.code == "cut":
+                    self._record_cut(engine, left_ms)
+                raise self._replace_error(error) from None
         finally:
             self.sent_count += transfer.connected
-        if transfer.framing == "connection" and not self._read_head().not_run:
+        unframed = transfer.framing == "connection" and not self._read_head().not_run
+        if unframed and not self._discard_copy(engine):
             await self._check_unframed_end(engine, left_ms)
         return self._finish_answer(engine)
 
+    def _discard_copy(self, engine):
+        """Take a second copy off an answer without a length; return whether it had one.
+
+        Raises
+        ------
+        EndpointFailed
+            If it is uncertain where the answer ends.
+        """
+        try:
+            end = find_copy(self.body, self.transfer.head_lines)
+        except ValueError as error:
+            text = f"engine {engine.name} sent an answer of uncertain end: {error}"
+            raise EndpointFailed("mixed-up", text, Verdict.MAY_HAVE_RUN) from None
+        if end is not None:
+            del self.body[end:]
+        elif not self.splitter.ended:
+            return False
+        inputs = {"status": self.transfer.status, **self._describe_end()}
+        self._record("answer-copy-discarded", inputs, peer=engine.name)
+        return True
+
     def _record_cut(self, engine, left_ms):
         forward = self.forward
         inputs = {
@@ -393,14 +418,23 @@
             return False
         try:
             complete_events = self.splitter.feed(data)
+            self._check_for_head(complete_events)
         except ValueError as error:
             self.head = ResponseHead(head.status, fault=str(error))
             self.transfer.cancel()
             return False
+        if self.splitter.ended:
+            self.transfer.cancel()
         return (
             self._write_to_caller(head, complete_events) if complete_events else False
         )
 
+    def _check_for_head(self, events):
+        """Raise an error if a copy began inside an event that was broken off."""
+        unframed = self.transfer.framing == "connection"
+        if unframed and self.transfer.head_lines[0] in events:
+            raise ValueError("a second answer began inside an event")
+
     def _write_to_caller(self, head, data):
         if self.forward.head is None:
             self.forward.head = head
@@ -413,6 +447,8 @@
             self.head = dialect.read_head(
                 self.forward, transfer.status, transfer.headers
             )
+            unframed = transfer.framing == "connection"
+            self.splitter.end_prefix = HTTP_PREFIX if unframed else b""
         return self.head
 
     def _replace_error(self, error):
@@ -447,7 +483,8 @@
             text = "the stream ended inside an event"
             raise EndpointFailed("cut", text, Verdict.MAY_HAVE_RUN)
         unframed = self.transfer.framing == "connection"
-        if unframed and is_events and not self.transfer.received_bytes:
+        is_empty = not self.transfer.received_bytes or self.splitter.ended
+        if unframed and is_events and is_empty and not self.splitter.count:
             text = "the stream ended before its first event"
             raise EndpointFailed("cut", text, Verdict.MAY_HAVE_RUN)
 
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -145,6 +145,7 @@
     level=logging.WARNING,
 )
 add_kind("answer-unframed", "an answer without length or chunks ended")
+add_kind("answer-copy-discarded", "a second copy followed an answer without length")
 add_kind(
     "engine-crashed",
     "most requests of an engine were cut at once",
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -399,6 +399,45 @@
                 expected = make_event(1) + make_event(2) if target == "/chat/" else b"b"
                 self.assertEqual(got.body, expected)
 
+    # The copy looked like a part of an answer that ends with its connection.
+    async def test_a_second_copy_is_no_part_of_an_unframed_answer(self):
+        events = b"".join(map(make_event, range(1, 4)))
+        for target, body in (
+            ("/chat/", events),
+            ("/booking/", b"ok"),
+            ("/lookup/", b""),
+        ):
+            for end in (None, -1, 30, len("HTTP/")):
+
+                async def answer(seen, writer, body=body, end=end):
+                    is_stream = seen.target.startswith("/chat/")
+                    fields = {"Content_Type": "text/event-stream"} if is_stream else {}
+                    sent = make_head(seen, 200, **fields) + body
+                    writer.write(sent)
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+                    writer.write(sent[:end])
+
+                self.set_answers(answer)
+                with self.subTest(target=target, end=end):
+                    response = await self.fetch("r1", target)
+                    self.assertEqual((response.status, response.body), (200, body))
+                    self.assertTrue(response.is_complete)
+
+    async def test_an_unframed_stream_of_two_different_answers_is_cut(self):
+        async def answer(seen, writer):
+            sent = make_head(seen, 200, Content_Type="text/event-stream")
+            writer.write(sent + make_event(1))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(b"id: 2\nda" + sent + make_event(1))
+            await writer.drain()
+
+        self.set_answers(answer)
+        response = await self.fetch("r1", "/chat/")
+        self.assertFalse(response.is_complete)
+        self.assertEqual(response.body, make_event(1))
+
     async def test_logs_show_how_an_answer_was_framed_and_ended(self):
         cases = [
             # answer, kind of line, framing, events, bytes after the last event
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -26,6 +26,9 @@
 EXIT_SLACK_S = 2
 RETRY_BUDGET = {"ratio": 0.2, "extra": 30}
 TARGET_BY_KIND = {"booking": "/book/x", "lookup": "/look/x", "chat": "/chat/x"}
+# Versions of the operator's document before the first one of a run: ordinary ones, and
+# ones right before a limit that a number of versions had or might have.
+FIRST_VERSIONS = (0, 455, 812, 1_840, 2**31 - 3, 2**53 - 200)
 # A node without the version that added a route answers the route with this status.
 NO_ROUTE_STATUS = 404
 OK = 200
@@ -74,6 +77,7 @@
         self.store = StoreStandin()
         self.promises = PromiseChecker(RETRY_BUDGET["ratio"], RETRY_BUDGET["extra"])
         self.version = 0
+        self._first_version = rng.choice(FIRST_VERSIONS)
         self.store_links = []
         self.server_by_name = {}
         self.active_servers = set()
@@ -162,7 +166,8 @@
         ]
         for number in range(1, self.version + 1):
             routes.append(fakes.make_route(f"v{number}", "idempotent"))
-        self.store.put("op/config", fakes.make_document(*routes, version=self.version))
+        version = self._first_version + self.version
+        self.store.put("op/config", fakes.make_document(*routes, version=version))
 
     def write_server_entries(self):
         """Write the entries of all servers again, as live servers do."""
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -8,6 +8,7 @@
     ServerStandin,
     echo_unframed_body,
     fail,
+    make_chunk,
     make_event,
     make_head,
     make_stream_answer,
@@ -22,6 +23,7 @@
 SERVICE_TIME_S = 0.03
 HANG_S = 30.0
 TORN_EVENT = b"id: 13\nda"
+MAX_COPY_DELAY_S = 0.08
 
 
 def make_expected_body(request_id, target):
@@ -49,7 +51,8 @@
         Share of the requests that fail.
     fault : str
         How they fail: ``errors`` (status 500), ``hang``, ``refuse`` (not run),
-        ``lose`` (connection reset after the run), ``twice`` (answer sent twice),
+        ``lose`` (connection reset after the run), ``twice`` (a second copy of the
+        answer, whole, cut or reset, follows at once or late, in any framing),
         ``unframed`` (whole, but without length or chunks) or ``torn`` (the same, broken
         off).
     """
@@ -79,24 +82,56 @@
         if fault == "hang":
             await asyncio.sleep(HANG_S)
         await asyncio.sleep(SERVICE_TIME_S)
-        if fault == "lose":
-            await reset(seen, writer)
-        elif fault == "errors":
-            await fail(seen, writer)
-        elif fault in ("unframed", "torn"):
-            await self._answer_unframed(seen, writer, fault == "torn")
+        if fault in self._ANSWERS:
+            await self._ANSWERS[fault](self, seen, writer)
         elif seen.target.startswith("/chat/"):
             await make_stream_answer(EVENT_COUNT, pause_s=EVENT_INTERVAL_S)(
                 seen, writer
             )
         else:
             body = make_expected_body(request_id, seen.target)
-            answer = make_head(seen, 200, len(body)) + body
-            writer.write(answer + answer if fault == "twice" else answer)
+            writer.write(make_head(seen, 200, len(body)) + body)
         if not writer.is_closing():
             await writer.drain()
 
-    async def _answer_unframed(self, seen, writer, is_torn):
+    async def _answer_twice(self, seen, writer):
+        body = make_expected_body(seen.headers["X-Request-Id"], seen.target)
+        if "Last-Event-Id" in seen.headers:
+            skipped = int(seen.headers["Last-Event-Id"])
+            body = b"".join(
+                make_event(number) for number in range(skipped + 1, EVENT_COUNT + 1)
+            )
+        is_stream = seen.target.startswith("/chat/")
+        fields = {"Content_Type": "text/event-stream"} if is_stream else {}
+        framing = self._rng.choice(("length", "chunks", "connection"))
+        if framing == "length":
+            answer = make_head(seen, 200, len(body), **fields) + body
+        elif framing == "chunks":
+            fields["Transfer_Encoding"] = "chunked"
+            answer = make_head(seen, 200, **fields) + make_chunk(body) + make_chunk(b"")
+        else:
+            answer = make_head(seen, 200, **fields) + body
+        writer.write(answer)
+        await writer.drain()
+        await asyncio.sleep(
+            self._rng.choice((0, self._rng.random())) * MAX_COPY_DELAY_S
+        )
+        end = self._rng.choice((len(answer), self._rng.randrange(len(answer))))
+        writer.write(answer[:end])
+        await writer.drain()
+        if self._rng.random() < 0.2:
+            reset_connection(writer)
+
+    async def _lose_answer(self, seen, writer):
+        await reset(seen, writer)
+
+    async def _answer_error(self, seen, writer):
+        await fail(seen, writer)
+
+    async def _tear_answer(self, seen, writer):
+        await self._answer_unframed(seen, writer, True)
+
+    async def _answer_unframed(self, seen, writer, is_torn=False):
         if seen.target.startswith("/chat/"):
             count = self._rng.randrange(EVENT_COUNT) if is_torn else EVENT_COUNT
             torn = TORN_EVENT if is_torn else b""
@@ -109,3 +144,11 @@
         writer.write(make_head(seen, 200) + body[:3])
         await writer.drain()
         reset_connection(writer)
+
+    _ANSWERS = {
+        "errors": _answer_error,
+        "lose": _lose_answer,
+        "torn": _tear_answer,
+        "twice": _answer_twice,
+        "unframed": _answer_unframed,
+    }
--- /dev/null
+++ b/tests/test_answer_copies.py
@@ -0,0 +1,59 @@
+"""Tests of `peridotcove.answer_copies`."""
+
+import unittest
+
+from hypothesis import given, strategies
+
+from peridotcove.answer_copies import HTTP_PREFIX, find_copy
+
+HEAD = [
+    b"HTTP/1.1 200 OK\r\n",
+    b"X-Request-Id: 7f\r\n",
+    b"Server-Load: 1,0,8\r\n",
+    b"Content-Type: text/plain\r\n",
+]
+LATER_HEAD = [HEAD[0], HEAD[1], b"Server-Load: 12,3,8\r\n", HEAD[3]]
+bodies = strategies.binary(max_size=40).filter(lambda body: not body.endswith(b"H"))
+
+
+def join(head, body):
+    return b"".join(head) + b"\r\n" + body
+
+
+class FindCopyTest(unittest.TestCase):
+    """Only a second copy of the answer is taken off its body."""
+
+    @given(bodies)
+    def test_body_alone_has_no_copy(self, body):
+        self.assertIsNone(find_copy(body, HEAD))
+
+    # A copy that follows an answer without a length looked like a part of its body.
+    @given(bodies, strategies.sampled_from((HEAD, LATER_HEAD)), strategies.data())
+    def test_copy_is_found_wherever_it_is_cut(self, body, head, data):
+        copy = join(head, body)
+        shown = copy[: data.draw(strategies.integers(len(HTTP_PREFIX), len(copy)))]
+        self.assertEqual(find_copy(body + shown, HEAD), len(body))
+
+    @given(bodies, strategies.integers(1, len(HTTP_PREFIX) - 1))
+    def test_the_shortest_begins_are_uncertain(self, body, length):
+        with self.assertRaises(ValueError):
+            find_copy(body + HTTP_PREFIX[:length], HEAD)
+
+    @given(bodies, bodies)
+    def test_copy_with_another_body_is_an_error(self, body, other):
+        sent = body + join(HEAD, other)
+        if body.startswith(other):
+            self.assertEqual(find_copy(sent, HEAD), len(body))
+            return
+        with self.assertRaises(ValueError):
+            find_copy(sent, HEAD)
+
+    def test_text_about_http_is_a_body(self):
+        for body in (
+            HEAD[0] + b"is a status line",
+            b"see HTTP/1.1 404 Not Found\r\n",
+            HEAD[0] + HEAD[1] + b"More: 1\r\n\r\nok",
+            HEAD[0] * 3 + b".",
+        ):
+            with self.subTest(body=body):
+                self.assertIsNone(find_copy(body, HEAD))
