Any entry of another writer leaves the other entries in use

Cause: reports of other operators name odd entries (deep, numbers too large, ports out of range) that ended processes or the reading of the list. Change: a start time out of the range of exact JSON numbers is unknown. A generator of odd entries (each field missing, of another type, at and past its range, nested, no text) runs as a property test and as the soak's fault "odd-entries".

--- a/peridotcove/platform/translation.py
+++ b/peridotcove/platform/translation.py
@@ -29,6 +29,8 @@
 ENTRY_CACHE_SIZE = 8_192
 # Rate and concurrency limit that is never reached: the platform sets no quota.
 NO_LIMIT = 1_000_000
+# Largest whole number that all JSON decoders read exactly.
+LARGEST_EXACT_NUMBER = 2**53 - 1
 
 # Errors of a value that has other fields, types or sizes than expected.
 VALUE_ERRORS = (ValueError, KeyError, TypeError, AttributeError, ArithmeticError)
@@ -192,7 +194,7 @@
             "shares_cache": bool(described),
             # 'born' is the start time of the server, which may keep its id over a
             # restart.
-            "incarnation": raw["born"] if type(raw.get("born")) is int else 0,
+            "incarnation": _read_start_time(raw.get("born")),
         }
         _check_engine(name, tuple(engine.items()))
         return engine
@@ -215,6 +217,12 @@
     build(Configuration, {"engines": {name: engine}}, "entry")
 
 
+def _read_start_time(born):
+    """Return a server's start time, or 0 if it is unknown."""
+    is_known = type(born) is int and 0 <= born <= LARGEST_EXACT_NUMBER
+    return born if is_known else 0
+
+
 def _is_address(address):
     host, _, port = address.rpartition(":")
     return bool(host) and port.isdigit() and 0 < int(port) < 65_536
--- /dev/null
+++ b/tests/platform/odd_values.py
@@ -0,0 +1,66 @@
+"""Odd values of other writers: at, inside and past the range of a field, or no type."""
+
+import json
+
+from hypothesis import strategies
+
+LARGEST_EXACT = 2**53 - 1
+ODD_NUMBERS = (
+    *(-1, 0, 1, 9, 10, 11, 0.5, -0.0, 1e308, 1e999, 2**31, 2**63, 2**64),
+    *(LARGEST_EXACT, LARGEST_EXACT + 1, 10**30, 10**400, -(10**400)),
+)
+ODD_TEXTS = (
+    *("", " ", "a b", "\u00fc", "\ud800", "\x00", "x" * 300, "ready ", "READY", "7"),
+    *("127.0.0.1:0", "127.0.0.1:65535", "127.0.0.1:65536", "127.0.0.1:-1"),
+    *("127.0.0.1:\u0663", "127.0.0.1:\u00b2", "256.0.0.1:80", "[::1]:80", ":80"),
+    *("127.0.0.1:80/x", "127.0.0.1:80@h", "127.0.0.1:" + "9" * 5_000, "127.0.0.1"),
+)
+
+
+def _nest(depth):
+    value = 0
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+ODD_VALUES = (
+    *(None, True, False, [], {}, [[]], {"a": {}}),
+    *ODD_NUMBERS,
+    *ODD_TEXTS,
+    *(_nest(60), _nest(400), ["x"] * 1_000),
+)
+ODD_BYTES = (
+    *(b"", b" ", b"null", b"[]", b"{", b"{}", b"\xff\xfe", b"\x00", b"1e999", b"NaN"),
+    *(b"[" * 4_000, b"[" * 100_000, b'{"a":' * 50_000, b'"' + b"x" * 100_000 + b'"'),
+    *(b"9" * 5_000, b'{"slots": ' + b"9" * 5_000 + b"}", b"\xef\xbb\xbf{}"),
+)
+
+odd_values = strategies.sampled_from(ODD_VALUES)
+
+
+def encode_entry(entry):
+    """Return the bytes of an entry, which may be bytes already."""
+    return entry if isinstance(entry, bytes) else json.dumps(entry).encode()
+
+
+def make_odd_entries(entry):
+    """Return a strategy of entries that differ oddly from a sound one.
+
+    Parameters
+    ----------
+    entry : dict
+        The sound entry.
+    """
+    names = strategies.sampled_from([*entry, "born", "seq", "cold_left_ms", "more"])
+    changed = strategies.dictionaries(names, odd_values, min_size=1, max_size=3)
+    missing = strategies.sampled_from(sorted(entry)).map(
+        lambda name: {key: value for key, value in entry.items() if key != name}
+    )
+    return (
+        changed.map(lambda fields: entry | fields)
+        | missing
+        | odd_values
+        | strategies.sampled_from(ODD_BYTES)
+        | strategies.binary()
+    )
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -5,6 +5,8 @@
 import json
 import unittest
 
+from hypothesis import given
+
 from peridotcove.configuration import parse_configuration
 from peridotcove.exceptions import PlatformDown
 from peridotcove.models import LifecycleStatus
@@ -13,6 +15,7 @@
 from peridotcove.platform.store import StoreItem
 from peridotcove.platform.translation import REGION, translate
 from tests.platform.fakes import KEY, make_document, make_route
+from tests.platform.odd_values import encode_entry, make_odd_entries
 
 STORE = StoreSettings("", {"z1": "r"}, 2.0, 0.2, 50)
 DEEP = functools.reduce(lambda inner, _: [inner], range(60), 0)
@@ -137,8 +140,17 @@
                 found = make_configuration(make_document(), **entries)
                 self.assertEqual(list(found.engine_by_name), ["good"])
 
-    def test_a_start_time_of_another_type_is_unknown(self):
-        for born in (True, "5", 1.5, None):
+    # An odd entry of another writer ended the processes of other operators' systems.
+    @given(make_odd_entries(ENTRY))
+    def test_any_entry_leaves_the_others(self, odd):
+        good = ENTRY | {"addr": "127.0.0.1:8001"}
+        found = make_configuration(make_document(), good=good, odd=encode_entry(odd))
+        self.assertEqual(found.engine_by_name["good"].url, "http://127.0.0.1:8001")
+        other = found.engine_by_name.get("odd")
+        self.assertTrue(other is None or 0 < other.capacity <= 100_000)
+
+    def test_a_start_time_of_another_type_or_range_is_unknown(self):
+        for born in (True, "5", 1.5, None, -1, 2**53, 10**400):
             with self.subTest(born=born):
                 found = make_configuration(make_document(), good=ENTRY | {"born": born})
                 self.assertEqual(found.engine_by_name["good"].incarnation, 0)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 
 from peridotcove.registry import Registry
+from tests.platform.odd_values import ODD_BYTES, ODD_VALUES, encode_entry
 from tests.soak.proxy import Direction
 
 FAULTS = Registry("fault")
@@ -277,6 +278,26 @@
     await context.fleet.remove_server(name, context.rng.uniform(3, 8))
 
 
+@FAULTS.register("odd-entries")
+async def write_odd_entries(context):
+    """Write entries of servers that are oddly wrong, and drop them after a while."""
+    fleet, rng = context.fleet, context.rng
+    keys = [f"servers/odd-{number}" for number in range(3)]
+    for key in keys:
+        entry = rng.choice(ODD_BYTES)
+        if rng.random() < 0.5:
+            sound = next(iter(fleet.server_by_name.values())).make_entry("llm")
+            name = rng.choice(["addr", "slots", "zone", "state", "born", "more"])
+            address = f"127.0.0.1:{rng.randint(1, 9)}"
+            entry = (
+                sound | {"addr": address, "slots": 0} | {name: rng.choice(ODD_VALUES)}
+            )
+        fleet.store.put(key, encode_entry(entry))
+    await asyncio.sleep(rng.uniform(0.5, 3))
+    for key in keys:
+        fleet.store.drop(key)
+
+
 @FAULTS.register("bad-server")
 async def make_servers_fail(context):
     """Make some servers fail a share of their requests."""
