A resumed stream that lacks the event that was broken off is not complete

Cause: the part of an event that a broken stream left was discarded for the next try, and with it the knowledge that more was due: a next server that answered 200 without events ended the stream as complete. Nothing checked either that event ids increase, so a server that began again had its events passed on twice. Change: the splitter remembers a broken event until a whole one follows and refuses ids that do not increase; such a stream is resumed once more or broken off. Tests show that an earlier refusal with another request's id is not believed (it was not before either).

--- a/peridotcove/event_splitter.py
+++ b/peridotcove/event_splitter.py
@@ -22,6 +22,8 @@
         engine; empty if nothing does.
     ended : bool
         Whether bytes with that prefix came.
+    lacks_event : bool
+        Whether an answer ended inside an event and no whole event came since.
     """
 
     def __init__(self):
@@ -29,6 +31,7 @@
         self.count = 0
         self.end_prefix = b""
         self.ended = False
+        self.lacks_event = False
         self._partial = b""
 
     def feed(self, data):
@@ -47,7 +50,8 @@
         Raises
         ------
         ValueError
-            If an event is larger than `MAX_EVENT_BYTES`.
+            If an event is larger than `MAX_EVENT_BYTES`, or the number that is its id
+            is not larger than the one before.
         """
         if self.ended:
             return b""
@@ -78,9 +82,16 @@
 
     def _record_event(self, event):
         self.count += 1
+        self.lacks_event = False
         for line in event.split(b"\n"):
             if line.startswith(b"id:"):
-                self.last_id = line[len(b"id:") :].strip().decode("latin-1")
+                self._record_id(line[len(b"id:") :].strip().decode("latin-1"))
+
+    def _record_id(self, event_id):
+        is_numbered = event_id.isdecimal() and self.last_id.isdecimal()
+        if is_numbered and int(event_id) <= int(self.last_id):
+            raise ValueError(f"event {event_id} came after event {self.last_id}")
+        self.last_id = event_id
 
     @property
     def partial_bytes(self):
@@ -89,6 +100,8 @@
 
     def discard_partial(self):
         """Discard the partial event of an interrupted stream, to read another one."""
+        if self._partial:
+            self.lacks_event = True
         self._partial = b""
         self.ended = False
 
@@ -98,4 +111,6 @@
         if rest and self.end_prefix.startswith(rest):
             self.ended = True
             return b""
+        if rest:
+            self.lacks_event = True
         return rest
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -487,6 +487,9 @@
         if unframed and is_events and is_empty and not self.splitter.count:
             text = "the stream ended before its first event"
             raise EndpointFailed("cut", text, Verdict.MAY_HAVE_RUN)
+        if self.splitter.lacks_event and not remainder:
+            text = "the resumed stream ended without the event that was broken off"
+            raise EndpointFailed("cut", text, Verdict.MAY_HAVE_RUN)
 
     def _finish_answer(self, engine):
         head = self._read_head()
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -54,6 +54,14 @@
     writer.write(text + b"no")
 
 
+async def refuse_other(seen, writer):
+    """Refuse another request."""
+    text = make_head(seen, 503, 0, X_Not_Run="1").replace(
+        seen.headers["X-Request-Id"].encode(), b"other"
+    )
+    writer.write(text)
+
+
 async def answer_unsigned(seen, writer):
     """Send a success without a signature."""
     text = make_head(seen, 200, 2).replace(b"X-Server-Stamp", b"X-Other")
@@ -68,6 +76,11 @@
     await asyncio.sleep(0.2)
 
 
+async def echo_whole_body(seen, writer):
+    """Answer with an empty body of a given length."""
+    writer.write(make_head(seen, 200, 0))
+
+
 async def drip(seen, writer):
     """Send a byte of an event now and then, and never its end."""
     writer.write(make_head(seen, 200, Transfer_Encoding="chunked"))
@@ -288,6 +301,9 @@
             ("/booking/", [send_malformed], 502, True, 1),
             ("/booking/", [answer_other], 502, True, 1),
             ("/booking/", [answer_unsigned], 502, True, 1),
+            # An earlier refusal, written again, says nothing of this request.
+            ("/booking/", [refuse_other], 502, True, 1),
+            ("/lookup/", [refuse_other], 200, True, 2),
             ("/lookup/", [reset], 200, True, 2),
             ("/lookup/", [fail], 200, True, 2),
             ("/lookup/", [fail, fail], 500, True, 2),
@@ -399,6 +415,34 @@
                 expected = make_event(1) + make_event(2) if target == "/chat/" else b"b"
                 self.assertEqual(got.body, expected)
 
+    # The next server ended the stream without the event of which a part had been seen.
+    async def test_a_resumed_stream_without_its_broken_event_is_cut(self):
+        torn = b"id: 3\nda"
+        cases = [
+            # first answer, second answer, whether the response is complete
+            (make_stream_answer(2, cut=True, torn=torn), make_stream_answer(2), False),
+            (make_unframed_answer(2, torn), make_stream_answer(2), False),
+            (make_stream_answer(2, cut=True, torn=torn), make_stream_answer(5), True),
+            (make_stream_answer(2, cut=True, torn=torn), echo_whole_body, False),
+            (make_stream_answer(2, cut=True), make_stream_answer(2), True),
+        ]
+        for first, second, is_whole in cases:
+            with self.subTest(first=first, second=second):
+                got = await self.check_answer(
+                    "/resumed/", [first, second], 200, is_whole, 2
+                )
+                self.assertTrue(got.body.startswith(make_event(1) + make_event(2)))
+                self.assertNotIn(b"id: 3\ndaid", got.body)
+
+    async def test_a_resumed_stream_that_repeats_events_is_cut(self):
+        async def answer_from_start(seen, writer):
+            seen.headers.pop("Last-Event-Id", None)
+            await make_stream_answer(5)(seen, writer)
+
+        answers = [make_stream_answer(2, cut=True), answer_from_start]
+        got = await self.check_answer("/resumed/", answers, 200, False, 2)
+        self.assertEqual(got.body, make_event(1) + make_event(2))
+
     # The copy looked like a part of an answer that ends with its connection.
     async def test_a_second_copy_is_no_part_of_an_unframed_answer(self):
         events = b"".join(map(make_event, range(1, 4)))
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -35,6 +35,28 @@
         self.assertEqual(splitter.feed(make_event(2)), make_event(2))
         self.assertEqual((splitter.last_id, splitter.count), ("2", 2))
 
+    def test_event_of_which_a_part_came_is_lacking_until_it_is_whole(self):
+        splitter = EventSplitter()
+        splitter.feed(make_event(1) + b"id: 2\nda")
+        splitter.discard_partial()
+        self.assertTrue(splitter.lacks_event)
+        splitter.feed(make_event(2))
+        splitter.discard_partial()
+        self.assertFalse(splitter.lacks_event)
+
+    def test_event_ids_that_do_not_increase_are_an_error(self):
+        for number in (1, 2, 9, 10):
+            splitter = EventSplitter()
+            splitter.feed(make_event(10))
+            with self.subTest(number=number), self.assertRaises(ValueError):
+                splitter.feed(make_event(number))
+
+    def test_ids_that_are_no_numbers_have_no_order(self):
+        splitter = EventSplitter()
+        for name in (b"b", b"a", b"a"):
+            splitter.feed(b"id: " + name + b"\n\n")
+        self.assertEqual(splitter.count, 3)
+
     def test_an_event_without_end_is_an_error(self):
         splitter = EventSplitter()
         with self.assertRaises(ValueError):
