Engines that say that they leave, or when they want work again, are believed

Change: an answer with Server-Leaving marks its engine, by name and start time, as leaving in the configuration that the node uses, whatever the store says; the first two owners of its shard learn it by the existing message with a new last field, and an owner that is asked in place of another is told first. A 503 with Retry-After keeps this node from the engine until then; requests for leases name it as forbidden, and only then are longer. A request that all engines keep waiting for over half of its time is refused at once with the shortest time left. GET /configuration shows the notices. The soak's servers send both, at random, with odd values, and its promises check both rules.

--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -219,8 +219,11 @@
             return [LeaseGrant(lease.request_id, lease.engine, lease.cached_blocks)]
         if request_id in self._queue or request_id in self._deferred_by_id:
             return []
-        if not self._loads.open_engines:
+        open_names = {load.name for load in self._loads.open_engines}
+        if not open_names:
             return [LeaseRefusal(request_id, "no_engine", RETRY_AFTER_MS)]
+        if request.excluded and open_names.issubset(request.excluded):
+            return [LeaseRefusal(request_id, "all-paused", RETRY_AFTER_MS)]
         now = self._clock.now()
         wait = min(request.deadline_ms, self._configuration.bounds.queue_ms)
         customer = self._customer(request.customer)
@@ -467,6 +470,12 @@
             lookup = index.look_up(request.prefixes, request.blocks)
             backlogs = ()
         choice = self._selector.select(request, lookup, self._loads, backlogs)
+        if not choice.engine and request.excluded and deferred is None:
+            # Only engines that the request must not use have room.
+            self._deferred_by_id[request.request_id] = _DeferredRequest(
+                item, "", self._clock.now()
+            )
+            return None
         if not choice.engine or self._should_defer(item, deferred, choice):
             return None
         self._deferred_by_id.pop(request.request_id, None)
--- a/peridotcove/endpoint_state_sync.py
+++ b/peridotcove/endpoint_state_sync.py
@@ -18,12 +18,15 @@
         Time in ms.
     rng : random.Random
         Selects the nodes that are asked.
+    reported_names : callable
+        Returns the names of engines that are reported with their incarnation instead.
     """
 
-    def __init__(self, states, clock, rng):
+    def __init__(self, states, clock, rng, reported_names=tuple):
         self.states = states
         self.clock = clock
         self._rng = rng
+        self._reported_names = reported_names
 
     def set_instances(self, instances, asked_ms, peers):
         """Set the platform's list; return announcements of newly leaving endpoints.
@@ -63,7 +66,9 @@
         if isinstance(message, AskLeaving):
             if not self.states.fresh():
                 return []
-            response = EndpointsLeaving(self.states.leaving(), message.asked_ms)
+            reported = set(self._reported_names())
+            names = [name for name in self.states.leaving() if name not in reported]
+            response = EndpointsLeaving(names, message.asked_ms)
             return [OutgoingMessage(peer, response)]
         asked_ms = message.asked_ms if message.asked_ms >= 0 else None
         self.states.handle_report(message.names, asked_ms)
--- /dev/null
+++ b/peridotcove/engine_notice_sync.py
@@ -0,0 +1,127 @@
+"""Puts the notices of engines in force at this node and tells the owners of engines."""
+
+from peridotcove.nodes.leaving_messages import EndpointsLeaving
+from peridotcove.nodes.network import OutgoingMessage
+
+
+class EngineNoticeSync:
+    """Handles notices that answers bring, and reports of them by other nodes.
+
+    An owner that knows that an engine leaves grants no lease on it to any node, so only
+    the owners of its shard are told.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node.
+    notices : EngineNotices
+        Notices in force at this node.
+    fleet : FleetView
+        The node's view of the fleet.
+    metrics : Metrics
+        The node's metrics.
+    timeline : Timeline
+        Records the node's events.
+    send_all : callable
+        Sends a list of `OutgoingMessage`.
+    on_change : callable
+        Called without arguments when an engine is new among those that leave.
+    """
+
+    def __init__(self, node, notices, fleet, metrics, timeline, send_all, on_change):
+        self.notices = notices
+        self._node = node
+        self._fleet = fleet
+        self._metrics = metrics
+        self._timeline = timeline
+        self._send_all = send_all
+        self._on_change = on_change
+
+    def handle_answer(self, engine, notice, request_id=b""):
+        """Handle the notice of an answer.
+
+        Parameters
+        ----------
+        engine : Engine
+            The engine as it was when the request was sent.
+        notice : Notice
+            The notice.
+        request_id : bytes
+            Id of the request, for the log.
+        """
+        is_news = self.notices.record(engine, notice)
+        if notice.fault:
+            self._metrics.notice_faults.labels(engine.name).inc()
+            self._record("engine-notice-invalid", engine, request_id, notice.fault)
+        if notice.pause_ms:
+            self._metrics.engine_pauses.labels(engine.name).inc()
+            text = f"{notice.pause_ms} ms"
+            self._record("engine-paused", engine, request_id, text)
+        if is_news:
+            self._metrics.engines_leaving.labels(engine.name).inc()
+            self._record("engine-leaving", engine, request_id)
+            self._on_change()
+            self._send_all(self._make_reports([(engine.name, engine.incarnation)]))
+
+    def receive(self, peer, message):
+        """Handle a report of another node.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the sender.
+        message : EndpointsLeaving
+            The report, with incarnations.
+        """
+        keys = [
+            (name, incarnation)
+            for name, incarnation in zip(
+                message.names, message.incarnations, strict=False
+            )
+            if type(name) is str and type(incarnation) is int
+        ]
+        new_names = [name for name, _ in self.notices.handle_report(keys)]
+        if new_names:
+            inputs = {"engines": new_names}
+            self._timeline.record("engine-leaving", inputs, peer=peer)
+            self._on_change()
+
+    def make_report(self, peer):
+        """Return the messages that tell a node of all engines that leave.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the node.
+        """
+        keys = self.notices.leaving_keys()
+        return [OutgoingMessage(peer, _make_message(keys))] if keys else []
+
+    def leaving_names(self):
+        """Return the names of the engines that leave by a notice."""
+        return [name for name, _ in self.notices.leaving_keys()]
+
+    def _make_reports(self, keys):
+        names = {name for name, _ in keys}
+        shards = self._fleet.shard_by_name.values()
+        owners = {
+            owner
+            for shard in shards
+            if not names.isdisjoint(shard.engines)
+            for owner in self._fleet.rank_owners(shard.name)[:2]
+        }
+        message = _make_message(keys)
+        return [
+            OutgoingMessage(owner, message) for owner in sorted(owners - {self._node})
+        ]
+
+    def _record(self, kind, engine, request_id, detail=""):
+        inputs = {"incarnation": engine.incarnation}
+        self._timeline.record(
+            kind, inputs, request_id=request_id, peer=engine.name, detail=detail
+        )
+
+
+def _make_message(keys):
+    names = [name for name, _ in keys]
+    return EndpointsLeaving(names, incarnations=[number for _, number in keys])
--- a/peridotcove/engine_selection.py
+++ b/peridotcove/engine_selection.py
@@ -11,6 +11,7 @@
 from peridotcove.rendezvous import RendezvousRanking
 
 # Exceeds any difference in cached blocks, so that an engine that failed comes last.
+EXCLUDED_COST = float("inf")
 AVOIDED_ENGINE_BLOCKS = 1e6
 
 
@@ -109,7 +110,7 @@
         per_weight = loads.load_bound_per_weight(mean)
         share = loads.capacity_share
         for load, cost in zip(loads.open_engines, costs, strict=True):
-            if engine and cost >= selected_cost:
+            if cost == EXCLUDED_COST or (engine and cost >= selected_cost):
                 continue
             if load.total < per_weight * load.weight and load.has_free_slot(share):
                 engine = load.name
@@ -141,7 +142,7 @@
                 cost -= weights.hint * lookup.blocks
             if name in request.avoid:
                 cost += AVOIDED_ENGINE_BLOCKS
-            costs.append(cost)
+            costs.append(EXCLUDED_COST if name in request.excluded else cost)
         return costs
 
     def _rendezvous_engine(self, request, lookup, open_loads):
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -15,6 +15,7 @@
 from peridotcove.crash_suspects import CUT, CUT_BEFORE_ANSWER
 from peridotcove.endpoints.connection_check import refuses_connections
 from peridotcove.endpoints.streaming_client import Transfer
+from peridotcove.engine_notices import NO_NOTICE
 from peridotcove.event_splitter import EventSplitter
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
 from peridotcove.forwarding_types import (
@@ -24,7 +25,7 @@
     ResponseHead,
 )
 from peridotcove.host_routes import pick_model
-from peridotcove.models import LeaseRequest
+from peridotcove.models import Engine, LeaseRequest, LifecycleStatus
 from peridotcove.retries import RetryBudget, RetryPolicy, may_repeat, run_tries
 from peridotcove.verdict import Verdict
 
@@ -48,7 +49,7 @@
 MAX_ANSWER_BYTES = 16 << 20
 EVENT_STREAM_TYPE = "text/event-stream"
 # Codes of errors that mean that no engine was reached.
-UNREACHED_CODES = frozenset(("unreachable", "leaving", "stale-view"))
+UNREACHED_CODES = frozenset(("unreachable", "leaving", "paused", "stale-view"))
 RETRY_AFTER_MS = 1_000
 # Outcome that is reported to the owner of the engine when the lease is released, by
 # error code; "failed" for all other codes.
@@ -98,6 +99,11 @@
         Records the node's events.
     budgets : RetryBudgets
         Retry budgets of this node, by model.
+    notices : EngineNotices
+        What engines said of themselves.
+    on_notice : callable
+        Called with the engine, its `Notice` and the id of the request, if an answer has
+        one.
     """
 
     def __init__(
@@ -114,6 +120,8 @@
         metrics,
         timeline,
         budgets,
+        notices,
+        on_notice,
     ):
         self.node = node
         self.zone = zone
@@ -127,6 +135,19 @@
         self.metrics = metrics
         self.timeline = timeline
         self.budgets = budgets
+        self.notices = notices
+        self.on_notice = on_notice
+
+    def check_available(self, engine):
+        """Raise a `RequestRefused` if an engine may not get new requests.
+
+        Parameters
+        ----------
+        engine : Engine
+            The engine.
+        """
+        self.states.check_available(engine.name)
+        self.notices.check_available(engine)
 
     async def run(self, forward, sink):
         """Forward a request, with retries, and return the engine's answer.
@@ -184,6 +205,7 @@
     body: bytearray = field(factory=bytearray)
     head: ResponseHead | None = None
     transfer: Transfer | None = None
+    engine: Engine | None = None
 
     def may_retry(self, error, tries):
         """Return whether the request may be retried after an error."""
@@ -243,7 +265,9 @@
         left_ms = forward.end_ms - forwarder.clock.now()
         if left_ms < MIN_TIME_LEFT_MS:
             raise RequestRefused("deadline", "too little time is left to run", 503, 0)
-        request = self._make_lease_request(left_ms)
+        paused = await self._wait_for_paused(left_ms)
+        left_ms = forward.end_ms - forwarder.clock.now()
+        request = self._make_lease_request(left_ms, paused)
         shard = forwarder.fleet.pick_shard(self.model, forward.prompt_key, "")
         if not shard:
             text = f"no engine serves {self.model!r}"
@@ -275,7 +299,42 @@
             return CUT if self.transfer.received_bytes else CUT_BEFORE_ANSWER
         return OUTCOME_BY_CODE.get(error.code, "failed")
 
-    def _make_lease_request(self, left_ms):
+    async def _wait_for_paused(self, left_ms):
+        """Return the engines that want no requests, once one of the model does.
+
+        Raises
+        ------
+        RequestRefused
+            If none will in the time that the request may wait.
+        """
+        paused_ms = self._find_paused_ms()
+        if not paused_ms or 0 in paused_ms.values():
+            return tuple(name for name, wait_ms in paused_ms.items() if wait_ms)
+        wait_ms = min(paused_ms.values())
+        if wait_ms > left_ms * QUEUE_WAIT_SHARE:
+            text = f"all engines of {self.model!r} want no requests for {wait_ms} ms"
+            raise RequestRefused("all-paused", text, 503, wait_ms)
+        self._record("request-delayed", {"wait_ms": wait_ms, "left_ms": left_ms})
+        await asyncio.sleep(wait_ms / MS_PER_S)
+        return tuple(name for name, left in self._find_paused_ms().items() if left)
+
+    def _find_paused_ms(self):
+        """Return the time in ms for which each engine of the model wants no requests.
+
+        Empty if no engine at all has asked for a pause.
+        """
+        notices = self.forwarder.notices
+        if not notices.has_pauses:
+            return {}
+        engine_by_name = self.forwarder.fleet.configuration.engine_by_name
+        return {
+            name: notices.pause_left_ms(engine)
+            for name, engine in engine_by_name.items()
+            if engine.model == self.model
+            and engine.status is LifecycleStatus.IN_SERVICE
+        }
+
+    def _make_lease_request(self, left_ms, excluded):
         forward = self.forward
         customer = forward.customer
         return LeaseRequest(
@@ -291,17 +350,21 @@
             avoid=tuple(self.avoided_engines),
             part_ends=forward.part_ends,
             trace_id=forward.request_id,
+            excluded=excluded,
         )
 
     async def _send(self, grant):
         forwarder, forward = self.forwarder, self.forward
         forwarder.states.check_available(grant.engine)
         engine_by_name = forwarder.fleet.configuration.engine_by_name
-        engine = engine_by_name[grant.engine]
+        engine = self.engine = engine_by_name[grant.engine]
+        forwarder.check_available(engine)
         left_ms = max(1, forward.end_ms - forwarder.clock.now())
         self._start_transfer(engine, left_ms)
         resume_after = self.splitter.last_id if self.sink.started else ""
         source = engine_by_name.get(grant.source)
+        if source is not None and forwarder.notices.is_leaving(source):
+            source = None
         attempt = Attempt(engine, source, left_ms, resume_after, self._get_priority())
         headers = HTTPHeaders()
         for name, value in forwarder.dialect.write_headers(forward, attempt):
@@ -395,9 +458,7 @@
         self.splitter.discard_partial()
         transfer = Transfer(first_ms, left_ms, left_ms, self._handle_data)
         transfer.connect_ms = min(CONNECT_TIMEOUT_MS, left_ms)
-        transfer.before_send = lambda: self.forwarder.states.check_available(
-            engine.name
-        )
+        transfer.before_send = lambda: self.forwarder.check_available(engine)
         self.transfer = self.sink.transfer = transfer
 
     def _get_priority(self):
@@ -447,6 +508,10 @@
             self.head = dialect.read_head(
                 self.forward, transfer.status, transfer.headers
             )
+            if self.head.notice is not NO_NOTICE:
+                self.forwarder.on_notice(
+                    self.engine, self.head.notice, self.forward.request_id
+                )
             unframed = transfer.framing == "connection"
             self.splitter.end_prefix = HTTP_PREFIX if unframed else b""
         return self.head
--- a/peridotcove/forwarding_types.py
+++ b/peridotcove/forwarding_types.py
@@ -2,6 +2,8 @@
 
 from attrs import define, frozen
 
+from peridotcove.engine_notices import NO_NOTICE, Notice
+
 
 @frozen
 class ResponseHead:
@@ -17,12 +19,15 @@
         Whether the engine states that it did not run the request.
     fault : str
         Why the response can't belong to this request; empty if it can.
+    notice : Notice
+        What the engine says of itself.
     """
 
     status: int
     headers: tuple = ()
     not_run: bool = False
     fault: str = ""
+    notice: Notice = NO_NOTICE
 
     @property
     def success(self):
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -11,6 +11,7 @@
 from peridotcove.logs import get_logger
 from peridotcove.models import LeaseGrant
 from peridotcove.nodes.messages import (
+    EXCLUDED_MARK,
     AskLease,
     GiveLease,
     HoldLeases,
@@ -71,10 +72,20 @@
     grants_locally : bool
         Whether this node grants leases itself while no owner answers. The load bound
         then covers only its own requests.
+    on_new_owner : callable
+        Called with the name of an owner before this node asks it in place of another.
     """
 
     def __init__(
-        self, node, fleet, network, server, clock, timeline, grants_locally=False
+        self,
+        node,
+        fleet,
+        network,
+        server,
+        clock,
+        timeline,
+        grants_locally=False,
+        on_new_owner=lambda owner: None,
     ):
         self._node = node
         self._fleet = fleet
@@ -85,6 +96,7 @@
         self._future_by_id = {}
         self._unresponsive_until_by_owner = {}
         self._grants_locally = grants_locally
+        self._on_new_owner = on_new_owner
         self._queued_ids = set()
         self._asked_owner_by_shard = {}
         # Owners that know leases of this node, and are told of each release.
@@ -267,6 +279,7 @@
         ]
         self._send(owner, HoldLeases(shard, items))
         self._server.suspect_sync.send_suspects(owner)
+        self._on_new_owner(owner)
         self._asked_owner_by_shard[shard] = owner
         self._informed_by_shard.setdefault(shard, set()).add(owner)
 
@@ -311,7 +324,7 @@
         left_ms,
         request.chat_key,
         request.priority,
-        list(request.avoid),
+        [*request.avoid, *(EXCLUDED_MARK + name for name in request.excluded)],
         list(request.part_ends),
         request.trace_id,
     )
@@ -329,6 +342,7 @@
     sentences = {
         "overloaded": "all engines of this model are busy",
         "deadline": "no engine became available in time",
+        "all-paused": "all engines of this model want no requests yet",
         "concurrency": "the customer has too many requests in progress",
         QUARANTINED: "engines crashed on a part of the prompt",
     }
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -15,6 +15,7 @@
 from peridotcove.logs import get_logger
 from peridotcove.models import LeaseGrant, LeaseRequest, LifecycleStatus
 from peridotcove.nodes.messages import (
+    EXCLUDED_MARK,
     AskLease,
     GiveLease,
     QueueLease,
@@ -165,8 +166,13 @@
             _effective_priority(message, customer),
             message.chat_key,
             message.blocks,
-            tuple(message.avoid),
+            tuple(name for name in message.avoid if not name.startswith(EXCLUDED_MARK)),
             tuple(message.part_ends),
+            excluded=tuple(
+                name.removeprefix(EXCLUDED_MARK)
+                for name in message.avoid
+                if name.startswith(EXCLUDED_MARK)
+            ),
         )
 
     def _handle_release(self, message):
--- a/peridotcove/metrics.py
+++ b/peridotcove/metrics.py
@@ -80,6 +80,21 @@
             "peridotcove_quarantined_parts",
             "Prompt parts that crashed engines and are refused.",
         )
+        self.engines_leaving = self._add_counter(
+            "peridotcove_engines_leaving",
+            "Engines whose answers said that they leave.",
+            "engine",
+        )
+        self.engine_pauses = self._add_counter(
+            "peridotcove_engine_pauses",
+            "Refusals with a time for which the engine wants no requests.",
+            "engine",
+        )
+        self.notice_faults = self._add_counter(
+            "peridotcove_engine_notice_faults",
+            "Times in refusals of engines that can't be kept as they are.",
+            "engine",
+        )
         self.draining = self._add_gauge(
             "peridotcove_draining", "1 while the node leaves."
         )
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -442,6 +442,8 @@
         Number of complete blocks of the chat; 0 if `prefixes` lists all.
     avoid : tuple of str
         Engines on which this request failed; they are used only if no other can be.
+    excluded : tuple of str
+        Engines that must not be used, since they want no requests of the entry node.
     part_ends : tuple of int
         Length of each prefix in tokens if the prompt is given in parts; otherwise
         empty.
@@ -464,6 +466,7 @@
     avoid: tuple = ()
     part_ends: tuple = ()
     trace_id: bytes = b""
+    excluded: tuple = ()
 
 
 @frozen
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -9,6 +9,8 @@
 from peridotcove.endpoint_state_sync import EndpointStateSync
 from peridotcove.endpoint_states import EndpointStates
 from peridotcove.endpoints.streaming_client import StreamingClient
+from peridotcove.engine_notice_sync import EngineNoticeSync
+from peridotcove.engine_notices import EngineNotices
 from peridotcove.engine_retention import EngineRetention
 from peridotcove.exceptions import LinkDown
 from peridotcove.fleet_view import FleetView
@@ -69,13 +71,12 @@
         self.endpoint_states = EndpointStates(clock)
         self.engine_retention = EngineRetention(clock)
         self.departed_engines = DepartedEngines(clock)
+        self.engine_notices = EngineNotices(clock)
         self._keeps_lapsed_engines = False
         self._withholds_engines = False
-        self.endpoint_state_sync = EndpointStateSync(
-            self.endpoint_states, clock, self.rng
-        )
         self._handler_by_type = {}
         self._wire_control()
+        self._wire_leaving()
         self._wire_links()
         self._wire_leases()
         self.streaming_client = StreamingClient(clock)
@@ -133,6 +134,23 @@
         self.interface = interface_class(self)
         self.configuration_client = self.interface.make_configuration_client(settings)
 
+    def _wire_leaving(self):
+        self.engine_notice_sync = EngineNoticeSync(
+            self.name,
+            self.engine_notices,
+            self.fleet,
+            self.metrics,
+            self.timeline,
+            self.send_all,
+            self.apply_configuration,
+        )
+        self.endpoint_state_sync = EndpointStateSync(
+            self.endpoint_states,
+            self.clock,
+            self.rng,
+            self.engine_notice_sync.leaving_names,
+        )
+
     def _wire_leases(self):
         fleet, links, clock = self.fleet, self.links, self.clock
         self.lease_server = LeaseServer(self.name, fleet, links, clock, self.timeline)
@@ -144,6 +162,7 @@
             clock,
             self.timeline,
             self.interface.grants_locally,
+            self._report_notices,
         )
         self.lease_server.client = self.lease_client
         self._handler_by_type |= {
@@ -168,7 +187,16 @@
         """
         self._handler_by_type |= handler_by_type
 
+    def _report_notices(self, owner):
+        if owner != self.name:
+            self.send_all(self.engine_notice_sync.make_report(owner))
+
     def _handle_leaving_message(self, peer, message):
+        if isinstance(message, AskLeaving):
+            self._report_notices(peer)
+        elif message.incarnations:
+            self.engine_notice_sync.receive(peer, message)
+            return
         self.send_all(self.endpoint_state_sync.receive(peer, message))
         self.update_leaving_endpoints()
 
@@ -181,6 +209,7 @@
                 self.lease_server,
                 self.metrics,
                 self.timeline,
+                self.engine_notices,
             )
         )
 
@@ -223,10 +252,12 @@
             current.revision == self.links.revision
             and not retention_ended
             and not hold_ended
+            and not self.engine_notices.pop_changed()
         ):
             return
         trusted = self.departed_engines.withhold_engines(current)
         self._withholds_engines = trusted is not current
+        trusted = self.engine_notices.withhold_engines(trusted)
         effective = self.engine_retention.retain_engines(
             self.fleet.configuration, trusted
         )
--- a/peridotcove/nodes/leaving_messages.py
+++ b/peridotcove/nodes/leaving_messages.py
@@ -1,6 +1,6 @@
 """Messages about endpoints that are leaving."""
 
-from attrs import frozen
+from attrs import field, frozen
 
 from peridotcove.nodes.messages import message
 
@@ -30,7 +30,11 @@
         Names of the engines and endpoints.
     asked_ms : int
         Copied from the `AskLeaving` that this answers; -1 if it was not requested.
+    incarnations : list
+        Incarnation of each engine, if the engines have said themselves that they leave;
+        else empty.
     """
 
     names: list
     asked_ms: int = -1
+    incarnations: list = field(factory=list)
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -17,6 +17,8 @@
 MAX_FRAME_BYTES = 8 << 20
 HEADER_FIELD_COUNT = 3
 HASH_BYTES = 8
+# Marks an engine in the `avoid` of `AskLease` as one that must not be used.
+EXCLUDED_MARK = "!"
 
 messages = Registry("message")
 
@@ -94,7 +96,8 @@
     priority : int
         Priority class in the queue; the customer's class applies if below 0.
     avoid : list
-        Engines that already failed this request.
+        Engines that already failed this request, and behind `EXCLUDED_MARK` those that
+        must not be used.
     part_ends : list
         Length in tokens of each prefix, if the prompt is given in parts.
     trace_id : bytes
--- a/peridotcove/operators/node_status.py
+++ b/peridotcove/operators/node_status.py
@@ -18,14 +18,17 @@
         Metrics of the node.
     timeline : Timeline
         Events of the node.
+    notices : EngineNotices
+        What engines said of themselves.
     """
 
-    def __init__(self, drain, control, leases, metrics, timeline):
+    def __init__(self, drain, control, leases, metrics, timeline, notices):
         self.metrics = metrics
         self.timeline = timeline
         self._drain = drain
         self._control = control
         self._leases = leases
+        self._notices = notices
 
     def find_unready_reason(self):
         """Return why the node is not ready for callers; empty if it is ready."""
@@ -46,6 +49,7 @@
             "age_ms": revisions.age_ms(),
             "refused_revision": refused.revision if refused else 0,
             "faults": list(refused.faults) if refused else [],
+            "engine_notices": self._notices.describe(),
         }
 
     def update_gauges(self):
--- a/peridotcove/platform/cache_reader.py
+++ b/peridotcove/platform/cache_reader.py
@@ -5,8 +5,10 @@
 from peridotcove.cache_watcher import CacheReader, CacheUpdate
 from peridotcove.clock import MS_PER_S
 from peridotcove.curl import CurlClient
+from peridotcove.engine_notices import NO_NOTICE
 from peridotcove.exceptions import EndpointFailed
 from peridotcove.json_values import decode_json
+from peridotcove.platform.dialect import read_notice
 from peridotcove.prefix_hashes import hash_prompt_part
 from peridotcove.verdict import Verdict
 
@@ -19,9 +21,16 @@
 
 
 class ServerCacheReader(CacheReader):
-    """Reads the content and the events of servers' caches over HTTP."""
+    """Reads the content and the events of servers' caches over HTTP.
 
-    def __init__(self):
+    Parameters
+    ----------
+    on_notice : callable
+        Called with the engine and its `Notice`, if an answer has one.
+    """
+
+    def __init__(self, on_notice=lambda engine, notice: None):
+        self._on_notice = on_notice
         self._http = CurlClient(force_instance=True, max_transfers=MAX_CONCURRENT_CALLS)
 
     def close(self):
@@ -96,10 +105,20 @@
                 connect_timeout=CONNECT_TIMEOUT_S,
                 request_timeout=wait_ms / MS_PER_S + ANSWER_TIMEOUT_S,
             )
+            self._read_notice(engine, answer)
             return decode_json(answer.body)
-        except (HTTPError, OSError, ValueError) as error:
+        except HTTPError as error:
+            if error.response is not None:
+                self._read_notice(engine, error.response)
+            raise _make_error(engine, error) from None
+        except (OSError, ValueError) as error:
             raise _make_error(engine, error) from None
 
+    def _read_notice(self, engine, answer):
+        notice = read_notice(answer.code, answer.headers)
+        if notice is not NO_NOTICE:
+            self._on_notice(engine, notice)
+
 
 def _read_count(value):
     if type(value) is not int or not 0 <= value <= MAX_COUNT:
--- a/peridotcove/platform/dialect.py
+++ b/peridotcove/platform/dialect.py
@@ -1,5 +1,8 @@
 """Header fields of requests to the platform's servers and of their answers."""
 
+from attrs import evolve
+
+from peridotcove.engine_notices import NO_NOTICE, read_pause
 from peridotcove.forwarding_types import Dialect, ResponseHead
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -40,6 +43,10 @@
 SIGNATURE_HEADER = "X-Server-Stamp"
 NOT_RUN_HEADER = "X-Not-Run"
 RESUME_AFTER_HEADER = "Last-Event-Id"
+LEAVING_HEADER = "Server-Leaving"
+LEAVING_VALUE = "1"
+RETRY_AFTER_HEADER = "Retry-After"
+FULL_STATUS = 503
 MISDIRECTED_STATUS = 421
 MAX_PRIORITY = 9
 
@@ -114,9 +121,29 @@
         """
         kept = filter_headers(headers, frozenset())
         not_run = NOT_RUN_HEADER in headers or status == MISDIRECTED_STATUS
-        return ResponseHead(
-            status, kept, not_run, _find_fault(forward, status, headers)
-        )
+        fault = _find_fault(forward, status, headers)
+        # An answer with a fault may be that of another server.
+        notice = NO_NOTICE if fault else read_notice(status, headers)
+        return ResponseHead(status, kept, not_run, fault, notice)
+
+
+def read_notice(status, headers):
+    """Return the `Notice` of a server's answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status; with 421 another server answered than was meant.
+    headers : tornado.httputil.HTTPHeaders
+        Header fields that the server sent.
+    """
+    notice = NO_NOTICE
+    if status == FULL_STATUS and RETRY_AFTER_HEADER in headers:
+        notice = read_pause(headers[RETRY_AFTER_HEADER])
+    is_leaving = headers.get(LEAVING_HEADER) == LEAVING_VALUE
+    if is_leaving and status != MISDIRECTED_STATUS:
+        notice = evolve(notice, is_leaving=True)
+    return notice
 
 
 def _find_fault(forward, status, headers):
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -54,7 +54,9 @@
         self.discovery.set_seeds(self._seeds)
         store = node.settings.platform
         self.retry_budgets = RetryBudgets(store.retry_share, store.retry_extra)
-        self._cache_reader = ServerCacheReader()
+        self._cache_reader = ServerCacheReader(
+            lambda engine, notice: node.engine_notice_sync.handle_answer(engine, notice)
+        )
         self._cache_watcher = CacheWatcher(
             self._cache_reader, self._apply_cache_event, node.clock
         )
@@ -85,6 +87,8 @@
             node.metrics,
             node.timeline,
             self.retry_budgets,
+            node.engine_notices,
+            node.engine_notice_sync.handle_answer,
         )
         gateway = HostRouteGateway(
             node.fleet,
@@ -162,11 +166,13 @@
             # read all caches at once, the engines reject most of the calls.
             return []
         engine_by_name = self.node.fleet.configuration.engine_by_name
-        return [
+        engines = [
             engine_by_name[name]
             for name in self.node.owned_engines()
             if name in engine_by_name and engine_by_name[name].shares_cache
         ]
+        pause_left_ms = self.node.engine_notices.pause_left_ms
+        return [engine for engine in engines if not pause_left_ms(engine)]
 
     def _apply_cache_event(self, event):
         self.node.lease_server.apply_part_event(event)
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -74,6 +74,7 @@
     "request-refused", "the request was refused and did not run", level=logging.WARNING
 )
 add_kind("request-sent", "the request went to an endpoint")
+add_kind("request-delayed", "the request waits since all engines want none yet")
 add_kind("request-retried", "the request is tried again", level=logging.WARNING)
 add_kind("first-byte", "the endpoint's first byte arrived", level=logging.NOTSET)
 add_kind("request-ended", "the request ended")
@@ -145,6 +146,13 @@
     level=logging.WARNING,
 )
 add_kind("answer-unframed", "an answer without length or chunks ended")
+add_kind("engine-leaving", "an engine says that it leaves and gets no work")
+add_kind("engine-paused", "an engine wants no requests for a time")
+add_kind(
+    "engine-notice-invalid",
+    "an engine names a time that can't be kept",
+    level=logging.WARNING,
+)
 add_kind("answer-copy-discarded", "a second copy followed an answer without length")
 add_kind(
     "engine-crashed",
--- a/tests/platform/test_cache_reader.py
+++ b/tests/platform/test_cache_reader.py
@@ -5,7 +5,10 @@
 import unittest
 from unittest import mock
 
+from tornado.httputil import HTTPHeaders
+
 from peridotcove.cache_watcher import CacheUpdate
+from peridotcove.engine_notices import Notice
 from peridotcove.exceptions import EndpointFailed
 from peridotcove.models import Engine
 from peridotcove.platform.cache_reader import ServerCacheReader
@@ -19,18 +22,32 @@
 class ServerCacheReaderTest(unittest.IsolatedAsyncioTestCase):
     """Pages of a server's cache become updates; odd ones are failures of the server."""
 
-    async def read(self, call, page):
+    async def read(self, call, page, fields=None):
         body = page if isinstance(page, bytes) else json.dumps(page).encode()
         http = mock.Mock()
-        http.fetch = mock.AsyncMock(return_value=types.SimpleNamespace(body=body))
+        answer = types.SimpleNamespace(
+            code=200, headers=HTTPHeaders(fields or {}), body=body
+        )
+        http.fetch = mock.AsyncMock(return_value=answer)
         with mock.patch(
             "peridotcove.platform.cache_reader.CurlClient", return_value=http
         ):
-            reader = ServerCacheReader()
+            reader = ServerCacheReader(lambda *args: self.notices.append(args))
         if call == "list":
             return await reader.read_list(ENGINE)
         return await reader.read_events(ENGINE, 1, 0)
 
+    def setUp(self):
+        self.notices = []
+
+    async def test_answers_of_leaving_servers_are_noticed(self):
+        page = {"epoch": 3, "next": 8, "lost": False, "held": [], "events": []}
+        for call in ("list", "events"):
+            await self.read(call, page, {"Server-Leaving": "1"})
+            self.assertEqual(self.notices.pop(), (ENGINE, Notice(is_leaving=True)))
+            await self.read(call, page, {"Server-Leaving": "0"})
+            self.assertEqual(self.notices, [])
+
     async def test_pages(self):
         key = hash_prompt_part("m", "a1")
         page = {"epoch": 3, "next": 8, "held": [["", "a1", 40, "m"]]}
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -62,6 +62,30 @@
     writer.write(text)
 
 
+async def answer_leaving(seen, writer):
+    """Serve the request and say that the server leaves."""
+    writer.write(make_head(seen, 200, 0, Server_Leaving="1"))
+
+
+async def refuse_leaving(seen, writer):
+    """Refuse the request, since the server leaves."""
+    writer.write(make_head(seen, 503, 0, X_Not_Run="1", Server_Leaving="1"))
+
+
+async def fail_leaving(seen, writer):
+    """Fail the request and say that the server leaves."""
+    writer.write(make_head(seen, 500, 0, Server_Leaving="1"))
+
+
+def refuse_for(seconds):
+    """Return an answer that refuses requests and wants none for a time."""
+
+    async def answer(seen, writer):
+        writer.write(make_head(seen, 503, 0, X_Not_Run="1", Retry_After=seconds))
+
+    return answer
+
+
 async def answer_unsigned(seen, writer):
     """Send a success without a signature."""
     text = make_head(seen, 200, 2).replace(b"X-Server-Stamp", b"X-Other")
@@ -631,6 +655,106 @@
                     self.assertEqual(got.status, 200)
                 self.assertEqual(len(leaving.seen), before)
 
+    def set_server_answer(self, number, answer):
+        """Set the answer of one server and let the other one echo."""
+        for server in self.servers:
+            server.answer = fakes.echo_body
+        self.servers[number].answer = answer
+
+    async def send_until(self, condition, target="/lookup/"):
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                self.assertEqual((await self.fetch("r1", target)).status, 200)
+
+    async def test_a_server_that_says_that_it_leaves_gets_no_more_requests(self):
+        for answer in (answer_leaving, refuse_leaving, fail_leaving):
+            with self.subTest(answer=answer):
+                server = self.servers[0]
+                self.set_server_answer(0, answer)
+                server.seen.clear()
+                await self.send_until(lambda server=server: server.seen)
+                server.seen.clear()
+                for store_silent in (False, True):
+                    self.store.silent = store_silent
+                    for _ in range(10):
+                        response = await self.fetch("r1", "/booking/")
+                        self.assertEqual(response.status, 200)
+                self.store.silent = False
+                self.assertEqual(server.seen, [])
+                # The same id, started again, gets work at once.
+                server.answer = fakes.echo_body
+                self.born += 1
+                entry = server.make_entry("llm", born=self.born)
+                self.store.put(f"servers/{server.name}", entry)
+                await self.wait_in_force(self.node)
+                await self.send_until(lambda server=server: server.seen)
+
+    born = 1_700_000_000_000
+
+    async def test_a_server_that_names_a_time_gets_nothing_before_it(self):
+        self.set_server_answer(0, refuse_for("0.6"))
+        server = self.servers[0]
+        await self.send_until(lambda: server.seen)
+        server.seen.clear()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + 0.5
+        while loop.time() < end:
+            self.assertEqual((await self.fetch("r1", "/booking/")).status, 200)
+        self.assertEqual(server.seen, [])
+        server.answer = fakes.echo_body
+        await self.send_until(lambda: server.seen)
+
+    async def test_requests_are_refused_at_once_if_all_servers_want_none(self):
+        for server in self.servers:
+            server.answer = refuse_for("4")
+        first = await self.fetch("r1", "/booking/")
+        self.assertEqual(first.status, 503)
+        before = self.arrivals()
+        started = asyncio.get_running_loop().time()
+        response = await self.fetch("r1", "/booking/")
+        self.assertLess(asyncio.get_running_loop().time() - started, 0.5)
+        self.assertEqual(response.status, 503)
+        self.assertTrue(3 < float(response.headers["retry-after"]) <= 4)
+        self.assertEqual(self.arrivals(), before)
+
+    async def test_a_request_waits_for_servers_that_soon_want_it(self):
+        for server in self.servers:
+            server.answer = refuse_for("0.3")
+        await self.fetch("r1", "/booking/")
+        self.set_answers()
+        response = await self.fetch("r2", "/booking/")
+        self.assertEqual(response.status, 200)
+
+    async def test_times_that_are_none_are_ignored(self):
+        for text in ("soon", "-1", "nan", "", "Wed, 21 Oct 2026 07:28:00 GMT"):
+            with self.subTest(text=text):
+                self.set_answers(refuse_for(text), refuse_for(text))
+                before = self.arrivals()
+                await self.fetch("r1", "/booking/")
+                self.assertEqual((await self.fetch("r1", "/booking/")).status, 200)
+                self.assertEqual(self.arrivals() - before, 3)
+
+    async def test_owners_learn_that_a_server_leaves(self):
+        address = self.node.settings.nodes
+        seeds = [f"{address.host}:{address.port}"]
+        other = await self.start(seeds)
+        await self.wait_in_force(other)
+        await self.wait_for(lambda: len(self.node.fleet.nodes) == 2)
+        await self.wait_for(lambda: len(other.fleet.nodes) == 2)
+        self.set_server_answer(0, answer_leaving)
+        server = self.servers[0]
+        await self.send_until(lambda: server.seen)
+        keys = [(server.name, 0)]
+        nodes = [self.node, other]
+        await self.wait_for(
+            lambda: all(one.engine_notices.leaving_keys() == keys for one in nodes)
+        )
+        server.seen.clear()
+        for node in nodes * 5:
+            client = await self.connect(node)
+            self.assertEqual((await client.fetch("r1", "/booking/")).status, 200)
+        self.assertEqual(server.seen, [])
+
     async def test_requests_without_a_server_are_refused_at_once(self):
         for server in self.servers:
             self.store.drop(f"servers/{server.name}")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -278,6 +278,32 @@
     await context.fleet.remove_server(name, context.rng.uniform(3, 8))
 
 
+@FAULTS.register("say-leaving")
+async def let_server_say_that_it_leaves(context):
+    """Replace a server that says in its answers, not in the store, that it leaves."""
+    fleet, rng = context.fleet, context.rng
+    await fleet.add_server()
+    (name,) = context.sample_servers(0)
+    fleet.active_servers.discard(name)
+    fleet.server_by_name[name].leaving_share = rng.uniform(0.3, 1)
+    await asyncio.sleep(rng.uniform(2, 6))
+    await fleet.remove_server(name, rng.uniform(0, 4))
+
+
+@FAULTS.register("pause-servers")
+async def let_servers_want_no_requests(context):
+    """Let some or all servers refuse requests with a time to come back."""
+    servers = [
+        context.fleet.server_by_name[name]
+        for name in context.sample_servers(context.rng.choice((0.3, 0.3, 1.0)))
+    ]
+    for server in servers:
+        server.pause_share = context.rng.uniform(0.05, 0.6)
+    await asyncio.sleep(context.rng.uniform(1, 4))
+    for server in servers:
+        server.pause_share = 0.0
+
+
 @FAULTS.register("odd-entries")
 async def write_odd_entries(context):
     """Write entries of servers that are oddly wrong, and drop them after a while."""
@@ -317,7 +343,9 @@
 @FAULTS.register("server-link")
 async def disrupt_server_links(context):
     """Delay, partition, reset or make half-open the connections to some servers."""
+    promises = context.fleet.promises
     names = context.sample_servers(0.3)
+    disruptions = [promises.begin_disruption(name) for name in names]
     proxies = [context.fleet.proxy_by_server[name] for name in names]
     kind = context.rng.choice(("delay", "cut", "reset", "silence"))
     directions = context.rng.choice(([Direction.UP], [Direction.DOWN]))
@@ -334,3 +362,5 @@
     for proxy in proxies:
         proxy.delay_ms = 0
         proxy.block(())
+    for disruption in disruptions:
+        promises.end_disruption(disruption)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -140,6 +140,7 @@
     async def remove_server(self, name, removal_delay_s):
         """Mark a server as draining in the store; remove and stop it after a delay."""
         self.active_servers.discard(name)
+        self.server_by_name[name].leaving_share = 1.0
         self.promises.record_server_leaving(name)
         self.store.put(f"servers/{name}", self._make_server_entry(name, "draining"))
         await asyncio.sleep(removal_delay_s)
@@ -211,7 +212,7 @@
         incarnation = node.incarnation
         version = self.version
         target = TARGET_BY_KIND.get(kind, f"/v{version}/")
-        self.promises.record_request(request_id, kind, node.label)
+        self.promises.record_request(request_id, kind, node.label, incarnation)
         client.send(request_id, target)
         if rng.random() < ABORT_SHARE:
             await asyncio.sleep(rng.random() * MAX_ABORT_DELAY_S)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -14,6 +14,13 @@
 MAX_OLD_VERSION_MS = 250
 # from when a server is listed as draining until it gets no more requests,
 MAX_DRAIN_DELAY_MS = 2_000
+# from when a node passes on an answer by which a server leaves until no request that is
+# sent to the node reaches that server,
+MAX_SAID_LEAVING_DELAY_MS = 2_000
+# from a refusal with a time, within which the server gets no request from that node but
+# for some that are under way, until that holds,
+PAUSE_GRACE_MS = 500
+MAX_REQUESTS_IN_PAUSE = 2
 # from the end of a disruption until the other bounds apply again, with a longer time
 # after a disruption of the store.
 SETTLING_MS = 3_000
@@ -46,10 +53,23 @@
     kind: str
     node: str
     sent_ms: int
+    incarnation: int = 0
     runs: int = 0
     arrivals: int = 0
     answer_status: int | None = None
 
+    @property
+    def link(self):
+        """The process that handles it, which a restart replaces."""
+        return self.node, self.incarnation
+
+
+@define
+class _Pause:
+    begin_ms: float
+    end_ms: float
+    arrivals: int = 0
+
 
 @define
 class _Disruption:
@@ -86,6 +106,9 @@
     _newest_version_by_process: dict = field(factory=dict)
     _published_ms_by_version: dict = field(factory=dict)
     _leaving_ms_by_server: dict = field(factory=dict)
+    _leaving_by_request_id: dict = field(factory=dict)
+    _said_leaving_ms_by_link: dict = field(factory=dict)
+    _pauses_by_link: dict = field(factory=dict)
     _retry_times_ms: list = field(factory=list)
     _request_times_ms: list = field(factory=list)
 
@@ -138,10 +161,10 @@
         """Record that the store lists a server as draining from now on."""
         self._leaving_ms_by_server[server] = CLOCK.now()
 
-    def record_request(self, request_id, kind, node):
-        """Record that a client sends a request to a node."""
+    def record_request(self, request_id, kind, node, incarnation=0):
+        """Record that a client sends a request to a process of a node."""
         now = CLOCK.now()
-        self._request_by_id[request_id] = _Request(kind, node, now)
+        self._request_by_id[request_id] = _Request(kind, node, now, incarnation)
         self._request_times_ms.append(now)
 
     def record_arrival(self, request_id, server):
@@ -154,6 +177,7 @@
             return False
         now = CLOCK.now()
         request.arrivals += 1
+        self._check_notices(request_id, request, server, now)
         if request.arrivals > 1:
             self._retry_times_ms.append(now)
             self._check_retry_budget(now)
@@ -165,6 +189,36 @@
             self._add_violation("drain", f"{text} it was listed as draining")
         return True
 
+    def record_said_leaving(self, request_id, server):
+        """Record that the answer to a request says that its server leaves."""
+        self._leaving_by_request_id[request_id] = server
+
+    def record_pause(self, request_id, server, pause_ms):
+        """Record that a server tells a node to send it nothing for a time."""
+        link = self._request_by_id[request_id].link, server
+        now = CLOCK.now()
+        pause = _Pause(now + PAUSE_GRACE_MS, now + pause_ms)
+        self._pauses_by_link.setdefault(link, []).append(pause)
+
+    def _check_notices(self, request_id, request, server, now):
+        link = request.link, server
+        said_ms = self._said_leaving_ms_by_link.get(link)
+        if not all(self.is_stable(name, now) for name in (request.node, server)):
+            return
+        if (
+            said_ms is not None
+            and request.sent_ms > said_ms + MAX_SAID_LEAVING_DELAY_MS
+        ):
+            text = f"{server} got {request_id} from {request.node}, sent"
+            late_ms = request.sent_ms - said_ms
+            self._add_violation("said-leaving", f"{text} {late_ms} ms after it said so")
+        for pause in self._pauses_by_link.get(link, ()):
+            if pause.begin_ms < now < pause.end_ms:
+                pause.arrivals += 1
+                if pause.arrivals > MAX_REQUESTS_IN_PAUSE:
+                    text = f"{server} got {request_id} from {request.node} within a"
+                    self._add_violation("pause", f"{text} time in which it wants none")
+
     def check_forwarded_headers(self, request_id, headers):
         """Check that a forwarded request names the customer and carries no API key."""
         if headers.get("X-Tenant") != CUSTOMER or "Api-Key" in headers:
@@ -190,6 +244,10 @@
         """Record the status that a client got; 0 without an answer."""
         request = self._request_by_id[request_id]
         request.answer_status = status
+        leaving = self._leaving_by_request_id.pop(request_id, None)
+        if leaving is not None and status == 200:
+            link = request.link, leaving
+            self._said_leaving_ms_by_link.setdefault(link, CLOCK.now())
         self.answer_counts[request.kind, status] += 1
         if request.kind == "booking" and request.runs and status in NOT_RUN_STATUSES:
             self._add_violation(
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -24,6 +24,7 @@
 HANG_S = 30.0
 TORN_EVENT = b"id: 13\nda"
 MAX_COPY_DELAY_S = 0.08
+ODD_PAUSES = ("soon", "-1", "nan", "", "Wed, 21 Oct 2026 07:28:00 GMT", "0")
 
 
 def make_expected_body(request_id, target):
@@ -49,6 +50,13 @@
     ----------
     fault_share : float
         Share of the requests that fail.
+    runs : int
+        Number of requests that it ran.
+    leaving_share : float
+        Share of the answers that say that the server leaves, once it has said so.
+    pause_share : float
+        Share of the requests that are refused with a time for which the server wants
+        none; a quarter of the refusals names no time that can be kept.
     fault : str
         How they fail: ``errors`` (status 500), ``hang``, ``refuse`` (not run),
         ``lose`` (connection reset after the run), ``twice`` (a second copy of the
@@ -59,8 +67,9 @@
 
     def __init__(self, name, promises, rng):
         super().__init__(name, self._handle_request)
-        self.fault_share = 0.0
+        self.fault_share = self.leaving_share = self.pause_share = 0.0
         self.fault = ""
+        self.runs = 0
         self._promises = promises
         self._rng = rng
 
@@ -73,12 +82,16 @@
         if seen.headers.get("X-Expect-Instance") != self.name:
             writer.write(make_head(seen, 421, 0))
             return
+        if self._rng.random() < self.pause_share:
+            self._refuse_for(seen, writer)
+            return
         is_faulty = self._rng.random() < self.fault_share
         fault = self.fault if is_faulty else ""
         if fault == "refuse":
             await refuse(seen, writer)
             return
         self._promises.record_run(request_id, self.name)
+        self.runs += 1
         if fault == "hang":
             await asyncio.sleep(HANG_S)
         await asyncio.sleep(SERVICE_TIME_S)
@@ -90,10 +103,27 @@
             )
         else:
             body = make_expected_body(request_id, seen.target)
-            writer.write(make_head(seen, 200, len(body)) + body)
+            writer.write(make_head(seen, 200, len(body), **self._leave(seen)) + body)
         if not writer.is_closing():
             await writer.drain()
 
+    def _leave(self, seen):
+        """Return the header fields that say that the server leaves, or none."""
+        if self._rng.random() >= self.leaving_share:
+            return {}
+        self._promises.record_said_leaving(seen.headers["X-Request-Id"], self.name)
+        return {"Server_Leaving": "1"}
+
+    def _refuse_for(self, seen, writer):
+        text = self._rng.choice(ODD_PAUSES)
+        if self._rng.random() < 0.75:
+            seconds = self._rng.uniform(0.5, 3)
+            text = f"{seconds:.3f}"
+            self._promises.record_pause(
+                seen.headers["X-Request-Id"], self.name, 1_000 * seconds
+            )
+        writer.write(make_head(seen, 503, 0, X_Not_Run="1", Retry_After=text))
+
     async def _answer_twice(self, seen, writer):
         body = make_expected_body(seen.headers["X-Request-Id"], seen.target)
         if "Last-Event-Id" in seen.headers:
