An unframed answer is complete only if its own incarnation says that it lives

Cause: whether such an answer was whole was decided by who listens at its engine's address when the node looks; a new incarnation there, or no reply, counted as a sign of life. Callers got a stream that a crash had cut off as a complete one. Change: the engine is asked who it is, with the id that is expected, for at most 500 ms; only an answer of that id and start time is a sign of life. Conclusion: costs one request for each unframed answer in place of one connection.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -13,7 +13,6 @@
 from peridotcove.answer_copies import HTTP_PREFIX, find_copy
 from peridotcove.clock import MS_PER_S
 from peridotcove.crash_suspects import CUT, CUT_BEFORE_ANSWER
-from peridotcove.endpoints.connection_check import refuses_connections
 from peridotcove.endpoints.streaming_client import Transfer
 from peridotcove.engine_notices import NO_NOTICE
 from peridotcove.event_splitter import EventSplitter
@@ -25,7 +24,7 @@
     ResponseHead,
 )
 from peridotcove.host_routes import pick_model
-from peridotcove.models import Engine, LeaseRequest, LifecycleStatus
+from peridotcove.models import Engine, LeaseRequest, LifecycleStatus, Model
 from peridotcove.retries import RetryBudget, RetryPolicy, may_repeat, run_tries
 from peridotcove.verdict import Verdict
 
@@ -46,6 +45,9 @@
 FIRST_BYTE_SHARE = 0.4
 # Share of the remaining time that a request may wait in the queue for a lease.
 QUEUE_WAIT_SHARE = 0.5
+# Time in which an engine answers a question about itself; it may need a free slot.
+LIFE_CHECK_TIMEOUT_MS = 500
+DEFAULT_HEALTH_PATH = Model("").health_path
 MAX_ANSWER_BYTES = 16 << 20
 EVENT_STREAM_TYPE = "text/event-stream"
 # Codes of errors that mean that no engine was reached.
@@ -522,23 +524,46 @@
         return error
 
     async def _check_unframed_end(self, engine, left_ms):
-        """Raise an error if an engine crashed when its unframed answer ended.
+        """Raise an error unless an engine lives on after its unframed answer.
 
         Such an answer ends with its connection, and a process that crashes closes its
-        connections like one that has finished.
+        connections like one that has finished. Another incarnation may listen at the
+        address by now, so the engine is asked who it is; no answer shows nothing.
         """
-        time_left_ms = self.forward.end_ms - self.forwarder.clock.now()
-        timeout_ms = min(CONNECT_TIMEOUT_MS, max(1, time_left_ms))
-        crashed = await refuses_connections(engine.url, timeout_ms)
+        lives = await self._is_alive(engine)
         inputs = {"status": self.transfer.status, **self._describe_end()}
-        self._record(
-            "answer-unframed", {**inputs, "crashed": crashed}, peer=engine.name
-        )
-        if crashed:
+        self._record("answer-unframed", {**inputs, "lives": lives}, peer=engine.name)
+        if not lives:
             self._record_cut(engine, left_ms)
-            text = f"engine {engine.name} ended together with its answer"
+            text = f"engine {engine.name} gave no sign of life after its answer"
             raise EndpointFailed("cut", text, Verdict.MAY_HAVE_RUN)
 
+    async def _is_alive(self, engine):
+        forwarder = self.forwarder
+        configuration = forwarder.fleet.configuration
+        listed = configuration.engine_by_name.get(engine.name)
+        is_replaced = listed is not None and listed.incarnation != engine.incarnation
+        if is_replaced or forwarder.notices.pause_left_ms(engine):
+            return False
+        time_left_ms = self.forward.end_ms - forwarder.clock.now()
+        timeout_ms = max(1, min(LIFE_CHECK_TIMEOUT_MS, time_left_ms))
+        transfer = Transfer(timeout_ms, timeout_ms, timeout_ms)
+        transfer.connect_ms = timeout_ms
+        model = configuration.model_by_name.get(engine.model)
+        path = model.health_path if model is not None else DEFAULT_HEALTH_PATH
+        headers = forwarder.dialect.make_life_check(engine)
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                response = await forwarder.client.fetch(
+                    "GET", engine.url + path, headers, None, transfer
+                )
+        except (RequestError, TimeoutError) as error:
+            inputs = {"timeout_ms": timeout_ms}
+            detail = str(error) or "no answer"
+            self._record("life-check-failed", inputs, engine.name, detail)
+            return False
+        return forwarder.dialect.confirms_life(engine, response)
+
     def _check_event_end(self, head, remainder):
         """Raise an error if a stream of events ended inside of one or has none."""
         if remainder.endswith(b"\r\n\r\n"):
--- a/peridotcove/forwarding_types.py
+++ b/peridotcove/forwarding_types.py
@@ -50,6 +50,28 @@
         """
         raise NotImplementedError
 
+    def make_life_check(self, engine):
+        """Return the request headers of a question to an engine about itself.
+
+        Parameters
+        ----------
+        engine : Engine
+            The engine.
+        """
+        raise NotImplementedError
+
+    def confirms_life(self, engine, response):
+        """Return whether an answer to that question is one of the same incarnation.
+
+        Parameters
+        ----------
+        engine : Engine
+            The engine that was meant.
+        response : EndpointResponse
+            Its answer, or that of another engine at its address.
+        """
+        raise NotImplementedError
+
     def read_head(self, forward, status, headers):
         """Return the `ResponseHead` of an engine's response.
 
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -89,12 +89,15 @@
         Adapters that callers may select, as ``model:adapter``.
     weight_bytes : int
         Size of the weights in bytes.
+    health_path : str
+        Path at which engines tell that they live.
     """
 
     name: str
     version: str = "1"
     adapters: tuple[str, ...] = ()
     weight_bytes: int = number_field(0, 1 << 50, default=0)
+    health_path: str = "/health"
 
 
 @frozen
--- a/peridotcove/platform/dialect.py
+++ b/peridotcove/platform/dialect.py
@@ -4,6 +4,7 @@
 
 from peridotcove.engine_notices import NO_NOTICE, read_pause
 from peridotcove.forwarding_types import Dialect, ResponseHead
+from peridotcove.json_values import decode_json
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -48,6 +49,8 @@
 RETRY_AFTER_HEADER = "Retry-After"
 FULL_STATUS = 503
 MISDIRECTED_STATUS = 421
+EXPECTED_ID_HEADER = "X-Expect-Instance"
+ID_HEADER = "X-Instance-Id"
 MAX_PRIORITY = 9
 
 
@@ -94,7 +97,7 @@
         """
         added = {
             DEADLINE_HEADER: str(attempt.left_ms),
-            "X-Expect-Instance": attempt.engine.name,
+            EXPECTED_ID_HEADER: attempt.engine.name,
         }
         if forward.customer is not None:
             added["X-Tenant"] = forward.customer.name
@@ -107,6 +110,38 @@
         kept = [pair for pair in forward.headers if pair[0] not in added]
         return [*kept, *added.items()]
 
+    def make_life_check(self, engine):
+        """Return the request headers of a question to a server about itself.
+
+        Parameters
+        ----------
+        engine : Engine
+            The server. Another one at its address answers with 421.
+        """
+        return {EXPECTED_ID_HEADER: engine.name}
+
+    def confirms_life(self, engine, response):
+        """Return whether an answer to that question is one of the same incarnation.
+
+        An answer without an id, a start time or a status that only the server with the
+        expected id gives is no sign of life.
+
+        Parameters
+        ----------
+        engine : Engine
+            The server that was meant.
+        response : EndpointResponse
+            Its answer, or that of another server at its address.
+        """
+        if response.headers.get(ID_HEADER, engine.name) != engine.name:
+            return False
+        born = _read_born(response.body)
+        if engine.incarnation and born is not None and born != engine.incarnation:
+            return False
+        if ID_HEADER in response.headers:
+            return response.status != MISDIRECTED_STATUS
+        return response.status in (200, FULL_STATUS)
+
     def read_head(self, forward, status, headers):
         """Return the `ResponseHead` of an answer.
 
@@ -146,6 +181,15 @@
     return notice
 
 
+def _read_born(body):
+    """Return the start time in what a server says of itself, or None."""
+    try:
+        born = decode_json(body).get("born")
+    except (ValueError, AttributeError):
+        return None
+    return born if type(born) is int else None
+
+
 def _find_fault(forward, status, headers):
     answered = headers.get(REQUEST_ID_HEADER, forward.request_id_text)
     if answered != forward.request_id_text:
--- a/peridotcove/platform/translation.py
+++ b/peridotcove/platform/translation.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+import re
 
 from peridotcove.configuration_checks import NAME_PATTERN, is_base_url
 from peridotcove.exceptions import InvalidSettings, PlatformDown
@@ -29,6 +30,9 @@
 ENTRY_CACHE_SIZE = 8_192
 # Rate and concurrency limit that is never reached: the platform sets no quota.
 NO_LIMIT = 1_000_000
+# Page of a model server about itself.
+REPORT_PATH = "/report"
+HEALTH_PATH_PATTERN = re.compile(r"/[!-~]{0,200}")
 # Largest whole number that all JSON decoders read exactly.
 LARGEST_EXACT_NUMBER = 2**53 - 1
 
@@ -85,7 +89,7 @@
         return {
             "bounds": _make_bounds(store, "tenants" in document),
             "zones": {zone: {"region": REGION} for zone in store.region_by_zone},
-            "models": {name: {} for name in service_by_name},
+            "models": {name: _make_model(one) for name, one in service_by_name.items()},
             "engines": _make_engines(
                 item_by_key, service_by_name, store.region_by_zone
             ),
@@ -110,6 +114,13 @@
     }
 
 
+def _make_model(raw):
+    # A model server tells of itself without a slot; other servers have a health check.
+    path = REPORT_PATH if raw.get("engine") else raw.get("health_path")
+    is_path = isinstance(path, str) and HEALTH_PATH_PATTERN.fullmatch(path)
+    return {"health_path": path} if is_path else {}
+
+
 def _make_customer(raw):
     digests = [hashlib.sha256(key.encode()).hexdigest() for key in raw["api_keys"]]
     customer = {
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -153,6 +153,7 @@
     "an engine names a time that can't be kept",
     level=logging.WARNING,
 )
+add_kind("life-check-failed", "an engine did not say whether it lives")
 add_kind("answer-copy-discarded", "a second copy followed an answer without length")
 add_kind(
     "engine-crashed",
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -185,9 +185,12 @@
         Number of connections that callers closed before the end of the answer.
     answer : callable
         Called with the `ReceivedRequest` and the writer; writes the answer.
+    answer_health : callable
+        The same for health checks.
     """
 
     def __init__(self, name, answer=None):
+        self.answer_health = self._answer_health
         self.name = name
         self.seen = []
         self.disconnects = 0
@@ -216,6 +219,11 @@
             "seq": 1,
         } | changes
 
+    async def _answer_health(self, seen, writer):
+        status = 200 if seen.headers.get("X-Expect-Instance") == self.name else 421
+        lines = f"HTTP/1.1 {status} x\r\nX-Instance-Id: {self.name}\r\n"
+        writer.write(f"{lines}Content-Length: 0\r\n\r\n".encode())
+
     async def _serve(self, reader, writer):
         try:
             header = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -224,6 +232,10 @@
             body = await reader.readexactly(int(headers.get("Content-Length", 0)))
             method, target, _ = line.split(" ")
             seen = ReceivedRequest(method, target, headers, body)
+            if method == "GET" and target == "/health":
+                await self.answer_health(seen, writer)
+                await writer.drain()
+                return
             self.seen.append(seen)
             answering = asyncio.ensure_future(self.answer(seen, writer))
             ending = asyncio.ensure_future(reader.read(1))
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -429,6 +429,51 @@
                     expected = b"".join(map(make_event, range(1, 6)))
                     self.assertEqual(got.body, expected)
 
+    # A new incarnation on the address, or no reply from it, counted as a sign of life.
+    async def test_an_unframed_answer_without_a_sign_of_life_is_not_complete(self):
+        async def stay_silent_about_health(seen, writer):
+            await asyncio.sleep(WAIT_S)
+
+        def answer_with(status, body=b"", **fields):
+            async def answer(seen, writer):
+                lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}"]
+                lines += [f"{k.replace('_', '-')}: {v}" for k, v in fields.items()]
+                writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+            return answer
+
+        born = self.born + 1
+        for server in self.servers:
+            entry = server.make_entry("llm", born=born)
+            self.store.put(f"servers/{server.name}", entry)
+        await self.wait_in_force(self.node)
+        other = f'{{"born": {born + 1}}}'.encode()
+        same = f'{{"born": {born}}}'.encode()
+        cases = [
+            # answer to the health check, whether the answer counts as complete
+            (stay_silent_about_health, False),
+            (answer_with(421, X_Instance_Id="other"), False),
+            (answer_with(200, X_Instance_Id="other"), False),
+            (answer_with(200, other), False),
+            (answer_with(404), False),
+            (answer_with(400), False),
+            (reset, False),
+            (answer_with(200, same), True),
+            (answer_with(503), True),
+        ]
+        for answer_health, is_whole in cases:
+            for server in self.servers:
+                server.answer_health = answer_health
+            for target, answer in (
+                ("/chat/", make_unframed_answer(2)),
+                ("/booking/", echo_unframed_body),
+            ):
+                with self.subTest(target=target, answer_health=answer_health):
+                    self.set_answers(answer)
+                    response = await self.fetch("r1", target, body=b"b")
+                    is_complete = response.status == 200 and response.is_complete
+                    self.assertEqual(is_complete, is_whole)
+
     async def test_an_unframed_answer_of_a_living_engine_is_complete(self):
         for target, answer in (
             ("/chat/", make_unframed_answer(2)),
