Requests that wait for a removed service are refused, not cut

Cause: the client of the leases looked up the shard of a waiting request by name after its service had gone; the key error closed the caller's connection without an answer. Change: such a request ends at once, not run, with 200 ms as Retry-After. An unexpected error of a request is logged with its trace and answered with 502. Conclusion: other look-ups by name were read; none waits between check and use.

--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -33,6 +33,8 @@
 MAX_LATE_WAITS = 3
 RETRY_PAUSE_MS = 100
 MAX_OWNERS = 2
+# Time after which a request whose service was removed finds the route's next service.
+REMOVED_RETRY_AFTER_MS = 200
 # Period in which each node announces its leases to the owners.
 LEASE_ANNOUNCE_INTERVAL_MS = 10_000
 NOT_OWNER = "not-owner"
@@ -116,11 +118,17 @@
         Raises
         ------
         RequestRefused
-            If no owner grants a lease in time; the request did not run.
+            If no owner grants a lease in time, or the shard has gone with its service;
+            the request did not run.
         """
         end_ms = self._clock.now() + request.deadline_ms
         while True:
             for owner in self._order_owners(shard):
+                if shard not in self._fleet.shard_by_name:
+                    text = "the service of the request has just been removed"
+                    raise RequestRefused(
+                        "service-removed", text, 503, REMOVED_RETRY_AFTER_MS
+                    )
                 reply = await self._request_from_owner(owner, shard, request, end_ms)
                 if isinstance(reply, LeaseGrant):
                     lease = HeldLease(shard, owner, reply.engine, request.customer)
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -17,7 +17,7 @@
 from peridotcove.callers.body_writer import BodyWriter
 from peridotcove.callers.response_sink import ResponseSink
 from peridotcove.clock import MS_PER_S
-from peridotcove.exceptions import RequestError, RequestRefused
+from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
 from peridotcove.forwarding_types import ForwardedRequest
 from peridotcove.logs import get_logger
 from peridotcove.platform.dialect import (
@@ -204,6 +204,16 @@
         except asyncio.CancelledError:
             self._gateway.record_caller_gone(self._request_id(), self._arrived_ms)
             raise
+        except Exception:
+            log.exception(
+                "%s: unexpected error; the request may have run",
+                self._request_id_text(),
+            )
+            text = "the router failed on this request"
+            self._write_error(
+                EndpointFailed("internal", text, Verdict.MAY_HAVE_RUN, 502)
+            )
+            return
         self._gateway.record_end(
             self._request_id(), self._arrived_ms, forwarded.head.status
         )
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -800,6 +800,48 @@
             self.assertEqual((await client.fetch("r1", "/booking/")).status, 200)
         self.assertEqual(server.seen, [])
 
+    # The error of the look-up of the dropped service closed their connections.
+    async def test_requests_that_wait_for_a_dropped_service_are_refused(self):
+        async def answer_slowly(seen, writer):
+            await asyncio.sleep(0.6)
+            await fakes.echo_body(seen, writer)
+
+        self.set_answers(*[answer_slowly] * 20)
+        for server in self.servers:
+            self.store.put(f"servers/{server.name}", server.make_entry("llm", slots=1))
+        await self.wait_in_force(self.node)
+        for target in ("/booking/", "/chat/"):
+            calls = [
+                asyncio.create_task(self.fetch(f"r{number}", target, body=b"b"))
+                for number in range(6)
+            ]
+            await self.wait_for(lambda: self.node.lease_server.waiting >= 3)
+            self.publish(
+                services=[{"name": "other"}],
+                routes=[fakes.make_route("x", "stream", "other")],
+            )
+            with self.subTest(target=target):
+                responses = await asyncio.gather(*calls)
+                statuses = [response.status for response in responses]
+                self.assertEqual(set(statuses), {200, 503})
+                self.assertGreaterEqual(statuses.count(503), 3)
+                for response in responses:
+                    self.assertTrue(response.is_complete)
+                    if response.status == 503:
+                        self.assertLess(float(response.headers["retry-after"]), 1)
+            self.publish()
+            await self.wait_in_force(self.node)
+
+    async def test_an_unexpected_error_is_answered(self):
+        async def fail_unexpectedly(*_):
+            raise KeyError("unexpected")
+
+        self.node.lease_client.request_lease = fail_unexpectedly
+        with self.assertLogs("peridotcove.callers", "ERROR") as logged:
+            response = await self.fetch("r1", "/booking/")
+        self.assertEqual((response.status, response.is_complete), (502, True))
+        self.assertIn("unexpected", "".join(logged.output))
+
     async def test_requests_without_a_server_are_refused_at_once(self):
         for server in self.servers:
             self.store.drop(f"servers/{server.name}")
