Targets reach servers byte for byte, and GET may have a body

Change: the target is given to libcurl as bytes beside the URL of the host; a GET with a body is sent; a HEAD with a body is refused with 400. Conclusion: libcurl's URL parser has no part in the target any more.

--- a/peridotcove/endpoints/streaming_client.py
+++ b/peridotcove/endpoints/streaming_client.py
@@ -218,7 +218,8 @@
         method : str
             HTTP method in upper case.
         url : str
-            Absolute URL.
+            Absolute URL. What follows its host is sent byte for byte; characters stand
+            for bytes as in latin-1.
         headers : dict or tornado.httputil.HTTPHeaders
             Header fields.
         body : bytes or None
@@ -238,9 +239,12 @@
         RequestError
             Raised by ``transfer.before_send``.
         """
+        origin, target = _split_target(url)
+        # tornado takes no body with GET, which here is set as the method afterwards.
+        carrier = "POST" if method == "GET" and body is not None else method
         request = HTTPRequest(
-            url,
-            method=method,
+            origin,
+            method=carrier,
             headers=headers,
             body=body,
             # Both timeouts are checked by this client, since libcurl's also run while
@@ -249,7 +253,9 @@
             request_timeout=0,
             decompress_response=False,
             allow_nonstandard_methods=True,
-            prepare_curl_callback=lambda curl: self._prepare(curl, transfer),
+            prepare_curl_callback=lambda curl: self._prepare(
+                curl, transfer, method, target
+            ),
         )
         request.parse_header_line = transfer.parse_header_line
         transfer.clock = self._clock
@@ -273,12 +279,15 @@
             transfer.curl = None
         return EndpointResponse(response.code, transfer.headers, response.body or b"")
 
-    def _prepare(self, curl, transfer):
+    def _prepare(self, curl, transfer, method, target):
         transfer.curl = curl
         transfer._client = self._client
         curl.setopt(pycurl.TCP_NODELAY, 1)
         curl.setopt(pycurl.NOPROXY, "*")
-        curl.setopt(pycurl.PATH_AS_IS, 1)
+        # libcurl normalizes the escapes of the URL's own path.
+        curl.setopt(pycurl.REQUEST_TARGET, target)
+        if method == "GET":
+            curl.setopt(pycurl.CUSTOMREQUEST, method)
         curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
@@ -314,6 +323,13 @@
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_MS / 1000)
 
 
+def _split_target(url):
+    """Return the URL of a host, and as bytes what follows it."""
+    scheme, _, rest = url.partition("://")
+    host, slash, target = rest.partition("/")
+    return f"{scheme}://{host}/", (slash + target or "/").encode("latin-1")
+
+
 def _discard_outcome(future):
     if not future.cancelled():
         future.exception()
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -238,6 +238,9 @@
         """
         method, target, _ = self._start_line
         headers = self._headers
+        if method == "HEAD" and self._chunks:
+            text = "a body of a HEAD request can't be passed on"
+            raise RequestRefused("bad-method", text, 400)
         path = target.partition("?")[0]
         host = headers.get("Host", "")
         route, customer = self._gateway.admit(host, path, headers.get(API_KEY_HEADER))
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -1,6 +1,7 @@
 """Tests of complete nodes on the platform interface, with fake store and servers."""
 
 import asyncio
+import random
 import unittest
 from unittest import mock
 
@@ -250,6 +251,62 @@
         self.assertFalse(INTERNAL_HEADERS & fields.keys())
         self.assertNotIn("x-dropped", fields)
 
+    async def send_raw(self, method, target, body=b""):
+        """Send a request whose target is bytes; return the response."""
+        client = await self.connect()
+        fields = f"Host: {fakes.HOST_NAME}\r\nX-Request-Id: r1\r\nApi-Key: {fakes.KEY}"
+        length = f"Content-Length: {len(body)}" if body else "X-Deadline-Ms: 2000"
+        head = method + b" " + target + b" HTTP/1.1\r\n"
+        client.writer.write(head + f"{fields}\r\n{length}\r\n\r\n".encode() + body)
+        return await client.read()
+
+    # libcurl rewrites escapes of a URL, and refused bytes above 127.
+    async def test_targets_reach_servers_byte_for_byte(self):
+        rng = random.Random(1)
+        allowed = [*range(0x21, 0x7F), *range(0x80, 0x100)]
+        drawn = [bytes(rng.choices(allowed, k=rng.randint(1, 30))) for _ in range(60)]
+        tails = [
+            b"t%c3%b3rta",
+            b"a%2fb%2F..",
+            b"%41%7e",
+            b"a/../../b/./c//d",
+            b"x?q=%2f&r=a+b?c",
+            b"?",
+            b"x#f",
+            b"%",
+            b"%zz",
+            b'[a]{b}|\\^`"<>',
+            b"t\xc3\xb3rta",
+            *drawn,
+        ]
+        for tail in tails:
+            target = b"/lookup/" + tail
+            for method, body in ((b"POST", b"b"), (b"GET", b"")):
+                with self.subTest(target=target, method=method):
+                    before = self.arrivals()
+                    response = await self.send_raw(method, target, body)
+                    self.assertEqual(response.status, 200)
+                    self.assertEqual(self.arrivals(), before + 1)
+                    (seen,) = [
+                        server.seen[-1] for server in self.servers if server.seen
+                    ]
+                    self.assertEqual(seen.target.encode("latin-1"), target)
+                    self.assertEqual(seen.method.encode(), method)
+                    for server in self.servers:
+                        server.seen.clear()
+
+    async def test_a_body_of_any_method_reaches_the_server(self):
+        for method in (b"GET", b"DELETE", b"PUT", b"OPTIONS", b"SEARCH"):
+            with self.subTest(method=method):
+                response = await self.send_raw(method, b"/lookup/x", b"b\x00\xff")
+                self.assertEqual((response.status, response.body), (200, b"b\x00\xff"))
+                (seen,) = [server.seen[-1] for server in self.servers if server.seen]
+                self.assertEqual(
+                    (seen.method, seen.body), (method.decode(), b"b\x00\xff")
+                )
+                for server in self.servers:
+                    server.seen.clear()
+
     async def test_unauthorized_and_invalid_requests_are_refused(self):
         cases = [
             # target, changed fields, status
