An odd value of the operator's document costs its entry, not the revision

Cause: values were passed on as written, and one fault refuses a revision whole: a priority of 10, a tenant's name with a space, a key listed twice kept a version, with all its new routes and withdrawn keys, out of force on every node. Change: platform/document.py takes the document entry by entry. Values move into their range, unusable entries are dropped and logged, odd names are hashed in the configuration and sent to servers as written, a repeated key stays with its first tenant. The document is translated once, not at each change of an entry.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -47,7 +47,6 @@
 QUEUE_WAIT_SHARE = 0.5
 # Time in which an engine answers a question about itself; it may need a free slot.
 LIFE_CHECK_TIMEOUT_MS = 500
-DEFAULT_HEALTH_PATH = Model("").health_path
 MAX_ANSWER_BYTES = 16 << 20
 EVENT_STREAM_TYPE = "text/event-stream"
 # Codes of errors that mean that no engine was reached.
@@ -549,9 +548,8 @@
         timeout_ms = max(1, min(LIFE_CHECK_TIMEOUT_MS, time_left_ms))
         transfer = Transfer(timeout_ms, timeout_ms, timeout_ms)
         transfer.connect_ms = timeout_ms
-        model = configuration.model_by_name.get(engine.model)
-        path = model.health_path if model is not None else DEFAULT_HEALTH_PATH
-        headers = forwarder.dialect.make_life_check(engine)
+        model = configuration.model_by_name.get(engine.model, Model(engine.model))
+        path, headers = forwarder.dialect.make_life_check(engine, model)
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 response = await forwarder.client.fetch(
--- a/peridotcove/forwarding_types.py
+++ b/peridotcove/forwarding_types.py
@@ -50,13 +50,15 @@
         """
         raise NotImplementedError
 
-    def make_life_check(self, engine):
-        """Return the request headers of a question to an engine about itself.
+    def make_life_check(self, engine, model):
+        """Return path and request headers of a question to an engine about itself.
 
         Parameters
         ----------
         engine : Engine
             The engine.
+        model : Model
+            Its model.
         """
         raise NotImplementedError
 
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -49,6 +49,8 @@
         Weight in fair queuing, relative to other customers.
     priority : int
         Priority class in the queue; 0 is served first.
+    label : str
+        Name by which engines know the customer, if it isn't `name`.
     """
 
     name: str
@@ -57,6 +59,7 @@
     concurrency: int = number_field(1, 1_000_000, default=64)
     weight: float = number_field(0.001, 1000, default=1.0)
     priority: int = number_field(0, 9, default=1)
+    label: str = ""
 
 
 @frozen
--- a/peridotcove/platform/configuration_client.py
+++ b/peridotcove/platform/configuration_client.py
@@ -5,12 +5,9 @@
 from peridotcove.logs import get_logger
 from peridotcove.manifests import Manifest
 from peridotcove.part_splitting import format_compact_json, split_into_parts
+from peridotcove.platform.document import CONFIGURATION_KEY, parse_document
 from peridotcove.platform.store import StoreClient
-from peridotcove.platform.translation import (
-    CONFIGURATION_KEY,
-    read_version,
-    translate,
-)
+from peridotcove.platform.translation import translate
 from peridotcove.revision_numbers import make_revision_number
 
 log = get_logger("store")
@@ -36,9 +33,8 @@
         self._store = store
         self._client = StoreClient(store.address)
         self._descriptor_by_name = {}
-        self._checked_document = None
+        self._checked_item = None
         self._document = None
-        self._version = 0
 
     @property
     def calls(self):
@@ -72,8 +68,7 @@
         revision = self._make_revision_number()
         if revision <= after:
             return None
-        document = {CONFIGURATION_KEY: self._document}
-        raw = translate(self._client.item_by_key | document, self._store)
+        raw = translate(self._document, self._client.item_by_key, self._store)
         data_by_name = {
             name: format_compact_json(part).encode("utf-8", "surrogatepass")
             for name, part in split_into_parts(raw).items()
@@ -87,40 +82,41 @@
 
     def _make_revision_number(self):
         client = self._client
+        version = self._document.version if self._document is not None else 0
         try:
-            return make_revision_number(self._version, client.epoch, client.revision)
+            return make_revision_number(version, client.epoch, client.revision)
         except ValueError as error:
             raise PlatformDown(str(error)) from None
 
     def _update_document(self):
         """Use the document that the store has unless it is older than one before."""
-        document = self._client.item_by_key.get(CONFIGURATION_KEY)
-        if document is None or document is self._checked_document:
+        item = self._client.item_by_key.get(CONFIGURATION_KEY)
+        if item is None or item is self._checked_item:
             return
+        current = self._document
         try:
-            version = read_version(document)
-            translate({CONFIGURATION_KEY: document}, self._store)
+            document = parse_document(item)
         except PlatformDown as error:
-            if self._document is None:
+            if current is None:
                 raise
-            self._checked_document = document
+            self._checked_item = item
             log.error(
                 "the operator's document of revision %d is ignored, "
                 "version %d stays in use: %s",
-                document.revision,
-                self._version,
+                item.revision,
+                current.version,
                 error,
             )
             return
-        self._checked_document = document
-        if version >= self._version:
-            self._document, self._version = document, version
+        self._checked_item = item
+        if current is None or document.version >= current.version:
+            self._document = document
             return
         log.warning(
             "version %d of the operator's document is older than %d, which stays in "
             "use; epoch %d of the store, revision %d",
-            version,
-            self._version,
+            document.version,
+            current.version,
             self._client.epoch,
             self._client.revision,
         )
--- a/peridotcove/platform/dialect.py
+++ b/peridotcove/platform/dialect.py
@@ -51,6 +51,8 @@
 MISDIRECTED_STATUS = 421
 EXPECTED_ID_HEADER = "X-Expect-Instance"
 ID_HEADER = "X-Instance-Id"
+# Page of a model server about itself.
+REPORT_PATH = "/report"
 MAX_PRIORITY = 9
 
 
@@ -100,7 +102,8 @@
             EXPECTED_ID_HEADER: attempt.engine.name,
         }
         if forward.customer is not None:
-            added["X-Tenant"] = forward.customer.name
+            customer = forward.customer
+            added["X-Tenant"] = _encode_text(customer.label or customer.name)
         if forward.route.sticky:
             added["X-Request-Priority"] = str(min(attempt.priority, MAX_PRIORITY))
         if attempt.source is not None:
@@ -110,15 +113,19 @@
         kept = [pair for pair in forward.headers if pair[0] not in added]
         return [*kept, *added.items()]
 
-    def make_life_check(self, engine):
-        """Return the request headers of a question to a server about itself.
+    def make_life_check(self, engine, model):
+        """Return path and headers of a question to a server about itself.
 
         Parameters
         ----------
         engine : Engine
             The server. Another one at its address answers with 421.
+        model : Model
+            Its service.
         """
-        return {EXPECTED_ID_HEADER: engine.name}
+        # A model server tells of itself without a slot.
+        path = REPORT_PATH if engine.shares_cache else model.health_path
+        return path, {EXPECTED_ID_HEADER: engine.name}
 
     def confirms_life(self, engine, response):
         """Return whether an answer to that question is one of the same incarnation.
@@ -181,6 +188,11 @@
     return notice
 
 
+def _encode_text(text):
+    """Return text whose characters are the bytes of its UTF-8 form."""
+    return text.encode("utf-8", "surrogatepass").decode("latin-1")
+
+
 def _read_born(body):
     """Return the start time in what a server says of itself, or None."""
     try:
--- a/peridotcove/schema.py
+++ b/peridotcove/schema.py
@@ -34,6 +34,20 @@
     return attrs.field(default=default, metadata={"low": low, "high": high})
 
 
+def find_range(cls, name):
+    """Return the lowest and the highest allowed value of a field.
+
+    Parameters
+    ----------
+    cls : type
+        An attrs class.
+    name : str
+        Attribute that `number_field` made.
+    """
+    metadata = getattr(attrs.fields(cls), name).metadata
+    return metadata["low"], metadata["high"]
+
+
 def key_metadata(name):
     """Return field metadata that sets the field's name in a file.
 
