Revision numbers have room for a store's count of 16 digits

Cause: the count of the platform's store had ten digits in the revision number, which a store reaches in 289 days at 400 writes a second; then no node got a configuration. Change: sixteen digits, each whole number that JSON carries exactly. The soak's store starts near the limits. Conclusion: version, epoch and count are made and read in revision_numbers.py alone.

--- a/peridotcove/revision_numbers.py
+++ b/peridotcove/revision_numbers.py
@@ -5,14 +5,16 @@
 by the epoch of the service, which rises with each such return, then by its count.
 """
 
-COUNT_LIMIT = 10**10
+# Above each whole number that JSON carries exactly.
+COUNT_LIMIT = 10**16
 EPOCH_LIMIT = 10**6
 
 
 def make_revision_number(version, epoch, count):
     """Return the revision number of a service's content.
 
-    Its decimal digits are those of the version, six of the epoch and ten of the count.
+    Its decimal digits are those of the version, which has no limit, six of the epoch
+    and sixteen of the count.
 
     Parameters
     ----------
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -172,6 +172,15 @@
         self.assertEqual(peer.revision, manifest.revision)
         self.assertEqual(peer.current(), reader.current())
 
+    async def test_a_store_that_counts_past_10_digits_is_read(self):
+        for revision in (10**10 - 1, 10**10, 2**53 - 3):
+            with self.subTest(revision=revision):
+                self.store.revision = revision - 1
+                self.store.history.clear()
+                self.put_version(7)
+                found = await make_client(MemoryHttp(self.store)).read_manifest(0, 0)
+                self.assertEqual(self.make_routes(found), ["v7"])
+
     async def test_numbers_out_of_range_are_an_error(self):
         self.put_version(7)
         self.store.epoch = 10**7
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -29,6 +29,7 @@
 # Versions of the operator's document before the first one of a run: ordinary ones, and
 # ones right before a limit that a number of versions had or might have.
 FIRST_VERSIONS = (0, 455, 812, 1_840, 2**31 - 3, 2**53 - 200)
+FIRST_STORE_REVISIONS = (1, 10**10 - 40, 10**10, 2**53 - 10_000)
 # A node without the version that added a route answers the route with this status.
 NO_ROUTE_STATUS = 404
 OK = 200
@@ -78,6 +79,7 @@
         self.promises = PromiseChecker(RETRY_BUDGET["ratio"], RETRY_BUDGET["extra"])
         self.version = 0
         self._first_version = rng.choice(FIRST_VERSIONS)
+        self.store.revision = rng.choice(FIRST_STORE_REVISIONS)
         self.store_links = []
         self.server_by_name = {}
         self.active_servers = set()
--- a/tests/test_revision_numbers.py
+++ b/tests/test_revision_numbers.py
@@ -31,6 +31,18 @@
         revision = make_revision_number(version, epoch, count)
         self.assertEqual((get_epoch(revision), get_count(revision)), (epoch, count))
 
+    # A store that writes 400 times a second passes 10**10 within a year, and then no
+    # node got a configuration.
+    def test_counts_up_to_the_largest_exact_json_number_have_room(self):
+        for count in (0, 1, 10**10 - 1, 10**10, 2**53 - 1):
+            for version, epoch in ((0, 0), (2**53 - 1, EPOCH_LIMIT - 1)):
+                with self.subTest(count=count, version=version):
+                    revision = make_revision_number(version, epoch, count)
+                    self.assertEqual(get_count(revision), count)
+                    self.assertEqual(get_epoch(revision), epoch)
+                    following = make_revision_number(version, epoch, count + 1)
+                    self.assertGreater(following, revision)
+
     def test_a_plain_count_has_no_epoch(self):
         self.assertEqual(make_revision_number(0, 0, 17), 17)
         self.assertEqual((get_epoch(17), get_count(17)), (0, 17))
