Unfinished answers of a node share a bounded memory

Cause: an endless body was given up at 16 MiB, but any number of them could be held. Change: AnswerMemory bounds their sum to 64 MiB and gives up the largest beyond it. Conclusion: request bodies and parts of events still have a limit of their own only.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from peridotcove.answer_copies import HTTP_PREFIX, find_copy
+from peridotcove.answer_memory import AnswerMemory
 from peridotcove.clock import MS_PER_S
 from peridotcove.crash_suspects import CUT, CUT_BEFORE_ANSWER
 from peridotcove.endpoints.streaming_client import Transfer
@@ -48,6 +49,8 @@
 # Time in which an engine answers a question about itself; it may need a free slot.
 LIFE_CHECK_TIMEOUT_MS = 500
 MAX_ANSWER_BYTES = 16 << 20
+# Sum of all unfinished answers, a fraction of the memory of the smallest instances.
+MAX_HELD_BYTES = 64 << 20
 EVENT_STREAM_TYPE = "text/event-stream"
 # Codes of errors that mean that no engine was reached.
 UNREACHED_CODES = frozenset(("unreachable", "leaving", "paused", "stale-view"))
@@ -138,6 +141,7 @@
         self.budgets = budgets
         self.notices = notices
         self.on_notice = on_notice
+        self.answer_memory = AnswerMemory(MAX_HELD_BYTES)
 
     def check_available(self, engine):
         """Raise a `RequestRefused` if an engine may not get new requests.
@@ -402,6 +406,7 @@
                 raise self._replace_error(error) from None
         finally:
             self.sent_count += transfer.connected
+            forwarder.answer_memory.remove(self)
         unframed = transfer.framing == "connection" and not self._read_head().not_run
         if unframed and not self._discard_copy(engine):
             await self._check_unframed_end(engine, left_ms)
@@ -476,7 +481,9 @@
         if not streaming:
             self.body += data
             if len(self.body) > MAX_ANSWER_BYTES:
-                self.transfer.cancel()
+                self.give_up_answer()
+            else:
+                self.forwarder.answer_memory.update(self, len(self.body))
             return False
         try:
             complete_events = self.splitter.feed(data)
@@ -491,6 +498,13 @@
             self._write_to_caller(head, complete_events) if complete_events else False
         )
 
+    def give_up_answer(self):
+        """Cancel an answer that is larger than this node has room for."""
+        fault = f"the answer is too large after {len(self.body)} bytes"
+        self.head = ResponseHead(self.transfer.status, fault=fault)
+        self.body.clear()
+        self.transfer.cancel()
+
     def _check_for_head(self, events):
         """Raise an error if a copy began inside an event that was broken off."""
         unframed = self.transfer.framing == "connection"
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -696,6 +696,39 @@
                 self.assertEqual(got.status, 502)
                 await self.wait_for(lambda: ended)
 
+    # Each endless body took 16 MiB by itself, so that many exhausted the memory.
+    async def test_bodies_without_end_share_a_bounded_memory(self):
+        count, sent = 8, []
+
+        async def flood(seen, writer):
+            writer.write(make_head(seen, 200, Transfer_Encoding="chunked"))
+            try:
+                while True:
+                    writer.write(b"10000\r\n" + b"x" * 0x10000 + b"\r\n")
+                    await writer.drain()
+                    sent.append(0x10000)
+            except ConnectionError:
+                return
+
+        with mock.patch("peridotcove.forwarding.MAX_HELD_BYTES", 1 << 20, create=True):
+            node = await self.start()
+        await self.wait_in_force(node)
+        self.set_answers(*[flood] * count)
+        client = await self.connect(node)
+
+        async def fetch_from(number):
+            flooded = await self.connect(node)
+            return await flooded.fetch(f"r{number}", "/booking/", X_Deadline_Ms="30000")
+
+        floods = [asyncio.create_task(fetch_from(number)) for number in range(count)]
+        for response in await asyncio.gather(*floods):
+            self.assertEqual(response.status, 502)
+        body = b"y" * 200_000
+        response = await client.fetch("r9", "/booking/", body=body)
+        self.assertEqual((response.status, response.body), (200, body))
+        # What the system buffers on both sides comes on top.
+        self.assertLess(sum(sent), count * (8 << 20))
+
     async def test_requests_with_a_part_that_crashes_servers_are_refused(self):
         crash_by_name = {}
         released = asyncio.Event()
