Health answers are noticed too; tests of engines that a request must not use

Cause: a server's answer to the question whether it lives may say that it leaves, which was not read; the owner's side of exclusion had no test of its own. Change: the notice of a health answer is handled like that of any answer. Tests: the dispatcher's histories draw excluded engines, three direct cases, one over the wire.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -523,10 +523,7 @@
             self.head = dialect.read_head(
                 self.forward, transfer.status, transfer.headers
             )
-            if self.head.notice is not NO_NOTICE:
-                self.forwarder.on_notice(
-                    self.engine, self.head.notice, self.forward.request_id
-                )
+            self._handle_notice(self.head.notice)
             unframed = transfer.framing == "connection"
             self.splitter.end_prefix = HTTP_PREFIX if unframed else b""
         return self.head
@@ -574,7 +571,15 @@
             detail = str(error) or "no answer"
             self._record("life-check-failed", inputs, engine.name, detail)
             return False
-        return forwarder.dialect.confirms_life(engine, response)
+        lives = forwarder.dialect.confirms_life(engine, response)
+        if lives:
+            notice = forwarder.dialect.read_notice(response.status, response.headers)
+            self._handle_notice(notice)
+        return lives
+
+    def _handle_notice(self, notice):
+        if notice is not NO_NOTICE:
+            self.forwarder.on_notice(self.engine, notice, self.forward.request_id)
 
     def _check_event_end(self, head, remainder):
         """Raise an error if a stream of events ended inside of one or has none."""
--- a/peridotcove/forwarding_types.py
+++ b/peridotcove/forwarding_types.py
@@ -74,6 +74,18 @@
         """
         raise NotImplementedError
 
+    def read_notice(self, status, headers):
+        """Return the `Notice` of an answer, what the engine says of itself.
+
+        Parameters
+        ----------
+        status : int
+            HTTP status.
+        headers : tornado.httputil.HTTPHeaders
+            Header fields that the engine sent.
+        """
+        raise NotImplementedError
+
     def read_head(self, forward, status, headers):
         """Return the `ResponseHead` of an engine's response.
 
--- a/peridotcove/platform/dialect.py
+++ b/peridotcove/platform/dialect.py
@@ -165,9 +165,21 @@
         not_run = NOT_RUN_HEADER in headers or status == MISDIRECTED_STATUS
         fault = _find_fault(forward, status, headers)
         # An answer with a fault may be that of another server.
-        notice = NO_NOTICE if fault else read_notice(status, headers)
+        notice = NO_NOTICE if fault else self.read_notice(status, headers)
         return ResponseHead(status, kept, not_run, fault, notice)
 
+    def read_notice(self, status, headers):
+        """Return the `Notice` of a server's answer; see `read_notice`.
+
+        Parameters
+        ----------
+        status : int
+            HTTP status.
+        headers : tornado.httputil.HTTPHeaders
+            Header fields that the server sent.
+        """
+        return read_notice(status, headers)
+
 
 def read_notice(status, headers):
     """Return the `Notice` of a server's answer.
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -826,6 +826,18 @@
 
     born = 1_700_000_000_000
 
+    async def test_a_health_answer_says_that_its_server_leaves(self):
+        async def answer_health(seen, writer):
+            head = f"HTTP/1.1 200 x\r\nX-Instance-Id: {server.name}\r\n"
+            rest = "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+            writer.write((head + rest).encode())
+
+        server = self.servers[0]
+        server.answer_health = answer_health
+        self.set_server_answer(0, echo_unframed_body)
+        await self.send_until(lambda: server.seen)
+        self.assertEqual(self.node.engine_notices.leaving_keys(), [(server.name, 0)])
+
     async def test_a_server_that_names_a_time_gets_nothing_before_it(self):
         self.set_server_answer(0, refuse_for("0.6"))
         server = self.servers[0]
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -83,6 +83,8 @@
             self.decision_counts[decision.request_id] += 1
             if isinstance(decision, LeaseGrant):
                 self.engine_by_id[decision.request_id] = decision.engine
+                excluded = self.requests[decision.request_id].excluded
+                assert decision.engine not in excluded
         grants = [item for item in decisions if isinstance(item, LeaseGrant)]
         if len(grants) == 1:
             self.check_bound(grants[0].engine)
@@ -106,10 +108,18 @@
         prefix=st.integers(0, 5),
         priority=st.integers(0, 2),
         hint=st.sampled_from(["", "engine-0", "engine-9"]),
+        excluded=st.sampled_from(
+            [(), (), ("engine-0",), ("engine-1", "engine-2", "engine-3")]
+        ),
     )
-    def ask(self, customer, prefix, priority, hint):
+    def ask(self, customer, prefix, priority, hint, excluded):
         request = make_request(
-            len(self.requests) + 1, customer, (prefix,), hint=hint, priority=priority
+            len(self.requests) + 1,
+            customer,
+            (prefix,),
+            hint=hint,
+            priority=priority,
+            excluded=excluded,
         )
         self.requests[request.request_id] = request
         self.record_decisions(self.dispatcher.request_lease(request))
@@ -359,6 +369,34 @@
         second = self.grant(2, *self.SHARED, avoid=(first.engine,))
         self.assertNotEqual(second.engine, first.engine)
 
+    def test_excluded_engine_is_not_used_although_its_cache_is_the_best(self):
+        first = self.grant(1, *self.SHARED)
+        self.dispatcher.release(b"\0" * 7 + b"\1", "done")
+        second = self.grant(2, *self.SHARED, excluded=(first.engine,))
+        self.assertNotEqual(second.engine, first.engine)
+
+    def test_request_waits_for_an_engine_that_it_may_use(self):
+        names = sorted(self.engines)
+        busy, free = names[0], names[1:]
+        grants = []
+        for number in range(1, 100):
+            request = make_part_request(number, *self.SHARED, excluded=tuple(free))
+            granted = self.dispatcher.request_lease(request)
+            if not granted:
+                break
+            grants += granted
+        self.assertEqual({grant.engine for grant in grants}, {busy})
+        self.assertEqual(self.dispatcher.tick(), [])
+        (waiting,) = self.dispatcher.release(grants[0].request_id, "done")
+        self.assertEqual(
+            (waiting.request_id, waiting.engine), (request.request_id, busy)
+        )
+
+    def test_request_that_may_use_no_engine_is_refused_at_once(self):
+        request = make_part_request(1, *self.SHARED, excluded=tuple(self.engines))
+        (refusal,) = self.dispatcher.request_lease(request)
+        self.assertEqual(refusal.code, "all-paused")
+
     def test_wait_for_an_engine_at_its_bound_is_limited(self):
         first = self.grant(1, *self.SHARED)
         others = tuple(name for name in self.engines if name != first.engine)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -140,7 +140,15 @@
         self.server_by_node[name] = server
         self.fleet_by_node[name] = fleet
 
-    def start_request(self, number, deadline_ms=3000, entry=None, chat_key=0, parts=()):
+    def start_request(
+        self,
+        number,
+        deadline_ms=3000,
+        entry=None,
+        chat_key=0,
+        parts=(),
+        excluded=(),
+    ):
         """Return a task that requests a lease as an entry node."""
         entry = entry or self.entry
         request_id = number.to_bytes(8, "big")
@@ -153,6 +161,7 @@
             deadline_ms=deadline_ms,
             chat_key=chat_key,
             part_ends=tuple(range(1, len(parts) + 1)),
+            excluded=excluded,
         )
         asking = self.client_by_node[entry].request_lease(self.shard, request)
         return asyncio.ensure_future(asking)
@@ -224,6 +233,20 @@
 class LeaseTest(unittest.TestCase):
     """Results at the entry node and leases at the owners, under faults."""
 
+    def test_owner_grants_no_lease_on_an_excluded_engine(self):
+        async def request_with_one_allowed(index):
+            cluster = Cluster()
+            configuration = cluster.fleet_by_node[cluster.entry].configuration
+            names = sorted(configuration.engine_by_name)
+            excluded = tuple(names[:index] + names[index + 1 :])
+            grant = await cluster.start_request(1, excluded=excluded)
+            return grant.engine, names[index]
+
+        for index in range(2):
+            with self.subTest(index=index):
+                found, expected = run(request_with_one_allowed(index))
+                self.assertEqual(found, expected)
+
     def test_lease_is_granted_despite_lost_messages(self):
         lost_kinds_by_fault = {
             "none": (),
