--- a/peridotcove/engine_notice_sync.py
+++ b/peridotcove/engine_notice_sync.py
@@ -1,5 +1,6 @@
 """Puts the notices of engines in force at this node and tells the owners of engines."""
 
+from peridotcove.lease_client import MAX_OWNERS
 from peridotcove.nodes.leaving_messages import EndpointsLeaving
 from peridotcove.nodes.network import OutgoingMessage
 
@@ -108,7 +109,7 @@
             owner
             for shard in shards
             if not names.isdisjoint(shard.engines)
-            for owner in self._fleet.rank_owners(shard.name)[:2]
+            for owner in self._fleet.rank_owners(shard.name)[:MAX_OWNERS]
         }
         message = _make_message(keys)
         return [
--- a/tests/nodes/test_links.py
+++ b/tests/nodes/test_links.py
@@ -19,6 +19,8 @@
 from peridotcove.nodes.sockets import make_client_factory
 
 SECRET = b"a secret of the tests"
+# Time after which a message is taken for lost, so that its test fails and doesn't hang.
+ARRIVAL_TIMEOUT_S = 10
 
 
 async def start(name, secret=SECRET):
@@ -52,7 +54,8 @@
         self.one.set_peers([self.instance])
         for number in range(3):
             self.one.send("n2", QueueLease(bytes([number])))
-            _, message, _ = await self.received.get()
+            async with asyncio.timeout(ARRIVAL_TIMEOUT_S):
+                _, message, _ = await self.received.get()
             self.assertEqual(message, QueueLease(bytes([number])))
             self.one.reset_link("n2")
 
