A refused document hides no change of the servers' entries

What callers saw: requests reached servers for seconds after these had said that they leave. Cause: one revision carries the operator's document and the servers' entries. Nodes that refuse a revision for its document refuse all later ones too, since each has the same document; a server that leaves then, is gone or is new is not noticed. Change: the store's client goes back to the document before one that its node refuses, or that can't be split into parts, and publishes the entries with it; the next valid version replaces it. A version that is in force is never given up. A reader's call names the revision in force and the refused one in place of the larger of the two. A reader that started after the faulty version has no earlier one and publishes nothing.

--- a/peridotcove/configuration_reader.py
+++ b/peridotcove/configuration_reader.py
@@ -32,10 +32,14 @@
         Only a later revision than this is returned.
     wait_ms : int
         Maximum time in ms to wait for a later revision; 0 to return at once.
+    refused : int
+        A later revision that is refused for good, so that it is not returned either; 0
+        for none.
     """
 
     after: int
     wait_ms: int
+    refused: int = 0
 
 
 @frozen
@@ -172,7 +176,9 @@
             return None
         # After a failure a call does not wait for a change, so that it can't hang.
         wait_ms = 0 if self._failures else self._read_policy.watch_ms
-        return ReadManifest(self.revisions.watch_after, wait_ms)
+        revisions = self.revisions
+        refused = 0 if revisions.unreadable else revisions.refused_revision
+        return ReadManifest(revisions.revision, wait_ms, refused)
 
     def _needs_first_configuration(self):
         # Calls have failed so far; a node that does not read for its zone needs a first
@@ -194,7 +200,7 @@
         """
         first = not self._called_once or self._needs_first_configuration()
         self._record_success()
-        if manifest is None or manifest.revision <= self.revisions.watch_after:
+        if manifest is None or not self.revisions.wants(manifest.revision):
             return []
         if first:
             self.revisions.set_expected(manifest.revision)
--- a/peridotcove/platform/configuration_client.py
+++ b/peridotcove/platform/configuration_client.py
@@ -1,14 +1,14 @@
 """Configuration client that reads from the platform's store."""
 
 from peridotcove.configuration_parts import PartDescriptor, digest
-from peridotcove.exceptions import PlatformDown
+from peridotcove.exceptions import InvalidSettings, PlatformDown
 from peridotcove.logs import get_logger
 from peridotcove.manifests import Manifest
 from peridotcove.part_splitting import format_compact_json, split_into_parts
 from peridotcove.platform.document import CONFIGURATION_KEY, parse_document
 from peridotcove.platform.store import StoreClient
 from peridotcove.platform.translation import translate
-from peridotcove.revision_numbers import make_revision_number
+from peridotcove.revision_numbers import get_version, make_revision_number
 
 log = get_logger("store")
 
@@ -21,7 +21,8 @@
 
     A store that comes back from an older backup may have an older version of the
     operator's document. The newest version that was read stays in use, also when the
-    store has one that can't be read.
+    store has one that can't be read or that the nodes refuse, so that a faulty document
+    hides no change of the servers' entries.
 
     Parameters
     ----------
@@ -35,6 +36,8 @@
         self._descriptor_by_name = {}
         self._checked_item = None
         self._document = None
+        # The document before, while it is not known whether nodes accept the newest.
+        self._previous_document = None
 
     @property
     def calls(self):
@@ -45,34 +48,34 @@
         """Close all connections."""
         self._client.close()
 
-    async def read_manifest(self, after, wait_ms):
+    async def read_manifest(self, after, wait_ms, refused=0):
         """Return the manifest of a later revision, or None if there is none.
 
         Parameters
         ----------
         after : int
-            Revision that the caller has.
+            Revision that the caller has in force.
         wait_ms : int
             Maximum wait in ms for a later revision.
+        refused : int
+            Later revision that the caller has refused, or 0.
 
         Raises
         ------
         PlatformDown
             If the store gave no valid answer.
         """
+        if refused and self._has_version_of(refused):
+            self._restore_previous_document(after, f"revision {refused} was refused")
         wait_ms = 0 if self._make_revision_number() > after else wait_ms
         await self._client.update(wait_ms)
         self._update_document()
         if self._document is None:
             return None
+        data_by_name = self._make_parts(after)
         revision = self._make_revision_number()
-        if revision <= after:
+        if revision <= after or revision == refused:
             return None
-        raw = translate(self._document, self._client.item_by_key, self._store)
-        data_by_name = {
-            name: format_compact_json(part).encode("utf-8", "surrogatepass")
-            for name, part in split_into_parts(raw).items()
-        }
         descriptors = {
             name: self._make_descriptor(name, data, revision)
             for name, data in data_by_name.items()
@@ -80,6 +83,50 @@
         self._descriptor_by_name = descriptors
         return Manifest(revision, descriptors, data_by_name)
 
+    def _make_parts(self, after):
+        """Return the content of each part by name.
+
+        Raises
+        ------
+        PlatformDown
+            If the only document that was read can't be split into parts.
+        """
+        while True:
+            raw = translate(self._document, self._client.item_by_key, self._store)
+            try:
+                part_by_name = split_into_parts(raw)
+            except InvalidSettings as error:
+                reason = "; ".join(map(str, error.exceptions))
+                if not self._restore_previous_document(after, reason):
+                    raise PlatformDown(f"{CONFIGURATION_KEY}: {reason}") from None
+                continue
+            return {
+                name: format_compact_json(part).encode("utf-8", "surrogatepass")
+                for name, part in part_by_name.items()
+            }
+
+    def _has_version_of(self, revision):
+        document = self._document
+        return document is not None and document.version == get_version(revision)
+
+    def _restore_previous_document(self, after, reason):
+        """Use the document before the newest; return whether there is one.
+
+        A version that is in force was valid, so that the fault is not the document's.
+        """
+        previous = self._previous_document
+        if previous is None or get_version(after) >= self._document.version:
+            return False
+        log.error(
+            "version %d of the operator's document can't be put in force, version %d "
+            "stays in use: %.300s",
+            self._document.version,
+            previous.version,
+            reason,
+        )
+        self._document, self._previous_document = previous, None
+        return True
+
     def _make_revision_number(self):
         client = self._client
         version = self._document.version if self._document is not None else 0
@@ -110,7 +157,7 @@
             return
         self._checked_item = item
         if current is None or document.version >= current.version:
-            self._document = document
+            self._previous_document, self._document = current, document
             return
         log.warning(
             "version %d of the operator's document is older than %d, which stays in "
--- a/peridotcove/publisher/client.py
+++ b/peridotcove/publisher/client.py
@@ -69,7 +69,7 @@
         """Close all connections."""
         self._client.close()
 
-    async def read_manifest(self, after, wait_ms):
+    async def read_manifest(self, after, wait_ms, refused=0):
         """Return the manifest of a revision newer than the given one, or None.
 
         Parameters
@@ -78,13 +78,15 @@
             Revision that the node has.
         wait_ms : int
             Longest time in ms that the service waits for a newer revision.
+        refused : int
+            Newer revision that the node has refused, or 0.
 
         Raises
         ------
         PlatformDown
             If the service gave no valid response.
         """
-        query = f"?after={after}&wait_ms={wait_ms}"
+        query = f"?after={max(after, refused)}&wait_ms={wait_ms}"
         url = f"{self._configuration_url}/configuration/manifest{query}"
         body = await self._get(url, wait_ms)
         return None if body is None else parse_manifest(body)
--- a/peridotcove/publisher/watch.py
+++ b/peridotcove/publisher/watch.py
@@ -48,7 +48,9 @@
                 data = await client.read_part(call.name)
                 messages = reader.handle_part(call.name, data)
             else:
-                manifest = await client.read_manifest(call.after, call.wait_ms)
+                manifest = await client.read_manifest(
+                    call.after, call.wait_ms, call.refused
+                )
                 messages = reader.handle_manifest(manifest)
         except PlatformDown as error:
             if not service_lost:
--- a/peridotcove/revision_numbers.py
+++ b/peridotcove/revision_numbers.py
@@ -38,6 +38,17 @@
     return (version * EPOCH_LIMIT + epoch) * COUNT_LIMIT + count
 
 
+def get_version(revision):
+    """Return the version of the operator's document of a revision number.
+
+    Parameters
+    ----------
+    revision : int
+        The revision number; 0 for a plain count.
+    """
+    return revision // COUNT_LIMIT // EPOCH_LIMIT
+
+
 def get_epoch(revision):
     """Return the epoch of a revision number; 0 for a plain count.
 
--- a/peridotcove/revisions.py
+++ b/peridotcove/revisions.py
@@ -165,7 +165,7 @@
         manifest : Manifest
             Manifest from the service.
         """
-        if manifest.revision <= self.watch_after:
+        if not self.wants(manifest.revision):
             return []
         descriptors = manifest.descriptor_by_name.items()
         return sorted(
@@ -182,7 +182,7 @@
         data_by_name : dict of bytes
             Published content of the parts that were missing.
         """
-        if manifest.revision <= self.watch_after:
+        if not self.wants(manifest.revision):
             return []
         parts, faults = {}, []
         for name, descriptor in manifest.descriptor_by_name.items():
@@ -221,7 +221,7 @@
         revision : int
             Its revision.
         """
-        if self._wants(revision):
+        if self.wants(revision):
             self._fetcher.record_peer_revision(peer, revision, self.revision)
         else:
             self._fetcher.forget_peer(peer)
@@ -247,7 +247,7 @@
 
     def tick(self):
         """Return the messages that are due; called every 250 ms."""
-        return self._fetcher.tick(self.revision, self._wants)
+        return self._fetcher.tick(self.revision, self.wants)
 
     def receive(self, peer, message):
         """Handle a message and return the replies.
@@ -287,7 +287,7 @@
         return [OutgoingMessage(peer, Offer(self.revision, parts))]
 
     def _handle_delta(self, peer, message):
-        if not self._wants(message.revision):
+        if not self.wants(message.revision):
             return []
         if message.base != self.revision:
             self._fetcher.record_peer_revision(peer, message.revision, self.revision)
@@ -306,7 +306,7 @@
 
     def _handle_offer(self, peer, message):
         self._fetcher.record_answer(peer)
-        if not self._wants(message.revision):
+        if not self.wants(message.revision):
             return []
         descriptors = {name: PartDescriptor(*rest) for name, *rest in message.parts}
         held = {
@@ -330,7 +330,7 @@
 
     def _finish_fetch(self):
         fetch = self._fetcher.finish_fetch()
-        if fetch is None or not self._wants(fetch.revision):
+        if fetch is None or not self.wants(fetch.revision):
             return []
         return self._replace(fetch.revision, fetch.part_by_name)
 
@@ -345,8 +345,16 @@
             return []
         return [OutgoingMessage(peer, self._make_refusal())]
 
-    def _wants(self, revision):
-        # A refused revision is not fetched again, but an earlier valid one may be.
+    def wants(self, revision):
+        """Return whether a revision should replace the one in force.
+
+        A refused revision is not fetched again, but an earlier valid one may be.
+
+        Parameters
+        ----------
+        revision : int
+            The revision.
+        """
         if self.refused is not None and revision == self.refused.revision:
             return self.unreadable
         return revision > self.revision
--- a/peridotcove/standins/memory_service.py
+++ b/peridotcove/standins/memory_service.py
@@ -125,7 +125,9 @@
             return
         if not isinstance(call, ReadManifest):
             answer(self._history[self._visible_revision][1].get(call.name))
-        elif not self._answer_manifest(call.after, answer, wait_ms > 0):
+        elif not self._answer_manifest(
+            max(call.after, call.refused), answer, wait_ms > 0
+        ):
             self.links.call_later(wait_ms, None, lambda: answer(None))
 
     def _answer_manifest(self, after, answer, wait):
--- a/tests/platform/test_refused_documents.py
+++ b/tests/platform/test_refused_documents.py
@@ -50,7 +50,7 @@
                 )
             )
 
-    # Entries of servers are part of a revision, and a refused one hid all later entries.
+    # Entries of servers are part of a revision, and a refused one hid all later ones.
     async def test_a_refused_document_hides_no_leaving_server(self):
         peer = await self.start((self.node.name,))
         await self.wait_for(peer.control.revisions.ready)
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -172,6 +172,17 @@
         self.assertEqual(peer.revision, manifest.revision)
         self.assertEqual(peer.current(), reader.current())
 
+    async def test_an_accepted_document_is_not_blamed_for_a_refused_entry(self):
+        self.put_version(6)
+        await self.client.read_manifest(0, 0)
+        self.put_version(7)
+        found = await self.client.read_manifest(0, 0)
+        self.store.put("servers/s1", SERVER)
+        refused = await self.client.read_manifest(found.revision, 0)
+        self.store.put("servers/s2", SERVER)
+        later = await self.client.read_manifest(found.revision, 0, refused.revision)
+        self.assertEqual(self.make_routes(later), ["v7"])
+
     async def test_a_store_that_counts_past_10_digits_is_read(self):
         for revision in (10**10 - 1, 10**10, 2**53 - 3):
             with self.subTest(revision=revision):
@@ -360,7 +371,7 @@
         revisions = self.revisions_by_node[node]
         client = self.client_by_node[node]
         try:
-            manifest = asyncio.run(client.read_manifest(revisions.watch_after, 0))
+            manifest = asyncio.run(client.read_manifest(revisions.revision, 0))
         except PlatformDown:
             return
         if manifest is not None:
--- a/tests/test_control_histories.py
+++ b/tests/test_control_histories.py
@@ -212,12 +212,12 @@
 NAIVE = {
     "wants any other revision": (
         Revisions,
-        "_wants",
+        "wants",
         lambda self, other: other != self.revision,
     ),
     "wants none before a refused one": (
         Revisions,
-        "_wants",
+        "wants",
         lambda self, other: other > self.watch_after,
     ),
     "pulls nothing": (RevisionFetcher, "tick", lambda self, revision, wants: []),
