Each reader that is turned away is replaced, also the second and later ones

Cause: only the one node that follows the first readers in rank read in their place. If it was turned away too, nobody else in the zone read, though others could. Change: a node reads while fewer nodes before it in rank than the number of readers don't report failing reads. Measured: test_control_plane test_a_change_reaches_a_zone_whose_first_readers_are_turned_away and three cases of test_which_nodes_read failed before.

--- a/peridotcove/configuration_reader.py
+++ b/peridotcove/configuration_reader.py
@@ -140,10 +140,10 @@
     def reads_for_zone(self):
         """Return whether this node reads for its zone.
 
-        The nodes first in rank read. The next in rank reads too while one of them
-        reports failing reads, and every node reads while all of them are silent. A node
-        also reads if its peers have not sent it the revision that the service had at
-        its start.
+        The nodes first in rank read. For each node that reports failing reads the next
+        one in rank reads too, and every node reads while all of the first are silent. A
+        node also reads if its peers have not sent it the revision that the service had
+        at its start.
         """
         if self.revisions.expects_later() and self.clock.now() >= self._fallback_ms:
             return True
@@ -156,9 +156,10 @@
             return True
         if all(self._silence_ms(name) > READER_SILENCE_MS for name in first):
             return True
-        return self.node in ranked[count : count + 1] and any(
-            map(self._peer_reads_fail, first)
-        )
+        if self.node not in ranked:
+            return False
+        before = ranked[: ranked.index(self.node)]
+        return sum(not self._peer_reads_fail(name) for name in before) < count
 
     def next_call(self):
         """Return the call that is due now, or None."""
--- a/peridotcove/standins/fleet.py
+++ b/peridotcove/standins/fleet.py
@@ -7,7 +7,7 @@
 from peridotcove.exceptions import LinkDown
 from peridotcove.membership_events import LinkSilent
 from peridotcove.models import Instance
-from peridotcove.standins.memory_service import MemoryService
+from peridotcove.standins.memory_service import LATENCY_MS, MemoryService
 
 TICK_MS = 250
 RECONNECT_MS = 20
@@ -99,12 +99,11 @@
         if call is None:
             return
         self.is_reading = True
-        service = self.fleet.service
-        service.call(
-            call,
-            self._make_answer_callback(call),
-            self._run_on_node(self._handle_failure),
-        )
+        handle_failure = self._run_on_node(self._handle_failure)
+        if self.name in self.fleet.turned_away:
+            self.fleet.links.call_later(LATENCY_MS, self.name, handle_failure)
+            return
+        self.fleet.service.call(call, self._make_answer_callback(call), handle_failure)
 
     def _make_answer_callback(self, call):
         reader = self.control.reader
@@ -159,6 +158,8 @@
         The platform's list of instances, by name.
     node_events : list
         Time in ms, node and event of all membership events.
+    turned_away : set of str
+        Names of the nodes whose calls to the service fail.
     """
 
     def __init__(self, links, zones_by_region):
@@ -167,6 +168,7 @@
         self.node_by_name = {}
         self.instance_by_name = {}
         self.node_events = []
+        self.turned_away = set()
         self.region_by_zone = {}
         for region, zones in zones_by_region.items():
             for zone, count in zones.items():
--- a/tests/test_configuration_reader.py
+++ b/tests/test_configuration_reader.py
@@ -45,6 +45,11 @@
             (3, ("n2",), (), set(RANK)),
             (3, (), ("n1", "n2"), {"n1", "n2", "n3"}),
             (3, (), ("n1", "n2", "n3"), set(RANK)),
+            (1, ("n1", "n2"), (), {"n1", "n2", "n3"}),
+            (1, ("n1", "n2", "n3"), (), set(RANK)),
+            (1, ("n2",), (), {"n1"}),
+            (1, ("n2",), ("n1",), set(RANK)),
+            (2, ("n1", "n2", "n3"), (), set(RANK)),
         ]
         for readers, failing, silent, expected in cases:
             with self.subTest(readers=readers, failing=failing, silent=silent):
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -6,6 +6,10 @@
 from peridotcove.standins.fleet import MemoryFleet, describe_zones
 from tests.fakes import make_links
 
+# Time in which the users' pages want no more requests at a server that leaves.
+DRAIN_MS = 2_000
+# Time in which the next node in rank notices that a reader fails.
+CASCADE_MS = 4_000
 THREE_ZONES = {"r1": {"a": 3, "b": 3, "c": 3}}
 
 
@@ -33,6 +37,20 @@
         for node in fleet.running_nodes():
             self.assertIn("one", node.control.revisions.current().customer_by_name)
 
+    # Two successive readers that the service turned away left a zone without any.
+    def test_a_change_reaches_a_zone_whose_first_readers_are_turned_away(self):
+        for count in (1, 2, 3, 5):
+            with self.subTest(turned_away=count):
+                fleet = start_fleet({"r": {"a": 6}})
+                rank = fleet.node_by_name["a-0"].control.membership.reader_rank()
+                fleet.turned_away.update(rank[:count])
+                fleet.links.run(CASCADE_MS * count)
+                fleet.service.publish({"customers": {"customers": {"one": {}}}})
+                fleet.links.run(DRAIN_MS)
+                for node in fleet.running_nodes():
+                    current = node.control.revisions.current()
+                    self.assertIn("one", current.customer_by_name)
+
     def test_a_stopped_node_is_lost_within_3_s_but_not_on_a_silent_link(self):
         fleet = start_fleet()
         fleet.node_events.clear()
