The store's content is read where its changes don't fit into the time of a read

What callers saw: for seconds a few nodes sent to servers that leave, answered slowly and lost their peers, while versions of a large document came in quick succession. Cause: a watch brings every version of a value. On a link of 10 Mbit/s, versions of 370 KB each 80 ms can't be answered in 2.8 s; the watch was repeated in 0.8 s, with still more to answer, so that the node knew no change until the storm was over and its link carried nothing else. Change: after a watch that timed out, or that brought many bytes of replaced versions, the content is read in place of the changes, until it is the same twice; that read has 1.6 s.

--- a/peridotcove/platform/store.py
+++ b/peridotcove/platform/store.py
@@ -4,7 +4,9 @@
 import binascii
 from urllib.parse import urlencode
 
+import pycurl
 from attrs import frozen
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPError
 
 from peridotcove.clock import MS_PER_S
@@ -17,6 +19,8 @@
 # or the store has failed, and a retry must fit into the time allowed for a change.
 CONNECT_TIMEOUT_S = 0.5
 ANSWER_TIMEOUT_S = 0.8
+# The content is larger than most answers; on the thinnest links it takes longer.
+CONTENT_TIMEOUT_S = 1.6
 MAX_CONCURRENT_CALLS = 4
 MAX_PAGES = 1_000
 # The store may come back from a copy while it is read.
@@ -26,10 +30,17 @@
 ERA_HEADER = "Store-Era"
 # A single watch of all keys sees every change in the order of the store's revisions.
 ALL_KEYS_PREFIX = ""
+# A watch brings each version of a value. If an answer has more bytes of versions that
+# are replaced in it, the content is read in place of the changes.
+MAX_REPLACED_BYTES = 65_536
 
 log = get_logger("store")
 
 
+class AnswerTimeout(PlatformDown):
+    """The store's answer did not arrive in its time."""
+
+
 class HistoryUnavailable(PlatformDown):
     """The store no longer has the changes since a revision, or never had them."""
 
@@ -56,6 +67,9 @@
 class StoreClient:
     """Maintains a copy of the store's content by reading and watching it.
 
+    The content is read again, in place of its changes, while these have many versions
+    of large values, or take too long for the link.
+
     Parameters
     ----------
     address : str
@@ -79,6 +93,7 @@
         self.revision = 0
         self.epoch = 0
         self._answer_epoch = 0
+        self._prefers_content = False
         self._url = f"http://{address}"
         self._http = CurlClient(force_instance=True, max_transfers=MAX_CONCURRENT_CALLS)
 
@@ -102,12 +117,19 @@
         previous = self.epoch, self.revision
         if not self.revision:
             await self._read_all()
-        else:
-            try:
-                await self._read_watch(wait_ms)
-            except HistoryUnavailable as error:
-                log.warning("reading the whole store again: %s", error)
-                await self._read_all()
+            return True
+        if self._prefers_content:
+            await self._read_all()
+            self._prefers_content = (self.epoch, self.revision) != previous
+            return self._prefers_content
+        try:
+            await self._read_watch(wait_ms)
+        except HistoryUnavailable as error:
+            log.warning("reading the whole store again: %s", error)
+            await self._read_all()
+        except AnswerTimeout:
+            self._prefers_content = True
+            raise
         return (self.epoch, self.revision) != previous
 
     async def _read_all(self):
@@ -149,6 +171,14 @@
             return
         items = dict(self.item_by_key)
         _apply_changes(items, changes)
+        replaced_bytes = _count_replaced_bytes(changes)
+        self._prefers_content = replaced_bytes > MAX_REPLACED_BYTES
+        if self._prefers_content:
+            log.info(
+                "the content is read in place of changes, which had %d bytes of "
+                "replaced versions",
+                replaced_bytes,
+            )
         newest = max(_get_number(raw, "rev") for raw in changes)
         self.item_by_key, self.revision = items, max(self.revision, newest)
 
@@ -164,9 +194,14 @@
             answer = await self._http.fetch(
                 url,
                 connect_timeout=CONNECT_TIMEOUT_S,
-                request_timeout=wait_ms / MS_PER_S + ANSWER_TIMEOUT_S,
+                request_timeout=wait_ms / MS_PER_S + self._answer_timeout_s(),
             )
             page = decode_json(answer.body)
+        except CurlError as error:
+            cause = PlatformDown
+            if error.errno == pycurl.E_OPERATION_TIMEDOUT:
+                cause = AnswerTimeout
+            raise cause(f"{path}: {error}") from None
         except HTTPError as error:
             if error.code == 410:
                 raise HistoryUnavailable(
@@ -183,6 +218,9 @@
             raise HistoryUnavailable(text)
         return page
 
+    def _answer_timeout_s(self):
+        return CONTENT_TIMEOUT_S if self._prefers_content else ANSWER_TIMEOUT_S
+
     def _record_epoch(self, epoch, store_revision):
         if epoch < self._answer_epoch:
             text = f"an answer of the store's epoch {epoch} came after one of epoch "
@@ -211,6 +249,16 @@
             items[key] = _read_item(raw)
 
 
+def _count_replaced_bytes(changes):
+    """Return the size of the values that later changes of the same keys replace."""
+    size_by_key, replaced = {}, 0
+    for raw in changes:
+        key = _get_text(raw, "key")
+        replaced += size_by_key.get(key, 0)
+        size_by_key[key] = len(raw.get("value") or "")
+    return replaced
+
+
 def _parse_epoch(headers):
     text = headers.get(ERA_HEADER, "0")
     if not text.isdecimal():
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -7,8 +7,11 @@
 import os
 import socket
 import struct
+import types
+from urllib.parse import parse_qs, urlsplit
 
 from attrs import evolve, frozen
+from tornado.httpclient import HTTPError
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
@@ -112,6 +115,7 @@
         self.history = []
         self.status = self.compacted_revision = self.calls = 0
         self.epoch = 1
+        self.address = ""
         self.silent = False
         self.between_pages = lambda: None
         self._server = None
@@ -164,6 +168,33 @@
         self.history.append({"key": key, "rev": self.revision, "tombstone": True})
 
 
+class MemoryHttp:
+    """Answers the calls of a `StoreClient` from a `StoreStandin` without network."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_down = False
+
+    async def fetch(self, url, **kwargs):
+        """Return the answer of the store to a call."""
+        if self.is_down:
+            raise HTTPError(503)
+        parts = urlsplit(url)
+        query = {name: value[0] for name, value in parse_qs(parts.query).items()}
+        store = self.store
+        if parts.path == "/kv-range":
+            items = [store.item_by_key[key] for key in sorted(store.item_by_key)]
+            page = {"items": items, "more_pages": False}
+        else:
+            after = int(query["after"])
+            if after > store.revision:
+                raise HTTPError(410)
+            page = {"events": [one for one in store.history if one["rev"] > after]}
+        page["store_revision"] = store.revision
+        headers = {"Store-Era": str(store.epoch)}
+        return types.SimpleNamespace(body=json.dumps(page).encode(), headers=headers)
+
+
 @frozen
 class ReceivedRequest:
     """A request that a server received."""
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -1,16 +1,12 @@
 """Tests of readers and nodes whose store comes back from an older backup."""
 
 import asyncio
-import json
 import random
-import types
 import unittest
 from unittest import mock
-from urllib.parse import parse_qs, urlsplit
 
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
-from tornado.httpclient import HTTPError
 
 from peridotcove.clock import Clock
 from peridotcove.exceptions import PlatformDown
@@ -21,7 +17,7 @@
 from peridotcove.revision_numbers import get_epoch
 from peridotcove.revisions import Revisions
 from tests.fakes import count_history
-from tests.platform.fakes import StoreStandin, make_document, make_route
+from tests.platform.fakes import MemoryHttp, StoreStandin, make_document, make_route
 from tests.platform.test_platform_node import PlatformNodeBase
 
 SETTINGS = StoreSettings("", {"z1": "r"}, 2.0, 0.2, 50)
@@ -38,33 +34,6 @@
 }
 
 
-class MemoryHttp:
-    """Answers the calls of a `StoreClient` from a `StoreStandin` without network."""
-
-    def __init__(self, store):
-        self.store = store
-        self.is_down = False
-
-    async def fetch(self, url, **kwargs):
-        """Return the answer of the store to a call."""
-        if self.is_down:
-            raise HTTPError(503)
-        parts = urlsplit(url)
-        query = {name: value[0] for name, value in parse_qs(parts.query).items()}
-        store = self.store
-        if parts.path == "/kv-range":
-            items = [store.item_by_key[key] for key in sorted(store.item_by_key)]
-            page = {"items": items, "more_pages": False}
-        else:
-            after = int(query["after"])
-            if after > store.revision:
-                raise HTTPError(410)
-            page = {"events": [one for one in store.history if one["rev"] > after]}
-        page["store_revision"] = store.revision
-        headers = {"Store-Era": str(store.epoch)}
-        return types.SimpleNamespace(body=json.dumps(page).encode(), headers=headers)
-
-
 def make_client(http):
     with mock.patch("peridotcove.platform.store.CurlClient", lambda **kwargs: http):
         return StoreConfigurationClient(SETTINGS)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,10 +1,42 @@
 """Tests of `peridotcove.platform.store`: the copy is correct, or an error is raised."""
 
 import unittest
+from unittest import mock
+
+import pycurl
+from tornado.curl_httpclient import CurlError
 
 from peridotcove.exceptions import PlatformDown
 from peridotcove.platform.store import StoreClient
-from tests.platform.fakes import StoreStandin
+from tests.platform.fakes import MemoryHttp, StoreStandin
+
+LARGE_VALUE = b"x" * 200_000
+VERSIONS = 30
+# The slowest links of the users' pages, in bytes per ms.
+THIN_LINK_BYTES_PER_MS = 1_250
+
+
+class ThinLink(MemoryHttp):
+    """Answers of a store over a thin link; those that take too long fail.
+
+    Attributes
+    ----------
+    bytes : int
+        Size of all answers, also of those that failed.
+    """
+
+    def __init__(self, store):
+        super().__init__(store)
+        self.bytes = 0
+
+    async def fetch(self, url, request_timeout, **kwargs):
+        """Return the answer of the store, or fail after the timeout."""
+        answer = await super().fetch(url, **kwargs)
+        self.bytes += len(answer.body)
+        if len(answer.body) / THIN_LINK_BYTES_PER_MS > request_timeout * 1_000:
+            text = f"Operation timed out with {len(answer.body)} bytes received"
+            raise CurlError(pycurl.E_OPERATION_TIMEDOUT, text)
+        return answer
 
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
@@ -138,3 +170,60 @@
         await self.client.update(0)
         self.assertEqual(self.client.item_by_key["servers/1"].value, b"")
         self.assertEqual(self.client.item_by_key["servers/0"].value, b"{}")
+
+
+class ThinLinkTest(unittest.IsolatedAsyncioTestCase):
+    """A large value is written again and again, and the link to the store is thin."""
+
+    def setUp(self):
+        self.store = StoreStandin()
+        self.http = ThinLink(self.store)
+        with mock.patch(
+            "peridotcove.platform.store.CurlClient", lambda **kwargs: self.http
+        ):
+            self.client = StoreClient(self.store.address)
+
+    async def update(self):
+        try:
+            await self.client.update(0)
+        except PlatformDown:
+            return
+
+    # A watch that could not be answered in time was repeated, with more to answer.
+    async def test_changes_that_do_not_fit_into_the_time_of_a_watch_are_read(self):
+        self.store.put("large", LARGE_VALUE)
+        await self.update()
+        for _ in range(3):
+            for _ in range(VERSIONS):
+                self.store.put("large", LARGE_VALUE)
+            self.store.put("servers/1", {"state": "draining"})
+            await self.update()
+            await self.update()
+            self.assertEqual(self.client.revision, self.store.revision)
+
+    async def test_replaced_versions_are_not_read_one_by_one(self):
+        self.store.put("large", LARGE_VALUE)
+        await self.update()
+        size = self.http.bytes
+        calls = 20
+        for _ in range(calls):
+            for _ in range(3):
+                self.store.put("large", LARGE_VALUE)
+            await self.update()
+            self.assertEqual(self.client.revision, self.store.revision)
+        # One watch finds out; each further call reads the state.
+        self.assertLess(self.http.bytes, (calls + 4) * size)
+
+    async def test_changes_are_watched_again_after_the_large_ones(self):
+        self.store.put("large", LARGE_VALUE)
+        await self.update()
+        for _ in range(VERSIONS):
+            self.store.put("large", LARGE_VALUE)
+        for _ in range(3):
+            await self.update()
+        before = self.http.bytes
+        for number in range(10):
+            self.store.put("servers/1", {"number": number})
+            await self.update()
+            self.assertEqual(self.client.revision, self.store.revision)
+        self.assertLess(self.http.bytes - before, len(LARGE_VALUE))
