Nodes of little power read the configuration only if too few others do

What callers saw: slow answers and late changes at one weak node a zone while a large document changed often. Cause: three nodes a zone read. Where a zone has two strong nodes, the third is a weak one, whose link of 10 Mbit/s each version of a large document fills. Change: as many nodes read as have at least half of the best one's power, two at least and three at most. For each that reports failing reads the next one reads, as before. Measured: test_nodes_of_little_power_read_if_too_few_others_do fails without the rule (n3 reads). Conclusion: a zone's readers lose one place of tolerance where it is unequal; heartbeats of other zones and every frame still bring a revision.

--- a/peridotcove/configuration_reader.py
+++ b/peridotcove/configuration_reader.py
@@ -1,5 +1,7 @@
 """Schedules a node's reads of the configuration service."""
 
+import math
+
 from attrs import frozen
 
 from peridotcove.configuration_parts import digest
@@ -17,6 +19,8 @@
 EMPTY_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 2_000
 MAX_MISMATCHES = 3
+# Nodes of a zone that read although they have little power, so that one may be lost.
+MIN_READERS = 2
 IDLE_MS = 250
 FALLBACK_DELAY_MS = 15_000
 FALLBACK_SPREAD_MS = 15_000
@@ -62,7 +66,8 @@
     Attributes
     ----------
     readers : int
-        Number of nodes per zone that read.
+        Number of nodes per zone that read; fewer if a zone has fewer with enough power,
+        but not below `MIN_READERS`.
     watch_ms : int
         Maximum time in ms that a call waits for a change; a change stays unnoticed for
         this long if the connection fails silently.
@@ -99,6 +104,9 @@
         Returns the time in ms since another node, given by name, was last heard.
     read_policy : ReadPolicy or None
         Number of reading nodes and the wait of their calls.
+    capable_count : callable
+        Returns how many nodes, first in rank, have enough power to read. Large changes
+        fill the links of the others, to the harm of their callers.
 
     Attributes
     ----------
@@ -117,6 +125,7 @@
         settled,
         silence_ms=lambda name: 0,
         read_policy=None,
+        capable_count=lambda: math.inf,
     ):
         self.node = node
         self.clock = clock
@@ -128,6 +137,7 @@
         self._settled = settled
         self._silence_ms = silence_ms
         self._read_policy = read_policy or ReadPolicy()
+        self._capable_count = capable_count
         self._failures = 0
         self._mismatches = 0
         self._called_once = False
@@ -150,7 +160,7 @@
         if not self._settled():
             return False
         ranked = self._reader_rank()
-        count = self._read_policy.readers
+        count = min(self._read_policy.readers, max(MIN_READERS, self._capable_count()))
         first = ranked[:count]
         if self.node in first:
             return True
--- a/peridotcove/control_plane.py
+++ b/peridotcove/control_plane.py
@@ -48,6 +48,7 @@
             self.membership.settled,
             self._unheard_ms,
             read_policy,
+            self.membership.count_capable_readers,
         )
 
     def tick(self):
--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -24,7 +24,7 @@
     View,
 )
 from peridotcove.nodes.network import OutgoingMessage
-from peridotcove.ownership import rank_capable_first
+from peridotcove.ownership import find_capable, rank_capable_first
 from peridotcove.topology import Topology
 from peridotcove.zone_views import NodeRecord, ZoneViews, digest_records
 
@@ -83,6 +83,7 @@
         self._zone_digest = b""
         self._hears_minority = False
         self._reader_rank = (node.name,)
+        self._capable_readers = 1
         self._events = []
         self._last_run_ms = clock.now()
         self._resumed_ms = clock.now()
@@ -210,6 +211,10 @@
         """Return the names of the zone's live nodes, by rank as readers."""
         return self._reader_rank
 
+    def count_capable_readers(self):
+        """Return how many nodes, first in that rank, have enough power to read."""
+        return self._capable_readers
+
     def settled(self):
         """Return whether all neighbours were heard, or the time for that has passed."""
         now = self.clock.now()
@@ -385,6 +390,7 @@
         ]
         known = self.topology.instance_by_name | {self.node.name: self.node}
         powers = {name: known[name].power for name in names}
+        self._capable_readers = len(find_capable(powers))
         self._reader_rank = tuple(
             rank_capable_first(f"reader {self.node.zone}", powers)
         )
--- a/peridotcove/ownership.py
+++ b/peridotcove/ownership.py
@@ -120,6 +120,18 @@
     return rank_capable_first(shard_name, powers)
 
 
+def find_capable(power_by_name):
+    """Return the names of the nodes that have enough power for a role.
+
+    Parameters
+    ----------
+    power_by_name : dict of float
+        Power of each node by name.
+    """
+    min_power = CAPABLE_POWER_RATIO * max(power_by_name.values(), default=0.0)
+    return [name for name, power in power_by_name.items() if power >= min_power]
+
+
 def rank_capable_first(key, power_by_name):
     """Return the names of nodes by rank for a role, capable nodes before all others.
 
@@ -134,8 +146,7 @@
     power_by_name : dict of float
         Power of each node by name.
     """
-    min_power = CAPABLE_POWER_RATIO * max(power_by_name.values(), default=0.0)
-    capable = [name for name, power in power_by_name.items() if power >= min_power]
+    capable = find_capable(power_by_name)
     rest = power_by_name.keys() - set(capable)
     return [
         *rank(key, dict.fromkeys(capable, 1.0)),
--- a/tests/test_configuration_reader.py
+++ b/tests/test_configuration_reader.py
@@ -17,7 +17,9 @@
 RANK = ["n1", "n2", "n3", "n4"]
 
 
-def make_reader(node, readers=1, failing=(), silent=(), rank=RANK, settled=True):
+def make_reader(
+    node, readers=1, failing=(), silent=(), rank=RANK, settled=True, capable=4
+):
     clock, rng = FakeClock(), random.Random(1)
     return ConfigurationReader(
         node,
@@ -29,6 +31,7 @@
         lambda: settled,
         lambda name: READER_SILENCE_MS + 1 if name in silent else 0,
         ReadPolicy(readers=readers, watch_ms=2_000),
+        lambda: capable,
     )
 
 
@@ -60,6 +63,27 @@
                 }
                 self.assertEqual(found, expected)
 
+    def test_nodes_of_little_power_read_if_too_few_others_do(self):
+        cases = [
+            # readers, nodes with enough power, failing, nodes that read
+            (3, 4, (), {"n1", "n2", "n3"}),
+            (3, 2, (), {"n1", "n2"}),
+            (3, 1, (), {"n1", "n2"}),
+            (1, 2, (), {"n1"}),
+            (3, 2, ("n1",), {"n1", "n2", "n3"}),
+            (3, 2, ("n1", "n2"), set(RANK)),
+        ]
+        for readers, capable, failing, expected in cases:
+            with self.subTest(readers=readers, capable=capable, failing=failing):
+                found = {
+                    node
+                    for node in RANK
+                    if make_reader(
+                        node, readers, failing, capable=capable
+                    ).reads_for_zone()
+                }
+                self.assertEqual(found, expected)
+
     def test_any_node_applies_a_manifest_with_its_parts_at_the_start(self):
         data = b'{"customers":{"c":{}}}'
         descriptors = {"customers": PartDescriptor(5, digest(data))}
