--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -386,7 +386,9 @@
             "cached_blocks": grant.cached_blocks,
             "source": grant.source,
             "configuration": forwarder.fleet.configuration.revision,
-            "resume_after": resume_after,
+            "resume_after": resume_after or forward.resume_after,
+            "resumes": forward.resumes_text,
+            "software_version": engine.software_version,
         }
         self._record("request-sent", inputs, peer=engine.name)
         try:
--- a/peridotcove/forwarding_types.py
+++ b/peridotcove/forwarding_types.py
@@ -131,6 +131,12 @@
         Key shared by requests whose prompts differ only in the last part; 0 if unknown.
     head : ResponseHead or None
         Status and headers of the response, once received.
+    resume_after : str
+        Id of the last event that the caller has of a stream that it takes up again;
+        empty for a new request.
+    resumes_text : str
+        Id of the request that brought the first event of that stream; empty if the
+        caller doesn't name it.
     """
 
     request_id_text: str
@@ -146,6 +152,8 @@
     part_ends: tuple = ()
     prompt_key: int = 0
     head: ResponseHead | None = None
+    resume_after: str = ""
+    resumes_text: str = ""
 
 
 @frozen
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -133,6 +133,9 @@
         Whether it can fetch cached prefixes from another engine of its model.
     incarnation : int
         Distinguishes restarts of the engine; 0 if unknown.
+    software_version : str
+        Version of its software, not of the weights; empty if unknown. A model may have
+        engines of several versions.
     """
 
     name: str
@@ -147,6 +150,7 @@
     checks_fencing: bool = True
     shares_cache: bool = False
     incarnation: int = 0
+    software_version: str = ""
 
 
 @frozen
--- a/peridotcove/platform/dialect.py
+++ b/peridotcove/platform/dialect.py
@@ -44,6 +44,8 @@
 SIGNATURE_HEADER = "X-Server-Stamp"
 NOT_RUN_HEADER = "X-Not-Run"
 RESUME_AFTER_HEADER = "Last-Event-Id"
+# Id of the request that brought the first event of a stream that a client takes up.
+RESUMES_HEADER = "Resumes"
 LEAVING_HEADER = "Server-Leaving"
 LEAVING_VALUE = "1"
 RETRY_AFTER_HEADER = "Retry-After"
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -24,6 +24,8 @@
     DEADLINE_HEADER,
     INTERNAL_HEADERS,
     REQUEST_ID_HEADER,
+    RESUME_AFTER_HEADER,
+    RESUMES_HEADER,
     filter_headers,
 )
 from peridotcove.prefix_hashes import hash_prompt_parts, hash_shared_parts
@@ -259,6 +261,8 @@
             prefixes,
             part_ends,
             key,
+            resume_after=headers.get(RESUME_AFTER_HEADER, ""),
+            resumes_text=headers.get(RESUMES_HEADER, "").strip(),
         )
 
     def _parse_prompt_parts(self):
--- a/peridotcove/platform/translation.py
+++ b/peridotcove/platform/translation.py
@@ -27,6 +27,8 @@
 ENTRY_CACHE_SIZE = 8_192
 # Largest whole number that all JSON decoders read exactly.
 LARGEST_EXACT_NUMBER = 2**53 - 1
+# Longer texts than any version is; they would be sent with each revision.
+MAX_VERSION_CHARS = 200
 
 
 log = get_logger("store")
@@ -111,6 +113,8 @@
             # 'born' is the start time of the server, which may keep its id over a
             # restart.
             "incarnation": _read_start_time(raw.get("born")),
+            # 'version' is that of the server's software, not of its weights.
+            "software_version": _read_software_version(raw.get("version", "")),
         }
         _check_engine(name, tuple(engine.items()))
         return engine
@@ -139,6 +143,12 @@
     return born if is_known else 0
 
 
+def _read_software_version(version):
+    if not isinstance(version, str) or len(version) > MAX_VERSION_CHARS:
+        raise ValueError(f"the version {version!r:.60} is no short text")
+    return version
+
+
 def _is_address(address):
     host, _, port = address.rpartition(":")
     return bool(host) and port.isdigit() and 0 < int(port) < 65_536
