Failing tests: streams go on at another software version

Cause: a stream is resumed at any server of its service, in one answer and when its client takes it up again; nothing remembers which version began it.

--- /dev/null
+++ b/tests/platform/test_software_versions.py
@@ -0,0 +1,237 @@
+"""Tests of streams while servers of several software versions serve side by side."""
+
+import asyncio
+
+from peridotcove.clock import Clock
+from peridotcove.node import Node
+from peridotcove.node_lifecycle import close, open_ports, start
+from tests.platform import fakes
+from tests.platform.fakes import ServerStandin, make_event, make_stream_answer
+from tests.platform.test_platform_node import PlatformNodeBase
+
+TARGET = "/resumed/"
+EVENTS = 5
+CUT_AFTER = 2
+REPEATS = 10
+VERSIONS = ("v1", "v2", "v1", "v2")
+
+
+class SoftwareVersionsBase(PlatformNodeBase):
+    """Nodes before two servers of version v1, i-1 and i-3, and two of v2."""
+
+    async def asyncSetUp(self):
+        self.tasks_by_node = {}
+        await super().asyncSetUp()
+        for name in ("i-3", "i-4"):
+            server = ServerStandin(name)
+            await server.start()
+            self.addAsyncCleanup(server.close)
+            self.servers.append(server)
+        self.version_by_name = {}
+        for server, version in zip(self.servers, VERSIONS, strict=True):
+            self.put_version(server, version)
+            server.answer = make_stream_answer(EVENTS)
+        await self.wait_in_force(self.node)
+
+    def put_version(self, server, version):
+        self.version_by_name[server.name] = version
+        entry = server.make_entry("llm", version=version)
+        self.store.put(f"servers/{server.name}", entry)
+
+    async def start(self, seeds=()):
+        address = fakes.allocate_loopback_address()
+        node = Node(fakes.make_settings(self.store, address, seeds), Clock())
+        await open_ports(node)
+        self.tasks_by_node[node] = await start(node)
+        self.addAsyncCleanup(self.kill, node)
+        return node
+
+    async def kill(self, node):
+        """End a node without a word to the others."""
+        for task in self.tasks_by_node.pop(node, ()):
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await asyncio.sleep(0)
+        if node.links is not None:
+            await close(node)
+            node.links = None
+
+    async def join(self, count=1):
+        """Start further nodes, and wait until all know each other."""
+        nodes = [await self.start((self.node.name,)) for _ in range(count)]
+        everyone = [self.node, *nodes]
+        for node in everyone:
+            await self.wait_for(lambda node=node: len(node.fleet.nodes) == count + 1)
+            await self.wait_for(node.control.revisions.ready)
+            await self.wait_in_force(node)
+        return nodes
+
+    def let_break_off(self, cut_after=CUT_AFTER):
+        """Let the first server that is asked break off its stream."""
+        for server in self.servers:
+            server.seen.clear()
+
+        async def answer(seen, writer):
+            for server in self.servers:
+                server.answer = make_stream_answer(EVENTS)
+            await make_stream_answer(cut_after, cut=True)(seen, writer)
+
+        for server in self.servers:
+            server.answer = answer
+
+    def asked_versions(self):
+        """Return the versions of the servers that got requests, in no order."""
+        return {self.version_by_name[one.name] for one in self.servers if one.seen}
+
+    async def send(self, name, node=None, **fields):
+        """Send a request for a stream, or take one up again; return the response."""
+        client = await self.connect(node)
+        return await client.fetch(name, TARGET, body=b"b", **fields)
+
+    async def begin_stream(self, name, node=None):
+        """Begin a stream that breaks off for good; return the version that began it."""
+        self.let_break_off()
+        first = None
+        for server in self.servers:
+            answer = server.answer
+
+            async def answer_once(seen, writer, server=server, answer=answer):
+                nonlocal first
+                first = self.version_by_name[server.name]
+                await answer(seen, writer)
+                for other in self.servers:
+                    other.answer = fakes.refuse
+
+            server.answer = answer_once
+        got = await self.send(name, node)
+        self.assertFalse(got.is_complete)
+        self.assertEqual(got.body, make_event(1) + make_event(2))
+        for server in self.servers:
+            server.seen.clear()
+            server.answer = make_stream_answer(EVENTS)
+        return first
+
+    async def take_up(self, name, begun, node=None):
+        """Take a stream up again after its last event, as clients do."""
+        return await self.send(name, node, Last_Event_Id=str(CUT_AFTER), Resumes=begun)
+
+    def check_goes_on(self, got, version):
+        rest = b"".join(map(make_event, range(CUT_AFTER + 1, EVENTS + 1)))
+        self.assertEqual((got.status, got.is_complete, got.body), (200, True, rest))
+        self.assertEqual(self.asked_versions(), {version})
+
+    def check_refused(self, got):
+        self.assertEqual(got.status, 503)
+        self.assertEqual(self.asked_versions(), set())
+
+
+class ResumedAnswerTest(SoftwareVersionsBase):
+    """A node resumes a stream within its answer at the version that began it."""
+
+    async def test_a_stream_goes_on_at_a_server_of_its_version(self):
+        whole = b"".join(map(make_event, range(1, EVENTS + 1)))
+        for number in range(REPEATS):
+            self.let_break_off()
+            got = await self.send(f"r{number}")
+            self.assertEqual((got.is_complete, got.body), (True, whole))
+            self.assertEqual(len(self.asked_versions()), 1)
+
+    async def test_a_stream_ends_as_broken_off_if_only_another_version_serves(self):
+        for name in ("i-2", "i-4"):
+            self.store.drop(f"servers/{name}")
+        await self.wait_in_force(self.node)
+        for number in range(REPEATS):
+            self.let_break_off()
+            got = await self.send(f"r{number}")
+            self.assertFalse(got.is_complete)
+            self.assertEqual(len(self.asked_versions()), 1)
+
+    async def test_a_stream_without_an_event_goes_on_anywhere(self):
+        for name in ("i-2", "i-4"):
+            self.store.drop(f"servers/{name}")
+        await self.wait_in_force(self.node)
+        self.let_break_off(cut_after=0)
+        got = await self.send("r1")
+        self.assertTrue(got.is_complete)
+
+
+class TakenUpStreamTest(SoftwareVersionsBase):
+    """Clients take streams up again, at any node."""
+
+    async def test_a_stream_is_taken_up_at_its_node(self):
+        for number in range(REPEATS):
+            version = await self.begin_stream(f"a{number}")
+            got = await self.take_up(f"b{number}", f"a{number}")
+            self.check_goes_on(got, version)
+
+    async def test_a_stream_is_taken_up_at_another_node(self):
+        (other,) = await self.join()
+        for number in range(REPEATS):
+            version = await self.begin_stream(f"a{number}")
+            got = await self.take_up(f"b{number}", f"a{number}", other)
+            self.check_goes_on(got, version)
+
+    async def test_a_stream_is_taken_up_twice(self):
+        (other,) = await self.join()
+        version = await self.begin_stream("a")
+        for name, node in (("b", other), ("c", self.node), ("d", other)):
+            got = await self.take_up(name, "a", node)
+            self.check_goes_on(got, version)
+
+    # The node that began a stream knew its version, and was gone.
+    async def test_a_stream_is_taken_up_after_its_node_was_killed(self):
+        others = await self.join(3)
+        victim = others.pop()
+        versions = [await self.begin_stream(f"a{n}", victim) for n in range(REPEATS)]
+        await self.wait_for(lambda: self.is_shared_by(others, versions))
+        await self.kill(victim)
+        for number, version in enumerate(versions):
+            node = others[number % len(others)]
+            for server in self.servers:
+                server.seen.clear()
+            got = await self.take_up(f"b{number}", f"a{number}", node)
+            self.check_goes_on(got, version)
+
+    def is_shared_by(self, nodes, versions):
+        """Return whether an owner that lives knows all streams."""
+        return any(
+            len(node.stream_origins) >= len(versions) for node in [self.node, *nodes]
+        )
+
+    async def test_a_stream_of_an_unknown_version_is_refused(self):
+        for fields in (
+            {"Resumes": "never-sent"},
+            {"Resumes": ""},
+            {},
+        ):
+            with self.subTest(fields=fields):
+                got = await self.send("b", Last_Event_Id="2", **fields)
+                self.check_refused(got)
+
+    # All nodes lost power and came back, when the old version had just left.
+    async def test_a_stream_is_refused_after_all_nodes_were_killed(self):
+        await self.begin_stream("a")
+        await self.kill(self.node)
+        for server in self.servers[::2]:
+            self.store.drop(f"servers/{server.name}")
+        self.node = await self.start()
+        await self.wait_for(self.node.control.revisions.ready)
+        await self.wait_in_force(self.node)
+        got = await self.take_up("b", "a")
+        self.check_refused(got)
+
+    async def test_a_stream_whose_version_has_left_is_refused_at_once(self):
+        version = await self.begin_stream("a")
+        for server in self.servers:
+            if self.version_by_name[server.name] == version:
+                self.store.drop(f"servers/{server.name}")
+        await self.wait_in_force(self.node)
+        started_ms = self.node.clock.now()
+        got = await self.take_up("b", "a")
+        self.check_refused(got)
+        self.assertLess(self.node.clock.now() - started_ms, 500)
+
+    async def test_new_streams_begin_at_every_version(self):
+        for number in range(4 * REPEATS):
+            self.assertTrue((await self.send(f"r{number}")).is_complete)
+        self.assertEqual(self.asked_versions(), {"v1", "v2"})
