A response without a valid status fails its request

What callers saw: answers of status 600, 999 and 0 with a server's signature. Cause: libcurl accepts any number as a status and reads 200.0 as 200; the router read 0 from the same line, and passed on whatever was no success as the server's own failure. Change: the reader of heads that all HTTP clients share checks the status; a response without one of 200 to 599 fails with the verdict that the request may have run.

--- a/peridotcove/curl.py
+++ b/peridotcove/curl.py
@@ -1,6 +1,7 @@
 """tornado's curl client, adapted to many concurrent streams at low cost."""
 
 import functools
+import re
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -9,6 +10,10 @@
 INITIAL_HANDLES = 16
 # Statuses of answers that have no body, and so no length either.
 BODILESS_STATUSES = (204, 304)
+# Statuses of final responses. libcurl accepts any number, with anything after it.
+STATUS_PATTERN = re.compile(rb"[2-5][0-9][0-9]")
+# libcurl's code for a reply that is no valid one, of any protocol.
+INVALID_REPLY = pycurl.E_FTP_WEIRD_SERVER_REPLY
 # Lines that end a head.
 EMPTY_LINES = (b"\r\n", b"\n")
 # Largest body that is held in memory; several times the largest answer of any peer.
@@ -29,10 +34,13 @@
     ----------
     complete : bool
         Whether the empty line that ends the head of the final response was read.
+    has_status : bool
+        Whether that head has a valid status.
     """
 
     def __init__(self, parse_line):
         self.complete = False
+        self.has_status = False
         self._parse_line = parse_line
         self._is_interim = False
 
@@ -47,7 +55,10 @@
         if self.complete:
             return
         if line.startswith(b"HTTP/"):
-            self._is_interim = line.partition(b" ")[2].startswith(b"1")
+            words = line.split(None, 2)
+            code = words[1] if len(words) > 1 else b""
+            self.has_status = STATUS_PATTERN.fullmatch(code) is not None
+            self._is_interim = code.startswith(b"1")
         elif line in EMPTY_LINES:
             self.complete = not self._is_interim
         self._parse_line(line)
@@ -56,7 +67,8 @@
 class CurlClient(CurlAsyncHTTPClient):
     """curl client that creates handles on demand and can cancel a transfer.
 
-    A response that ends inside its head fails its request. Redirects are not followed.
+    A response that ends inside its head or has no valid status fails its request.
+    Redirects are not followed.
 
     Parameters
     ----------
@@ -102,6 +114,9 @@
         if curl_error is None and not curl.info["head"].complete:
             curl_error = pycurl.E_RECV_ERROR
             curl_message = "the connection ended inside the head of the response"
+        elif curl_error is None and not curl.info["head"].has_status:
+            curl_error = INVALID_REPLY
+            curl_message = "the response has no valid status"
         super()._finish(curl, curl_error, curl_message)
 
     def close(self):
--- a/peridotcove/endpoints/streaming_client.py
+++ b/peridotcove/endpoints/streaming_client.py
@@ -13,7 +13,7 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
 
-from peridotcove.curl import BODILESS_STATUSES, CurlClient
+from peridotcove.curl import BODILESS_STATUSES, INVALID_REPLY, CurlClient
 from peridotcove.exceptions import EndpointFailed, RequestError
 from peridotcove.verdict import Verdict
 
@@ -141,7 +141,7 @@
         if text.startswith("HTTP/"):
             words = text.split(" ", 2)
             code = words[1] if len(words) > 1 else ""
-            self.status = int(code) if code.isdigit() else 0
+            self.status = int(code) if code.isascii() and code.isdigit() else 0
             self.headers = HTTPHeaders()
             self.head_lines = [line]
         elif text and ":" in text:
@@ -347,4 +347,6 @@
         message = f"{url} sent no data within the timeout"
         return EndpointFailed("timeout", message, Verdict.MAY_HAVE_RUN, 504)
     message = f"no complete response from {url}: {error}"
+    if error.errno == INVALID_REPLY:
+        return EndpointFailed("malformed", message, Verdict.MAY_HAVE_RUN)
     return EndpointFailed("cut", message, Verdict.MAY_HAVE_RUN)
