Parts of events count against the memory of unfinished answers

What callers saw: nothing yet; a node with some 200 streams whose servers send an event without end would run out of memory, and all its requests end. Cause: the limit on all unfinished answers of a node counted bodies, not the part of an event. Change: such a part counts from 64 KiB on, and each time it has changed by as much. Measured: test_events_without_end_share_a_bounded_memory failed before (16 streams of 0.9 MB each held beside a limit of 1 MiB).

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -53,6 +53,8 @@
 MAX_ANSWER_BYTES = 16 << 20
 # Sum of all unfinished answers, a fraction of the memory of the smallest instances.
 MAX_HELD_BYTES = 64 << 20
+# Change of the held part of an event from which the sum is updated; events are smaller.
+MIN_COUNTED_BYTES = 65_536
 EVENT_STREAM_TYPE = "text/event-stream"
 # Codes of errors that mean that no engine was reached.
 UNREACHED_CODES = frozenset(
@@ -220,6 +222,8 @@
     body: bytearray = field(factory=bytearray)
     head: ResponseHead | None = None
     transfer: Transfer | None = None
+    # Size of a part of an event that is counted in the node's memory of answers.
+    counted_bytes: int = 0
     engine: Engine | None = None
     # Hash of the id under which the caller may take the stream up; 0 if it may not.
     stream: int = 0
@@ -535,6 +539,7 @@
             first_ms = min(left_ms, max(route.goal_ms, int(left_ms * FIRST_BYTE_SHARE)))
         self.head = None
         self.body.clear()
+        self.counted_bytes = 0
         self.splitter.discard_partial()
         transfer = Transfer(first_ms, left_ms, left_ms, self._handle_data)
         transfer.connect_ms = min(CONNECT_TIMEOUT_MS, left_ms)
@@ -566,17 +571,27 @@
             self.head = ResponseHead(head.status, fault=str(error))
             self.transfer.cancel()
             return False
+        self._count_partial()
         if self.splitter.ended:
             self.transfer.cancel()
         return (
             self._write_to_caller(head, complete_events) if complete_events else False
         )
 
+    def _count_partial(self):
+        """Count the part of an event that is held, if it is a large one."""
+        partial_bytes = self.splitter.partial_bytes
+        if abs(partial_bytes - self.counted_bytes) >= MIN_COUNTED_BYTES:
+            self.counted_bytes = partial_bytes
+            self.forwarder.answer_memory.update(self, partial_bytes)
+
     def give_up_answer(self):
         """Cancel an answer that is larger than this node has room for."""
-        fault = f"the answer is too large after {len(self.body)} bytes"
+        size = len(self.body) + self.splitter.partial_bytes
+        fault = f"the answer is too large after {size} bytes"
         self.head = ResponseHead(self.transfer.status, fault=fault)
         self.body.clear()
+        self.splitter.discard_partial()
         self.transfer.cancel()
 
     def _check_for_head(self, events):
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -19,6 +19,7 @@
     StoreStandin,
     echo_unframed_body,
     fail,
+    make_chunk,
     make_crashing_answer,
     make_event,
     make_head,
@@ -729,6 +730,33 @@
         # What the system buffers on both sides comes on top.
         self.assertLess(sum(sent), count * (8 << 20))
 
+    # The part of an event that had come was held without a common limit.
+    async def test_events_without_end_share_a_bounded_memory(self):
+        count, limit = 16, 1 << 20
+
+        async def flood(seen, writer):
+            writer.write(make_head(seen, 200, Transfer_Encoding="chunked"))
+            writer.write(make_chunk(make_event(1) + b"id: 2\ndata: "))
+            for _ in range(15):
+                writer.write(make_chunk(b"x" * 0xF000))
+                await writer.drain()
+            await asyncio.sleep(WAIT_S)
+
+        with mock.patch("peridotcove.forwarding.MAX_HELD_BYTES", limit):
+            node = await self.start()
+        await self.wait_in_force(node)
+        self.set_answers(*[flood] * count)
+        clients = [await self.connect(node) for _ in range(count)]
+        for number, client in enumerate(clients):
+            client.send(f"r{number}", "/chat/", X_Deadline_Ms="30000")
+        ended = [asyncio.create_task(client.read()) for client in clients]
+        await asyncio.wait(ended, return_when=asyncio.FIRST_COMPLETED, timeout=WAIT_S)
+        done = [task.result() for task in ended if task.done()]
+        self.assertTrue(done)
+        self.assertFalse(any(response.is_complete for response in done))
+        for task in ended:
+            task.cancel()
+
     async def test_requests_with_a_part_that_crashes_servers_are_refused(self):
         crash_by_name = {}
         released = asyncio.Event()
