Requests of a planned stop are answered before the process ends

What callers saw: requests that became whole late in a planned stop were passed on and cut; those in progress at its end were cut with no answer. Cause: the interface for the users' machines never asked the drain whether the node still takes requests, and requests in progress did not know when the process ends. Change: a request is refused as not run from the stage closing on. Requests in progress end 200 ms before the process with 504, or with 503 if they were not sent. A deadline that passes before a request was sent says that it did not run.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -484,6 +484,7 @@
                 raise self._replace_error(error) from None
         finally:
             self.sent_count += transfer.connected
+            forward.is_sent = forward.is_sent or transfer.connected
             forwarder.answer_memory.remove(self)
         unframed = transfer.framing == "connection" and not self._read_head().not_run
         if unframed and not self._discard_copy(engine):
--- a/peridotcove/forwarding_types.py
+++ b/peridotcove/forwarding_types.py
@@ -137,6 +137,8 @@
     resumes_text : str
         Id of the request that brought the first event of that stream; empty if the
         caller doesn't name it.
+    is_sent : bool
+        Whether an engine may have got the request.
     """
 
     request_id_text: str
@@ -154,6 +156,7 @@
     head: ResponseHead | None = None
     resume_after: str = ""
     resumes_text: str = ""
+    is_sent: bool = False
 
 
 @frozen
--- a/peridotcove/host_route_gateway.py
+++ b/peridotcove/host_route_gateway.py
@@ -23,6 +23,8 @@
 # Share of a request's time that it waits for them; the rest is left to run it.
 FIRST_ENGINES_WAIT_SHARE = 0.5
 START_POLL_INTERVAL_MS = 10
+# Time before the end of a shutdown in which the last answers are written.
+LAST_ANSWERS_MS = 200
 
 
 class HostRouteGateway:
@@ -69,12 +71,28 @@
         self._timeline = timeline
         self._started_ms = clock.now()
         self._configured_ms = None
+        self._running_limits = set()
 
     @property
     def leaving(self):
         """Whether callers are asked to send no more requests on their connection."""
         return not self._drain.ready
 
+    def check_accepting(self):
+        """Raise a `RequestRefused` if the node takes no more requests."""
+        if not self._drain.admit_request():
+            text = "this node is shutting down"
+            raise RequestRefused("closing", text, 503, RETRY_AFTER_MS)
+
+    def limit_running(self):
+        """Let the requests in progress end with an answer before the node ends."""
+        loop = asyncio.get_running_loop()
+        left_ms = max(0, self._drain.remaining_ms() - LAST_ANSWERS_MS)
+        end_s = loop.time() + left_ms / MS_PER_S
+        for limit in self._running_limits:
+            if limit.when() > end_s:
+                limit.reschedule(end_s)
+
     def begin(self):
         """Count a request as in progress."""
         self._request_counter.begin()
@@ -148,7 +166,7 @@
         return RequestRefused(code, text, status)
 
     async def run(self, forward, sink):
-        """Forward a request until its deadline; see `Forwarder.run`.
+        """Forward a request until its deadline or the node's end; see `Forwarder.run`.
 
         Parameters
         ----------
@@ -161,17 +179,26 @@
         ------
         EndpointFailed
             With status 504 if the deadline passes.
+        RequestRefused
+            If it passes before the request was sent to an engine.
         """
         left_ms = max(1, forward.end_ms - self.clock.now())
+        limit = asyncio.timeout(left_ms / MS_PER_S)
+        self._running_limits.add(limit)
         try:
-            async with asyncio.timeout(left_ms / 1000):
+            async with limit:
                 if self._configured_ms is not None:
                     await self._wait_for_first_engines(forward)
                 return await self._forwarder.run(forward, sink)
         except TimeoutError:
+            if not forward.is_sent:
+                text = "no engine was free before the request's deadline"
+                raise RequestRefused("deadline", text, 503, RETRY_AFTER_MS) from None
             text = "no engine answered before the request's deadline"
             verdict = Verdict.MAY_HAVE_RUN
             raise EndpointFailed("timeout", text, verdict, 504) from None
+        finally:
+            self._running_limits.discard(limit)
 
     def record_first_byte(self, arrived_ms):
         """Record the time to the first byte of an engine's response.
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -115,6 +115,7 @@
         self._closing = True
         for request in list(self._requests):
             request.close_if_idle()
+        self._gateway.limit_running()
 
 
 class _Request(HTTPMessageDelegate):
@@ -194,6 +195,7 @@
 
     async def _run(self):
         try:
+            self._gateway.check_accepting()
             await self._gateway.wait_for_configuration()
             forwarded_request = self._forwarded_request = self._parse_request()
             sink = self._sink = ResponseSink(self._open_body, STREAM_BUFFER_BYTES)
