Soak: software versions side by side, and clients that take streams up again

Change: servers mark their events with their version, a fault adds servers of a newer one, and clients take broken streams up at any node. A body that joins two versions is a broken promise.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -302,9 +302,9 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def make_event(number):
-    """Return a server-sent event with a number as its id."""
-    return b"id: %d\ndata: token-%d\n\n" % (number, number)
+def make_event(number, mark=""):
+    """Return a server-sent event with a number as its id, and a mark in its data."""
+    return b"id: %d\ndata: token-%d%s\n\n" % (number, number, mark.encode())
 
 
 def make_chunk(data):
@@ -327,12 +327,13 @@
     writer.write(make_head(seen, 500, 4) + b"oops")
 
 
-def make_unframed_answer(count, torn=b"", content_type="text/event-stream"):
+def make_unframed_answer(count, torn=b"", content_type="text/event-stream", mark=""):
     """Return an answer that streams events and ends with its connection."""
 
     async def answer(seen, writer):
         begin = int(seen.headers.get("Last-Event-Id", 0)) + 1
-        events = b"".join(map(make_event, range(begin, count + 1)))
+        numbers = range(begin, count + 1)
+        events = b"".join(make_event(number, mark) for number in numbers)
         fields = {"Content_Type": content_type} if content_type else {}
         writer.write(make_head(seen, 200, **fields))
         writer.write(events + torn)
@@ -368,7 +369,7 @@
     return crash
 
 
-def make_stream_answer(count, first=1, cut=False, pause_s=0.0, torn=b""):
+def make_stream_answer(count, first=1, cut=False, pause_s=0.0, torn=b"", mark=""):
     """Return an answer that streams events with ids after the requested one."""
 
     async def answer(seen, writer):
@@ -376,7 +377,7 @@
         fields = {"Transfer_Encoding": "chunked", "Content_Type": "text/event-stream"}
         writer.write(make_head(seen, 200, **fields))
         for number in range(begin, count + 1):
-            writer.write(make_chunk(make_event(number)))
+            writer.write(make_chunk(make_event(number, mark)))
             await writer.drain()
             await asyncio.sleep(pause_s)
         if torn:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -278,6 +278,19 @@
     await context.fleet.remove_server(name, context.rng.uniform(3, 8))
 
 
+@FAULTS.register("newer-software")
+async def add_newer_software(context):
+    """Add servers of a newer software version, which serve beside the others."""
+    fleet = context.fleet
+    fleet.software_versions.append(f"v{len(fleet.software_versions) + 1}")
+    for _ in range(context.rng.randint(1, 3)):
+        await fleet.add_server()
+        await asyncio.sleep(context.rng.uniform(0, 0.5))
+    for _ in range(context.rng.randint(0, 2)):
+        (name,) = context.sample_servers(0)
+        await fleet.remove_server(name, context.rng.uniform(3, 5))
+
+
 @FAULTS.register("say-leaving")
 async def let_server_say_that_it_leaves(context):
     """Replace a server that says in its answers, not in the store, that it leaves."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -33,6 +33,9 @@
 # A node without the version that added a route answers the route with this status.
 NO_ROUTE_STATUS = 404
 OK = 200
+EVENT_END = b"\n\n"
+# Requests by which a client takes a stream up, at most.
+MAX_TAKE_UPS = 3
 
 
 @frozen
@@ -71,6 +74,10 @@
         Names of the servers that are not draining.
     proxy_by_server : dict
         Proxies before the servers, by name of the server.
+    software_versions : list of str
+        Versions of the servers' software so far; new servers have the last one.
+    taken_up : int
+        Number of streams that clients took up again and got to their end.
     """
 
     def __init__(self, nodes, servers, folder, rng):
@@ -84,6 +91,8 @@
         self.server_by_name = {}
         self.active_servers = set()
         self.proxy_by_server = {}
+        self.software_versions = ["v1"]
+        self.taken_up = 0
         self._sizes = nodes, servers
         self._folder = folder
         self._id_numbers = itertools.count(1)
@@ -130,7 +139,9 @@
     async def add_server(self):
         """Start a server and register it in the store as ready."""
         name = f"i-{next(self._id_numbers)}"
-        server = SoakServer(name, self.promises, random.Random(self.rng.random()))
+        rng = random.Random(self.rng.random())
+        version = self.software_versions[-1]
+        server = SoakServer(name, self.promises, rng, version)
         await server.start()
         proxy = Proxy(server.address)
         await proxy.start()
@@ -236,9 +247,9 @@
             return 0
         self.promises.record_answer(request_id, response.status)
         if response.status == OK and response.is_complete:
-            self.promises.check_body(
-                request_id, make_expected_body(request_id, target), response.body
-            )
+            self._check_body(request_id, target, response.body)
+        elif kind == "chat" and response.status == OK:
+            await self._take_up(request_id, response.body, rng)
         if (
             kind == "version"
             and response.status
@@ -253,6 +264,48 @@
             return 0
         return response.status
 
+    def _check_body(self, request_id, target, body):
+        expected = [
+            make_expected_body(request_id, target, version)
+            for version in self.software_versions
+        ]
+        self.promises.check_body(request_id, expected, body)
+
+    async def _take_up(self, first_id, body, rng):
+        """Take up a stream that broke off, at any nodes, until it has ended."""
+        target = TARGET_BY_KIND["chat"]
+        for _ in range(MAX_TAKE_UPS):
+            await asyncio.sleep(rng.uniform(0, 4) * REQUEST_INTERVAL_S)
+            body = body[: body.rfind(EVENT_END) + len(EVENT_END)]
+            last_id = body.count(EVENT_END)
+            node = rng.choice(self.store_links).node
+            request_id = f"{node.label}-{node.incarnation}-{next(self._id_numbers)}"
+            if not last_id:
+                return
+            fields = {"Last_Event_Id": last_id, "Resumes": first_id}
+            try:
+                client = await Client.connect(node.host, FRONT_PORT)
+            except OSError:
+                continue
+            self.promises.record_request(
+                request_id, "take-up", node.label, node.incarnation
+            )
+            try:
+                client.send(request_id, target, **fields)
+                response = await client.read()
+            except (OSError, TimeoutError):
+                response = None
+            finally:
+                client.close()
+            self.promises.record_answer(request_id, response.status if response else 0)
+            if response is None or response.status != OK:
+                continue
+            body += response.body
+            if response.is_complete:
+                self._check_body(request_id, target, body)
+                self.taken_up += 1
+                return
+
     async def check_recovery(self):
         """Check that all nodes serve all kinds of requests soon after the faults."""
         loop = asyncio.get_running_loop()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -258,11 +258,19 @@
             self._add_violation("lost", f"{request_id} at {request.node} got no answer")
 
     def check_body(self, request_id, expected, body):
-        """Check that a successful response has the complete body of the server."""
-        if body != expected:
-            self._add_violation(
-                "whole", f"{request_id} got the wrong body {body[:80]!r}"
-            )
+        """Check that a successful response has the complete body of some server.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the request, or of the last one that took a stream up.
+        expected : iterable of bytes
+            Bodies that servers of the several software versions would send.
+        body : bytes
+            The body, of a stream that was taken up with what came before.
+        """
+        if body not in expected:
+            self._add_violation("whole", f"{request_id} got the wrong body {body!r}")
 
     def check_version(self, request_id, node, incarnation, version, known):
         """Check that a node has a version of the configuration if it should have it.
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -27,13 +27,19 @@
 ODD_PAUSES = ("soon", "-1", "nan", "", "Wed, 21 Oct 2026 07:28:00 GMT", "0")
 
 
-def make_expected_body(request_id, target):
-    """Return the complete body with which a server answers a request."""
+def make_expected_body(request_id, target, version):
+    """Return the complete body with which a server of a version answers a request."""
     if target.startswith("/chat/"):
-        return b"".join(make_event(number) for number in range(1, EVENT_COUNT + 1))
+        return make_events(1, version)
     return f"done {request_id}".encode()
 
 
+def make_events(first, version):
+    """Return the events of a stream, from a first one on; they name the version."""
+    numbers = range(first, EVENT_COUNT + 1)
+    return b"".join(make_event(number, f" {version}") for number in numbers)
+
+
 class SoakServer(ServerStandin):
     """A server that can fail, hang, refuse, drop or duplicate its answers.
 
@@ -45,6 +51,8 @@
         Records each request that arrives and runs.
     rng : random.Random
         Draws which requests fail.
+    software_version : str
+        Version of its software, which marks the events of its streams.
 
     Attributes
     ----------
@@ -65,11 +73,12 @@
         off).
     """
 
-    def __init__(self, name, promises, rng):
+    def __init__(self, name, promises, rng, software_version="v1"):
         super().__init__(name, self._handle_request)
         self.fault_share = self.leaving_share = self.pause_share = 0.0
         self.fault = ""
         self.runs = 0
+        self.software_version = software_version
         self._promises = promises
         self._rng = rng
 
@@ -98,15 +107,24 @@
         if fault in self._ANSWERS:
             await self._ANSWERS[fault](self, seen, writer)
         elif seen.target.startswith("/chat/"):
-            await make_stream_answer(EVENT_COUNT, pause_s=EVENT_INTERVAL_S)(
+            mark = f" {self.software_version}"
+            await make_stream_answer(EVENT_COUNT, pause_s=EVENT_INTERVAL_S, mark=mark)(
                 seen, writer
             )
         else:
-            body = make_expected_body(request_id, seen.target)
+            body = self._make_body(seen)
             writer.write(make_head(seen, 200, len(body), **self._leave(seen)) + body)
         if not writer.is_closing():
             await writer.drain()
 
+    def make_entry(self, service, **changes):
+        """Return the entry that the server writes to the store."""
+        return super().make_entry(service, version=self.software_version, **changes)
+
+    def _make_body(self, seen):
+        request_id = seen.headers["X-Request-Id"]
+        return make_expected_body(request_id, seen.target, self.software_version)
+
     def _leave(self, seen):
         """Return the header fields that say that the server leaves, or none."""
         if self._rng.random() >= self.leaving_share:
@@ -125,12 +143,10 @@
         writer.write(make_head(seen, 503, 0, X_Not_Run="1", Retry_After=text))
 
     async def _answer_twice(self, seen, writer):
-        body = make_expected_body(seen.headers["X-Request-Id"], seen.target)
+        body = self._make_body(seen)
         if "Last-Event-Id" in seen.headers:
             skipped = int(seen.headers["Last-Event-Id"])
-            body = b"".join(
-                make_event(number) for number in range(skipped + 1, EVENT_COUNT + 1)
-            )
+            body = make_events(skipped + 1, self.software_version)
         is_stream = seen.target.startswith("/chat/")
         fields = {"Content_Type": "text/event-stream"} if is_stream else {}
         framing = self._rng.choice(("length", "chunks", "connection"))
@@ -165,9 +181,10 @@
         if seen.target.startswith("/chat/"):
             count = self._rng.randrange(EVENT_COUNT) if is_torn else EVENT_COUNT
             torn = TORN_EVENT if is_torn else b""
-            await make_unframed_answer(count, torn)(seen, writer)
+            mark = f" {self.software_version}"
+            await make_unframed_answer(count, torn, mark=mark)(seen, writer)
             return
-        body = make_expected_body(seen.headers["X-Request-Id"], seen.target)
+        body = self._make_body(seen)
         if not is_torn:
             await echo_unframed_body(evolve(seen, body=body), writer)
             return
