--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -42,6 +42,11 @@
         32,
         ("kill", "terminate", "terminate"),
     ),
+    Case(
+        "a stream went on at another software version of its servers",
+        1,
+        ("newer-software", "bad-server", "bad-server", "kill", "bad-server", "kill"),
+    ),
 )
 
 
