Evacuated availability zones get no new work

Cause: nothing read the operator's wish to evacuate a zone. Change: a zone has the field evacuated. Nodes mark its engines and endpoints as leaving in the configuration that they use; streams in progress finish, broken ones go on elsewhere, no cache is fetched from there. It spreads with the revision, outlives the store and the readers, and ends with the key. The log and GET /configuration name the zones and the models without an engine elsewhere. The soak evacuates and restores zones. Cold servers are not part of this commit.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -164,6 +164,18 @@
         self.states.check_available(engine.name)
         self.notices.check_available(engine)
 
+    def may_fetch_from(self, engine):
+        """Return whether cached prefixes may be fetched from an engine.
+
+        Parameters
+        ----------
+        engine : Engine
+            The engine.
+        """
+        zone = self.fleet.configuration.zone_by_name.get(engine.zone)
+        is_evacuated = zone is not None and zone.evacuated
+        return not is_evacuated and not self.notices.is_leaving(engine)
+
     async def run(self, forward, sink):
         """Forward a request, with retries, and return the engine's answer.
 
@@ -444,7 +456,7 @@
         self._start_transfer(engine, left_ms)
         resume_after = self.splitter.last_id if self.sink.started else ""
         source = engine_by_name.get(grant.source)
-        if source is not None and forwarder.notices.is_leaving(source):
+        if source is not None and not forwarder.may_fetch_from(source):
             source = None
         attempt = Attempt(engine, source, left_ms, resume_after, self._get_priority())
         headers = HTTPHeaders()
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -72,10 +72,13 @@
         Unique name.
     region : str
         Region that the zone belongs to.
+    evacuated : bool
+        Whether its engines and endpoints get no new work.
     """
 
     name: str
     region: str
+    evacuated: bool = False
 
 
 @frozen
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -39,6 +39,12 @@
 from peridotcove.request_counter import RequestCounter
 from peridotcove.revision_events import RevisionEvents
 from peridotcove.timeline import Timeline
+from peridotcove.zone_evacuations import (
+    find_evacuated_engines,
+    find_evacuated_zones,
+    find_unserved_models,
+    withhold_evacuated,
+)
 
 log = get_logger("node")
 
@@ -149,7 +155,7 @@
             self.endpoint_states,
             self.clock,
             self.rng,
-            self.engine_notice_sync.leaving_names,
+            self._find_withheld_names,
         )
 
     def _wire_leases(self):
@@ -212,6 +218,7 @@
                 self.metrics,
                 self.timeline,
                 self.engine_notices,
+                self.fleet,
             )
         )
 
@@ -264,16 +271,30 @@
             self.fleet.configuration, trusted
         )
         self._keeps_lapsed_engines = effective is not trusted
-        current = effective
+        current = withhold_evacuated(effective)
         self.links.revision = current.revision
+        self._record_evacuations(current)
         self._record_endpoint_changes(current)
         self.fleet.set_configuration(current)
         self.endpoint_states.set_configuration(current)
+        self.fleet.set_leaving(self.endpoint_states.leaving())
         self.lease_server.update_dispatchers()
         self.interface.apply_configuration(current)
         self.revision_events.record_in_force(current.revision)
         log.info("configuration revision %d is in force", current.revision)
 
+    def _find_withheld_names(self):
+        """Return the engines of which other nodes learn otherwise that they leave."""
+        evacuated = find_evacuated_engines(self.fleet.configuration)
+        return [*self.engine_notice_sync.leaving_names(), *evacuated]
+
+    def _record_evacuations(self, current):
+        zones = find_evacuated_zones(current)
+        if zones == find_evacuated_zones(self.fleet.configuration):
+            return
+        inputs = {"zones": zones, "unserved_models": find_unserved_models(current)}
+        self.timeline.record("zones-evacuated", inputs, revision=current.revision)
+
     def _record_endpoint_changes(self, current):
         old = self.fleet.configuration.engine_by_name
         new = current.engine_by_name
--- a/peridotcove/operators/node_status.py
+++ b/peridotcove/operators/node_status.py
@@ -1,6 +1,7 @@
 """Status of the node that the operators' port reports."""
 
 from peridotcove.revision_numbers import get_count, get_epoch
+from peridotcove.zone_evacuations import find_evacuated_zones, find_unserved_models
 
 
 class NodeStatus:
@@ -20,15 +21,18 @@
         Events of the node.
     notices : EngineNotices
         What engines said of themselves.
+    fleet : FleetView
+        The node's view of the fleet.
     """
 
-    def __init__(self, drain, control, leases, metrics, timeline, notices):
+    def __init__(self, drain, control, leases, metrics, timeline, notices, fleet):
         self.metrics = metrics
         self.timeline = timeline
         self._drain = drain
         self._control = control
         self._leases = leases
         self._notices = notices
+        self._fleet = fleet
 
     def find_unready_reason(self):
         """Return why the node is not ready for callers; empty if it is ready."""
@@ -50,6 +54,8 @@
             "refused_revision": refused.revision if refused else 0,
             "faults": list(refused.faults) if refused else [],
             "engine_notices": self._notices.describe(),
+            "evacuated_zones": find_evacuated_zones(self._fleet.configuration),
+            "unserved_models": find_unserved_models(self._fleet.configuration),
         }
 
     def update_gauges(self):
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -20,6 +20,7 @@
 from peridotcove.platform.ingress import Ingress, make_server
 from peridotcove.platform.settings import read_platform_settings
 from peridotcove.retry_budgets import RetryBudgets
+from peridotcove.zone_evacuations import find_evacuated_engines
 
 # Period in s between reads of the settings file, which may change without a signal.
 SETTINGS_POLL_S = 1.0
@@ -172,6 +173,8 @@
             for name in self.node.owned_engines()
             if name in engine_by_name and engine_by_name[name].shares_cache
         ]
+        evacuated = set(find_evacuated_engines(self.node.fleet.configuration))
+        engines = [engine for engine in engines if engine.name not in evacuated]
         pause_left_ms = self.node.engine_notices.pause_left_ms
         return [engine for engine in engines if not pause_left_ms(engine)]
 
--- a/peridotcove/platform/translation.py
+++ b/peridotcove/platform/translation.py
@@ -11,6 +11,8 @@
 from peridotcove.schema import build
 
 SERVERS_PREFIX = "servers/"
+# The rest of such a key names a zone; what its value says doesn't matter.
+EVACUATION_PREFIX = "op/evacuate/"
 STATUS_BY_SERVER_STATE = {"ready": "in-service", "draining": "leaving"}
 # Servers of any zone may serve clients of any other zone: all zones form one region.
 REGION = "machines"
@@ -48,12 +50,34 @@
     """
     return {
         "bounds": _make_bounds(store, document.keys_required),
-        "zones": {zone: {"region": REGION} for zone in store.region_by_zone},
+        "zones": _make_zones(item_by_key, store.region_by_zone),
         "engines": _make_engines(item_by_key, document, store.region_by_zone),
         **document.sections,
     }
 
 
+def _make_zones(item_by_key, zones):
+    raw_by_zone = {zone: {"region": REGION} for zone in zones}
+    for key in item_by_key:
+        if not key.startswith(EVACUATION_PREFIX):
+            continue
+        zone = key.removeprefix(EVACUATION_PREFIX)
+        if zone in raw_by_zone:
+            raw_by_zone[zone]["evacuated"] = True
+        else:
+            _log_unknown_zone(zone)
+    return raw_by_zone
+
+
+@functools.lru_cache(maxsize=ENTRY_CACHE_SIZE)
+def _log_unknown_zone(zone):
+    """Log once that a zone can't be evacuated."""
+    log.warning(
+        "the evacuation of zone %.60r is ignored, since the settings name no such zone",
+        zone,
+    )
+
+
 def _make_bounds(store, keys_required):
     return {
         "keys_required": keys_required,
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -172,6 +172,9 @@
     "engines-aside", "engines that fail get no work for a while", level=logging.WARNING
 )
 add_kind("endpoints-changed", "other endpoints are in service")
+add_kind(
+    "zones-evacuated", "other availability zones are evacuated", level=logging.WARNING
+)
 add_kind("owners-changed", "other nodes own shards")
 add_kind("dispatcher-closed", "the node grants no more leases of a shard")
 add_kind(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,7 @@
 
 from peridotcove.registry import Registry
 from tests.platform.odd_values import ODD_BYTES, ODD_VALUES, encode_entry
+from tests.soak.fleet import ZONES
 from tests.soak.proxy import Direction
 
 FAULTS = Registry("fault")
@@ -256,6 +257,7 @@
     await context.disrupt([""], begin, end, context.rng.uniform(0.1, 2))
     await asyncio.sleep(context.rng.uniform(0, 0.5))
     fleet.write_configuration()
+    fleet.write_evacuations()
     await asyncio.sleep(context.rng.uniform(0, 1.5))
     fleet.write_server_entries()
     await asyncio.sleep(ENTRY_LIFETIME_S)
@@ -291,6 +293,18 @@
         await fleet.remove_server(name, context.rng.uniform(3, 5))
 
 
+@FAULTS.register("evacuate-zone")
+async def evacuate_zone(context):
+    """Evacuate a zone and restore it, unless the other one is evacuated."""
+    fleet = context.fleet
+    if fleet.evacuated_zones:
+        return
+    zone = context.rng.choice(ZONES)
+    fleet.evacuate(zone)
+    await asyncio.sleep(context.rng.uniform(2, 9))
+    fleet.end_evacuation(zone)
+
+
 @FAULTS.register("say-leaving")
 async def let_server_say_that_it_leaves(context):
     """Replace a server that says in its answers, not in the store, that it leaves."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -33,6 +33,7 @@
 # A node without the version that added a route answers the route with this status.
 NO_ROUTE_STATUS = 404
 OK = 200
+ZONES = ("z1", "z2")
 EVENT_END = b"\n\n"
 # Requests by which a client takes a stream up, at most.
 MAX_TAKE_UPS = 3
@@ -78,6 +79,8 @@
         Versions of the servers' software so far; new servers have the last one.
     taken_up : int
         Number of streams that clients took up again and got to their end.
+    evacuated_zones : set of str
+        Zones that are evacuated now.
     """
 
     def __init__(self, nodes, servers, folder, rng):
@@ -93,6 +96,7 @@
         self.proxy_by_server = {}
         self.software_versions = ["v1"]
         self.taken_up = 0
+        self.evacuated_zones = set()
         self._sizes = nodes, servers
         self._folder = folder
         self._id_numbers = itertools.count(1)
@@ -141,7 +145,8 @@
         name = f"i-{next(self._id_numbers)}"
         rng = random.Random(self.rng.random())
         version = self.software_versions[-1]
-        server = SoakServer(name, self.promises, rng, version)
+        zone = ZONES[len(self.server_by_name) % len(ZONES)]
+        server = SoakServer(name, self.promises, rng, version, zone)
         await server.start()
         proxy = Proxy(server.address)
         await proxy.start()
@@ -161,6 +166,27 @@
         await self.server_by_name.pop(name).close()
         await self.proxy_by_server.pop(name).close()
 
+    def evacuate(self, zone):
+        """Ask for the evacuation of a zone."""
+        self.evacuated_zones.add(zone)
+        self.write_evacuations()
+        self.promises.record_evacuation(zone)
+
+    def end_evacuation(self, zone):
+        """End the evacuation of a zone."""
+        self.promises.record_evacuation_end(zone)
+        self.evacuated_zones.discard(zone)
+        self.write_evacuations()
+
+    def write_evacuations(self):
+        """Write which zones are evacuated, also again."""
+        for zone in ZONES:
+            key = f"op/evacuate/{zone}"
+            if zone in self.evacuated_zones:
+                self.store.put(key, b"")
+            else:
+                self.store.drop(key)
+
     def _make_server_entry(self, name, state):
         address = self.proxy_by_server[name].address
         return self.server_by_name[name].make_entry("llm", addr=address, state=state)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -14,6 +14,8 @@
 MAX_OLD_VERSION_MS = 250
 # from when a server is listed as draining until it gets no more requests,
 MAX_DRAIN_DELAY_MS = 2_000
+# from when a zone is evacuated until its servers get no more requests,
+MAX_EVACUATION_DELAY_MS = 5_000
 # from when a node passes on an answer by which a server leaves until no request that is
 # sent to the node reaches that server,
 MAX_SAID_LEAVING_DELAY_MS = 2_000
@@ -106,6 +108,7 @@
     _newest_version_by_process: dict = field(factory=dict)
     _published_ms_by_version: dict = field(factory=dict)
     _leaving_ms_by_server: dict = field(factory=dict)
+    _evacuated_ms_by_zone: dict = field(factory=dict)
     _leaving_by_request_id: dict = field(factory=dict)
     _said_leaving_ms_by_link: dict = field(factory=dict)
     _pauses_by_link: dict = field(factory=dict)
@@ -161,13 +164,21 @@
         """Record that the store lists a server as draining from now on."""
         self._leaving_ms_by_server[server] = CLOCK.now()
 
+    def record_evacuation(self, zone):
+        """Record that the store says from now on that a zone is evacuated."""
+        self._evacuated_ms_by_zone[zone] = CLOCK.now()
+
+    def record_evacuation_end(self, zone):
+        """Record that a zone is no longer evacuated."""
+        self._evacuated_ms_by_zone.pop(zone, None)
+
     def record_request(self, request_id, kind, node, incarnation=0):
         """Record that a client sends a request to a process of a node."""
         now = CLOCK.now()
         self._request_by_id[request_id] = _Request(kind, node, now, incarnation)
         self._request_times_ms.append(now)
 
-    def record_arrival(self, request_id, server):
+    def record_arrival(self, request_id, server, zone=""):
         """Record that a request reached a server; return whether a client sent it."""
         request = self._request_by_id.get(request_id)
         if request is None:
@@ -181,6 +192,7 @@
         if request.arrivals > 1:
             self._retry_times_ms.append(now)
             self._check_retry_budget(now)
+        self._check_evacuation(request_id, request, server, zone)
         leaving_ms = self._leaving_ms_by_server.get(server)
         late = leaving_ms is not None and now > leaving_ms + MAX_DRAIN_DELAY_MS
         if late and self.is_stable(request.node, leaving_ms):
@@ -189,6 +201,15 @@
             self._add_violation("drain", f"{text} it was listed as draining")
         return True
 
+    def _check_evacuation(self, request_id, request, server, zone):
+        begin_ms = self._evacuated_ms_by_zone.get(zone)
+        if begin_ms is None:
+            return
+        waited = CLOCK.now() - begin_ms
+        if waited > MAX_EVACUATION_DELAY_MS and self.is_stable(request.node, begin_ms):
+            text = f"{server} got {request_id} from {request.node} {waited} ms after"
+            self._add_violation("evacuation", f"{text} its zone was evacuated")
+
     def record_said_leaving(self, request_id, server):
         """Record that the answer to a request says that its server leaves."""
         self._leaving_by_request_id[request_id] = server
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -53,6 +53,8 @@
         Draws which requests fail.
     software_version : str
         Version of its software, which marks the events of its streams.
+    zone : str
+        Its availability zone.
 
     Attributes
     ----------
@@ -73,19 +75,20 @@
         off).
     """
 
-    def __init__(self, name, promises, rng, software_version="v1"):
+    def __init__(self, name, promises, rng, software_version="v1", zone="z1"):
         super().__init__(name, self._handle_request)
         self.fault_share = self.leaving_share = self.pause_share = 0.0
         self.fault = ""
         self.runs = 0
         self.software_version = software_version
+        self.zone = zone
         self._promises = promises
         self._rng = rng
 
     async def _handle_request(self, seen, writer):
         self.seen.clear()
         request_id = seen.headers["X-Request-Id"]
-        if not self._promises.record_arrival(request_id, self.name):
+        if not self._promises.record_arrival(request_id, self.name, self.zone):
             return
         self._promises.check_forwarded_headers(request_id, seen.headers)
         if seen.headers.get("X-Expect-Instance") != self.name:
@@ -119,7 +122,8 @@
 
     def make_entry(self, service, **changes):
         """Return the entry that the server writes to the store."""
-        return super().make_entry(service, version=self.software_version, **changes)
+        fields = {"version": self.software_version, "zone": self.zone, **changes}
+        return super().make_entry(service, **fields)
 
     def _make_body(self, seen):
         request_id = seen.headers["X-Request-Id"]
