Cold engines get no more requests than they bear

Cause: nothing read how long a server stays cold after its start, nor the rate that it bears. Change: the owner of a shard grants leases on a cold engine by a token bucket; owners beside it use a part of what the bound allows beyond the rate, nodes without an owner nothing. A lease on a cold engine that is older than 250 ms is given back. Requests that only cold engines can serve, and not in their time, are refused at once. Conclusion: which work warms a cold engine, and health answers, are left.

--- /dev/null
+++ b/peridotcove/cold_engines.py
@@ -0,0 +1,160 @@
+"""Bounds the rate of requests to engines that have just started and are still cold.
+
+The first owner of a shard grants leases on a cold engine at the rate that it bears. An
+owner that stands in for it, or that has just become the first, may run beside others
+that still grant; it uses a part of what the bound allows beyond that rate.
+"""
+
+from attrs import define
+
+from peridotcove.clock import MS_PER_S
+
+# Longer times are taken for a fault of the engine, which hurts only itself.
+MAX_COLD_MS = 600_000
+# Largest share of the rate by which requests of a second may bunch on their way.
+BUNCHING_SHARE = 0.25
+# Time for which a request may be on its way from the grant to the engine.
+MAX_SEND_DELAY_MS = int(BUNCHING_SHARE * MS_PER_S)
+# Owners that may grant beside the first one.
+MAX_OTHER_OWNERS = 2
+
+
+@define
+class _ColdSpell:
+    """The time for which one start of an engine is cold, and its tokens."""
+
+    incarnation: int
+    report: int
+    end_ms: int
+    refilled_ms: int
+    tokens: float = 0.0
+
+
+class ColdEngines:
+    """The engines of a shard that are cold, and which may get a request now.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time in ms.
+
+    Attributes
+    ----------
+    share : float
+        Share of the rate of each cold engine that this owner may use.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._spell_by_engine = {}
+        self._rate_by_engine = {}
+        self._capacity = 1.0
+        self._allowed_share = 1.0
+        self.share = 0.0
+
+    def set_engines(self, engines, model_by_name, bounds):
+        """Set the engines of the shard.
+
+        Parameters
+        ----------
+        engines : iterable of Engine
+            The engines, as configured.
+        model_by_name : dict of Model
+            Their models.
+        bounds : Bounds
+            Bounds of the configuration.
+        """
+        now = self._clock.now()
+        spells, rates = {}, {}
+        for engine in engines:
+            model = model_by_name.get(engine.model)
+            if model is None or not model.cold_rate or not engine.cold_left_ms:
+                continue
+            key = engine.incarnation, engine.cold_report
+            spell = self._spell_by_engine.get(engine.name)
+            if spell is None or (spell.incarnation, spell.report) != key:
+                left_ms = min(engine.cold_left_ms, MAX_COLD_MS)
+                tokens = 0.0 if spell is None else spell.tokens
+                spell = _ColdSpell(*key, now + left_ms, now, tokens)
+            spells[engine.name] = spell
+            rates[engine.name] = model.cold_rate
+        self._spell_by_engine, self._rate_by_engine = spells, rates
+        self._capacity = max(1.0, bounds.cold_slack / (1 + MAX_OTHER_OWNERS))
+        self._allowed_share = bounds.cold_excess / (1 + BUNCHING_SHARE)
+
+    def set_role(self, is_alone, is_owner):
+        """Set which part of the rates this node may use.
+
+        Parameters
+        ----------
+        is_alone : bool
+            Whether this node is the first owner of the shard, and no earlier one may
+            still grant leases.
+        is_owner : bool
+            Whether it may grant leases to other nodes at all.
+        """
+        self._refill()
+        if is_alone:
+            self.share = min(1.0, self._allowed_share)
+        elif is_owner:
+            self.share = max(0.0, self._allowed_share - 1) / MAX_OTHER_OWNERS
+        else:
+            self.share = 0.0
+
+    def find_blocked(self):
+        """Return the names of the cold engines that may get no request now."""
+        if not self._spell_by_engine:
+            return ()
+        self._refill()
+        return tuple(
+            name
+            for name, spell in self._spell_by_engine.items()
+            if spell.tokens < 1 and spell.end_ms > self._clock.now()
+        )
+
+    def record_grant(self, engine):
+        """Record that a request was granted an engine.
+
+        Parameters
+        ----------
+        engine : str
+            Name of the engine.
+        """
+        spell = self._spell_by_engine.get(engine)
+        if spell is not None:
+            spell.tokens -= 1
+
+    def estimate_wait_ms(self, engines, waiting):
+        """Return the time in ms until a further request can be granted an engine.
+
+        Parameters
+        ----------
+        engines : iterable of str
+            Engines that the request may use.
+        waiting : int
+            Number of requests that wait already.
+
+        Returns
+        -------
+        float or None
+            None if one of the engines isn't cold.
+        """
+        now = self._clock.now()
+        rate, first_end_ms = 0.0, MAX_COLD_MS
+        for name in engines:
+            spell = self._spell_by_engine.get(name)
+            if spell is None or spell.end_ms <= now:
+                return None
+            rate += self.share * self._rate_by_engine[name]
+            first_end_ms = min(first_end_ms, spell.end_ms - now)
+        if not rate:
+            return first_end_ms
+        return min(first_end_ms, MS_PER_S * (waiting + 1) / rate)
+
+    def _refill(self):
+        now = self._clock.now()
+        for name, spell in self._spell_by_engine.items():
+            rate = self.share * self._rate_by_engine[name]
+            gained = rate * (now - spell.refilled_ms) / MS_PER_S
+            spell.tokens = min(self._capacity, spell.tokens + gained)
+            spell.refilled_ms = now
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -1,8 +1,9 @@
 """Dispatcher of one shard: decides which engine runs each request, and when."""
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from peridotcove.cache_index import CHARS_PER_TOKEN, CacheIndex
+from peridotcove.cold_engines import ColdEngines
 from peridotcove.customer_slots import CustomerSlots
 from peridotcove.engine_loads import PREFILL_TOKENS_PER_MS, EngineLoads
 from peridotcove.engine_selection import EngineSelector
@@ -84,6 +85,7 @@
         }
         self._lists_until_ms = clock.now() + FIRST_LISTS_MS
         self._loads = EngineLoads(configuration.bounds.load_bound)
+        self._cold = ColdEngines(clock)
         self.set_configuration(configuration)
 
     def start_recovery(self, entries):
@@ -129,8 +131,25 @@
         }
         self._prefix_index.set_engines(engines)
         self._part_index.set_engines(engines)
+        configuration = self._configuration
+        self._cold.set_engines(
+            engines, configuration.model_by_name, configuration.bounds
+        )
         return self._grant_waiting()
 
+    def set_role(self, is_first_owner, is_owner):
+        """Set which part of the rate of cold engines this node may use.
+
+        Parameters
+        ----------
+        is_first_owner : bool
+            Whether this node is the first owner of the shard.
+        is_owner : bool
+            Whether it may grant leases to other nodes.
+        """
+        is_alone = is_first_owner and not self.is_recovering
+        self._cold.set_role(is_alone, is_owner)
+
     def set_other_shards_load(self, total, weight):
         """Set the load of the model's other shards in the region.
 
@@ -227,6 +246,10 @@
             return [LeaseRefusal(request_id, "all-paused", RETRY_AFTER_MS)]
         now = self._clock.now()
         wait = min(request.deadline_ms, self._configuration.bounds.queue_ms)
+        cold_wait_ms = self._estimate_cold_wait_ms(request)
+        if cold_wait_ms is not None and cold_wait_ms > wait:
+            jitter = 0.5 + hash_name(request_id.hex()) / HASH_RANGE
+            return [LeaseRefusal(request_id, "cold", int(cold_wait_ms * jitter))]
         customer = self._customer(request.customer)
         item = QueuedRequest(request, now, now + wait)
         self._update_capacity_share()
@@ -244,6 +267,15 @@
             decisions.extend(self._refuse_if_overloaded(request, customer, wait))
         return decisions
 
+    def _estimate_cold_wait_ms(self, request):
+        """Return how long a request waits if all engines that it may use are cold."""
+        names = [
+            load.name
+            for load in self._loads.open_engines
+            if load.name not in request.excluded
+        ]
+        return self._cold.estimate_wait_ms(names, self.waiting) if names else None
+
     def _excludes_all(self, request):
         return all(load.name in request.excluded for load in self._loads.open_engines)
 
@@ -465,6 +497,9 @@
                 item, "", self._clock.now() + prompt_ms
             )
             return None
+        blocked = self._cold.find_blocked()
+        if blocked:
+            request = evolve(request, excluded=(*request.excluded, *blocked))
         if request.part_ends:
             index = self._part_index
             lookup = index.look_up(request.prefixes, request.part_ends)
@@ -493,6 +528,7 @@
             load = self._loads.engine_load_by_name[name]
             load.add_prefill(missing * share, self._clock.wall())
         index.record(lookup, name, self._clock.wall())
+        self._cold.record_grant(name)
         request_id = request.request_id
         self._add_lease(
             Lease(request_id, request.entry, request.customer, name, now, cached)
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -13,6 +13,7 @@
 from peridotcove.answer_copies import HTTP_PREFIX, find_copy
 from peridotcove.answer_memory import AnswerMemory
 from peridotcove.clock import MS_PER_S
+from peridotcove.cold_engines import MAX_SEND_DELAY_MS
 from peridotcove.crash_suspects import CUT, CUT_BEFORE_ANSWER
 from peridotcove.endpoints.streaming_client import Transfer
 from peridotcove.engine_notices import NO_NOTICE
@@ -58,7 +59,10 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 # Codes of errors that mean that no engine was reached.
 UNREACHED_CODES = frozenset(
-    ("unreachable", "leaving", "paused", "stale-view", "other-version")
+    (
+        *("unreachable", "leaving", "paused", "stale-view"),
+        *("other-version", "stale-lease"),
+    )
 )
 RETRY_AFTER_MS = 1_000
 # Outcome that is reported to the owner of the engine when the lease is released, by
@@ -556,9 +560,18 @@
         self.splitter.discard_partial()
         transfer = Transfer(first_ms, left_ms, left_ms, self._handle_data)
         transfer.connect_ms = min(CONNECT_TIMEOUT_MS, left_ms)
-        transfer.before_send = lambda: self.forwarder.check_available(engine)
+        asked_ms = self.forwarder.clock.now()
+        transfer.before_send = lambda: self._check_before_send(engine, asked_ms)
         self.transfer = self.sink.transfer = transfer
 
+    def _check_before_send(self, engine, granted_ms):
+        """Raise a `RequestRefused` if an engine may not get the request any more."""
+        self.forwarder.check_available(engine)
+        delay_ms = self.forwarder.clock.now() - granted_ms
+        if engine.cold_left_ms and delay_ms > MAX_SEND_DELAY_MS:
+            text = f"the lease on cold engine {engine.name} is {delay_ms} ms old"
+            raise RequestRefused("stale-lease", text, 503, RETRY_AFTER_MS)
+
     def _get_priority(self):
         customer = self.forward.customer
         return self.forward.route.priority if customer is None else customer.priority
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -363,6 +363,7 @@
         "overloaded": "all engines of this model are busy",
         "deadline": "no engine became available in time",
         "all-paused": "all engines of this model want no requests yet",
+        "cold": "all engines of this model have just started",
         "concurrency": "the customer has too many requests in progress",
         QUARANTINED: "engines crashed on a part of the prompt",
         UNKNOWN_ORIGIN: "it is not known which software version began the stream",
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -163,7 +163,9 @@
             return
         if self._node not in owners:
             request = _ignore_caches(request)
-        decisions = self._dispatcher(message.shard).request_lease(request)
+        dispatcher = self._dispatcher(message.shard)
+        dispatcher.set_role(is_first_owner, self._node in owners)
+        decisions = dispatcher.request_lease(request)
         self._send_decisions(decisions)
         if not any(item.request_id == message.request_id for item in decisions):
             dispatcher = self.dispatcher_by_shard[message.shard]
--- a/peridotcove/platform/document.py
+++ b/peridotcove/platform/document.py
@@ -15,7 +15,7 @@
 from peridotcove.exceptions import InvalidSettings, PlatformDown
 from peridotcove.json_values import decode_json
 from peridotcove.logs import get_logger
-from peridotcove.models import Configuration, HostRoute, Target
+from peridotcove.models import Configuration, HostRoute, Model, Target
 from peridotcove.schema import build, find_range
 
 CONFIGURATION_KEY = "op/config"
@@ -176,9 +176,15 @@
 
 
 def _make_model(raw):
+    model = {}
     path = raw.get("health_path")
-    is_path = isinstance(path, str) and HEALTH_PATH_PATTERN.fullmatch(path)
-    return {"health_path": path} if is_path else {}
+    if isinstance(path, str) and HEALTH_PATH_PATTERN.fullmatch(path):
+        model["health_path"] = path
+    # 'cold_per_s' is the rate of requests that a server bears after its start.
+    rate = raw.get("cold_per_s", 0)
+    if type(rate) in (int, float) and rate > 0:
+        model["cold_rate"] = _clamp(Model, "cold_rate", float(rate), raw["name"])
+    return model
 
 
 def _make_customer(raw):
--- a/peridotcove/platform/settings.py
+++ b/peridotcove/platform/settings.py
@@ -57,6 +57,10 @@
         Retries allowed for each request, over all nodes.
     retry_extra : int
         Additional retries allowed in one window, over all nodes.
+    cold_excess : float
+        Requests of a second to a cold server, as a multiple of the rate that it bears.
+    cold_slack : int
+        Requests of a second to it in addition.
     """
 
     address: str
@@ -64,6 +68,8 @@
     load_bound: float
     retry_share: float
     retry_extra: int
+    cold_excess: float = 1.0
+    cold_slack: int = 0
 
 
 @frozen
@@ -201,4 +207,6 @@
         bounds.get("cap_x", number, "a number of 1 or more", 2),
         bounds.get("budget_ratio", number, "a number", 0.2),
         bounds.get("budget_extra", number, "a number", 0),
+        bounds.get("cold_excess", number, "a number of 1 or more", 1.0),
+        bounds.get("cold_slack", number, "a number", 0),
     )
--- a/peridotcove/platform/translation.py
+++ b/peridotcove/platform/translation.py
@@ -1,7 +1,9 @@
 """Translates the content of the platform's store into a configuration."""
 
 import functools
+import math
 
+from peridotcove.cold_engines import MAX_COLD_MS
 from peridotcove.configuration_checks import NAME_PATTERN, is_base_url
 from peridotcove.exceptions import InvalidSettings
 from peridotcove.json_values import decode_json
@@ -85,6 +87,8 @@
         "retry_share": float(store.retry_share),
         "block_chars": BLOCK_CHARS,
         "shard_engines": SHARD_ENGINES,
+        "cold_excess": float(store.cold_excess),
+        "cold_slack": int(store.cold_slack),
     }
 
 
@@ -139,7 +143,10 @@
             "incarnation": _read_start_time(raw.get("born")),
             # 'version' is that of the server's software, not of its weights.
             "software_version": _read_software_version(raw.get("version", "")),
+            "cold_left_ms": _read_cold_left_ms(raw.get("cold_left_ms", 0)),
         }
+        if engine["cold_left_ms"]:
+            engine["cold_report"] = item.revision
         _check_engine(name, tuple(engine.items()))
         return engine
     except (*VALUE_ERRORS, InvalidSettings) as error:
@@ -173,6 +180,12 @@
     return version
 
 
+def _read_cold_left_ms(value):
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        raise ValueError(f"cold_left_ms is {value!r:.60}, not a time")
+    return min(math.ceil(value), MAX_COLD_MS)
+
+
 def _is_address(address):
     host, _, port = address.rpartition(":")
     return bool(host) and port.isdigit() and 0 < int(port) < 65_536
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -11,7 +11,7 @@
 from tests.soak.processes import FRONT_PORT, NodeProcess
 
 WAIT_S = 10
-BOUNDS = {"grace_s": 4, "ratio": 0.2, "extra": 30}
+BOUNDS = {"grace_s": 4, "ratio": 0.2, "extra": 30, "cold_excess": 1.0, "cold_slack": 0}
 
 
 class NodeProcessCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -7,13 +7,14 @@
 
 from hypothesis import given
 
+from peridotcove.cold_engines import MAX_COLD_MS
 from peridotcove.configuration import parse_configuration
 from peridotcove.models import LifecycleStatus
 from peridotcove.ownership import compute_shards
 from peridotcove.platform.document import parse_document
 from peridotcove.platform.settings import StoreSettings
 from peridotcove.platform.store import StoreItem
-from peridotcove.platform.translation import REGION, translate
+from peridotcove.platform.translation import MAX_VERSION_CHARS, REGION, translate
 from tests.platform.fakes import KEY, make_document, make_route
 from tests.platform.odd_values import encode_entry, make_odd_entries
 
@@ -71,6 +72,65 @@
         digest = hashlib.sha256(KEY.encode()).hexdigest()
         self.assertEqual(customer.key_digests, (digest,))
 
+    def test_times_for_which_servers_are_cold(self):
+        cases = [
+            # value of the entry, time in ms; None if the entry names no server
+            (0, 0),
+            (1.5, 2),
+            (8_000, 8_000),
+            (MAX_COLD_MS, MAX_COLD_MS),
+            (MAX_COLD_MS + 1, MAX_COLD_MS),
+            (10**30, MAX_COLD_MS),
+            (-1, None),
+            (float("inf"), None),
+            ("8000", None),
+            (True, None),
+            (None, None),
+            ([8], None),
+        ]
+        for value, expected in cases:
+            with self.subTest(value=value):
+                entry = encode_entry(ENTRY | {"cold_left_ms": value})
+                engines = make_configuration(make_document(), one=entry).engine_by_name
+                found = engines["one"].cold_left_ms if engines else None
+                self.assertEqual(found, expected)
+        engines = make_configuration(make_document(), one=ENTRY).engine_by_name
+        self.assertEqual(engines["one"].cold_left_ms, 0)
+
+    def test_rates_of_cold_servers(self):
+        cases = [
+            (12, 12.0),
+            (0.5, 0.5),
+            (10**9, 1e6),
+            (0, 0.0),
+            (-1, 0.0),
+            ("12", 0.0),
+            (True, 0.0),
+            (None, 0.0),
+        ]
+        for value, expected in cases:
+            with self.subTest(value=value):
+                service = {"name": "llm", "cold_per_s": value}
+                configuration = make_configuration(make_document(services=[service]))
+                self.assertEqual(configuration.model_by_name["llm"].cold_rate, expected)
+
+    def test_software_versions(self):
+        cases = [
+            ("v1", "v1"),
+            ("", ""),
+            ("x" * MAX_VERSION_CHARS, "x" * MAX_VERSION_CHARS),
+            ("x" * (MAX_VERSION_CHARS + 1), None),
+            (1, None),
+            (None, None),
+            (["v1"], None),
+        ]
+        for value, expected in cases:
+            with self.subTest(value=str(value)[:10]):
+                entry = ENTRY | {"version": value}
+                engines = make_configuration(make_document(), one=entry).engine_by_name
+                found = engines["one"].software_version if engines else None
+                self.assertEqual(found, expected)
+
     def test_states(self):
         engines = make_configuration(
             make_document(),
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -293,6 +293,16 @@
         await fleet.remove_server(name, context.rng.uniform(3, 5))
 
 
+@FAULTS.register("cold-servers")
+async def add_cold_servers(context):
+    """Add servers that are cold for some seconds, and remove others."""
+    fleet, rng = context.fleet, context.rng
+    for _ in range(rng.randint(1, 3)):
+        await fleet.add_server(rng.randint(500, 6_000))
+    (name,) = context.sample_servers(0)
+    await fleet.remove_server(name, rng.uniform(3, 5))
+
+
 @FAULTS.register("evacuate-zone")
 async def evacuate_zone(context):
     """Evacuate a zone and restore it, unless the other one is evacuated."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -10,7 +10,13 @@
 from tests.platform.clients import Client
 from tests.platform.fakes import StoreStandin
 from tests.soak.processes import FRONT_PORT, NodeProcess
-from tests.soak.promises import NOT_RUN_STATUSES, PromiseChecker
+from tests.soak.promises import (
+    COLD_EXCESS,
+    COLD_RATE,
+    COLD_SLACK,
+    NOT_RUN_STATUSES,
+    PromiseChecker,
+)
 from tests.soak.proxy import Proxy
 from tests.soak.servers import SoakServer, make_expected_body
 
@@ -34,6 +40,7 @@
 NO_ROUTE_STATUS = 404
 OK = 200
 ZONES = ("z1", "z2")
+COLD_BOUNDS = {"cold_excess": COLD_EXCESS, "cold_slack": COLD_SLACK}
 EVENT_END = b"\n\n"
 # Requests by which a client takes a stream up, at most.
 MAX_TAKE_UPS = 3
@@ -113,7 +120,7 @@
             proxy = Proxy(self.store.address)
             await proxy.start()
             zone = f"z{number % 2 + 1}"
-            bounds = {"grace_s": SHUTDOWN_GRACE_S} | RETRY_BUDGET
+            bounds = {"grace_s": SHUTDOWN_GRACE_S} | RETRY_BUDGET | COLD_BOUNDS
             label = f"node-{number + 1}"
             node = NodeProcess(
                 label,
@@ -140,13 +147,19 @@
         count = min(SEED_NODES, len(hosts))
         await node.start(self.rng.sample(hosts, count))
 
-    async def add_server(self):
-        """Start a server and register it in the store as ready."""
+    async def add_server(self, cold_ms=0):
+        """Start a server and register it in the store as ready.
+
+        Parameters
+        ----------
+        cold_ms : int
+            Time in ms for which it is cold.
+        """
         name = f"i-{next(self._id_numbers)}"
         rng = random.Random(self.rng.random())
         version = self.software_versions[-1]
         zone = ZONES[len(self.server_by_name) % len(ZONES)]
-        server = SoakServer(name, self.promises, rng, version, zone)
+        server = SoakServer(name, self.promises, rng, version, zone, cold_ms)
         await server.start()
         proxy = Proxy(server.address)
         await proxy.start()
@@ -207,7 +220,11 @@
         for number in range(1, self.version + 1):
             routes.append(fakes.make_route(f"v{number}", "idempotent"))
         version = self._first_version + self.version
-        self.store.put("op/config", fakes.make_document(*routes, version=version))
+        service = {"name": "llm", "health_path": "/health", "cold_per_s": COLD_RATE}
+        self.store.put(
+            "op/config",
+            fakes.make_document(*routes, version=version, services=[service]),
+        )
 
     def write_server_entries(self):
         """Write the entries of all servers again, as live servers do."""
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -31,6 +31,8 @@
 cap_x = 2
 budget_ratio = {ratio}
 budget_extra = {extra}
+cold_excess = {cold_excess}
+cold_slack = {cold_slack}
 [provider]
 addr = "{store}"
 """
@@ -52,7 +54,8 @@
     folder : pathlib.Path
         Folder for settings and logs.
     bounds : dict
-        ``grace_s``, ``ratio`` and ``extra`` of the settings.
+        ``grace_s``, ``ratio``, ``extra``, ``cold_excess`` and ``cold_slack`` of the
+        settings.
 
     Attributes
     ----------
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -28,6 +28,8 @@
 SETTLING_MS = 3_000
 STORE_EXTRA_SETTLING_MS = 5_000
 RETRY_BUDGET_WINDOW_MS = 10_000
+# Requests per second that a cold server bears, and what may reach it in any second.
+COLD_RATE, COLD_EXCESS, COLD_SLACK = 6, 1.5, 5
 # Customer whose API key all clients send.
 CUSTOMER = "bakery"
 # Statuses which state that a request has not run and never will.
@@ -108,6 +110,7 @@
     _newest_version_by_process: dict = field(factory=dict)
     _published_ms_by_version: dict = field(factory=dict)
     _leaving_ms_by_server: dict = field(factory=dict)
+    _cold_times_by_server: dict = field(factory=dict)
     _evacuated_ms_by_zone: dict = field(factory=dict)
     _leaving_by_request_id: dict = field(factory=dict)
     _said_leaving_ms_by_link: dict = field(factory=dict)
@@ -201,6 +204,17 @@
             self._add_violation("drain", f"{text} it was listed as draining")
         return True
 
+    def record_cold_arrival(self, request_id, server):
+        """Record that a request reached a server that is cold."""
+        now = CLOCK.now()
+        times = self._cold_times_by_server.setdefault(server, [])
+        times.append(now)
+        count = sum(one > now - 1_000 for one in times)
+        allowed = COLD_RATE * COLD_EXCESS + COLD_SLACK
+        if count > allowed and self.is_stable(server, now):
+            text = f"{server} is cold and got {count} requests in a second"
+            self._add_violation("cold", f"{text}, the last {request_id}")
+
     def _check_evacuation(self, request_id, request, server, zone):
         begin_ms = self._evacuated_ms_by_zone.get(zone)
         if begin_ms is None:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -4,6 +4,7 @@
 
 from attrs import evolve
 
+from peridotcove.clock import Clock
 from tests.platform.fakes import (
     ServerStandin,
     echo_unframed_body,
@@ -18,6 +19,7 @@
     reset_connection,
 )
 
+CLOCK = Clock()
 EVENT_COUNT = 12
 EVENT_INTERVAL_S = 0.03
 SERVICE_TIME_S = 0.03
@@ -55,6 +57,8 @@
         Version of its software, which marks the events of its streams.
     zone : str
         Its availability zone.
+    cold_ms : int
+        Time in ms for which it is cold from now on.
 
     Attributes
     ----------
@@ -75,13 +79,16 @@
         off).
     """
 
-    def __init__(self, name, promises, rng, software_version="v1", zone="z1"):
+    def __init__(
+        self, name, promises, rng, software_version="v1", zone="z1", cold_ms=0
+    ):
         super().__init__(name, self._handle_request)
         self.fault_share = self.leaving_share = self.pause_share = 0.0
         self.fault = ""
         self.runs = 0
         self.software_version = software_version
         self.zone = zone
+        self._cold_end_ms = CLOCK.now() + cold_ms
         self._promises = promises
         self._rng = rng
 
@@ -94,6 +101,8 @@
         if seen.headers.get("X-Expect-Instance") != self.name:
             writer.write(make_head(seen, 421, 0))
             return
+        if self.cold_left_ms:
+            self._promises.record_cold_arrival(request_id, self.name)
         if self._rng.random() < self.pause_share:
             self._refuse_for(seen, writer)
             return
@@ -122,9 +131,23 @@
 
     def make_entry(self, service, **changes):
         """Return the entry that the server writes to the store."""
-        fields = {"version": self.software_version, "zone": self.zone, **changes}
+        fields = {
+            "version": self.software_version,
+            "zone": self.zone,
+            "cold_left_ms": self.cold_left_ms,
+            **changes,
+        }
         return super().make_entry(service, **fields)
 
+    def turn_cold(self, cold_ms):
+        """Be cold for a time from now on; the entry has to be written again."""
+        self._cold_end_ms = CLOCK.now() + cold_ms
+
+    @property
+    def cold_left_ms(self):
+        """Time in ms for which the server stays cold."""
+        return max(0, self._cold_end_ms - CLOCK.now())
+
     def _make_body(self, seen):
         request_id = seen.headers["X-Request-Id"]
         return make_expected_body(request_id, seen.target, self.software_version)
