The content of the store has more time after a lost history too

Cause: a node that begins to read has an old copy. After a 410 it read the content with the time of an ordinary answer, and after a timeout began again with the watch. The fake store of the tests gives 410 for a compacted history, as the other one does.

--- a/peridotcove/platform/store.py
+++ b/peridotcove/platform/store.py
@@ -126,7 +126,9 @@
             await self._read_watch(wait_ms)
         except HistoryUnavailable as error:
             log.warning("reading the whole store again: %s", error)
+            self._prefers_content = True
             await self._read_all()
+            self._prefers_content = False
         except AnswerTimeout:
             self._prefers_content = True
             raise
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -187,7 +187,7 @@
             page = {"items": items, "more_pages": False}
         else:
             after = int(query["after"])
-            if after > store.revision:
+            if not store.compacted_revision <= after <= store.revision:
                 raise HTTPError(410)
             page = {"events": [one for one in store.history if one["rev"] > after]}
         page["store_revision"] = store.revision
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -201,6 +201,16 @@
             await self.update()
             self.assertEqual(self.client.revision, self.store.revision)
 
+    # A node that begins to read has an old copy, whose history is gone.
+    async def test_content_that_takes_long_is_read_after_lost_history(self):
+        self.store.put("large", LARGE_VALUE)
+        await self.update()
+        for number in range(5):
+            self.store.put(f"large-{number}", LARGE_VALUE)
+        self.store.compacted_revision = self.store.revision
+        await self.update()
+        self.assertEqual(self.client.revision, self.store.revision)
+
     async def test_replaced_versions_are_not_read_one_by_one(self):
         self.store.put("large", LARGE_VALUE)
         await self.update()
