A node that stood still does not read in place of its readers

Cause: a node on a weak machine stands still for 0.3 to 1.2 s when a large document comes. It then took the readers of its zone for silent and read the whole content by itself, which fills its link. Change: peers count as silent for no longer than the node itself has run without a pause of 500 ms. Measured: test_a_node_that_stood_still_does_not_read_in_place_of_its_readers failed before.

--- a/peridotcove/control_plane.py
+++ b/peridotcove/control_plane.py
@@ -5,6 +5,10 @@
 from peridotcove.nodes.membership_messages import Heartbeat
 from peridotcove.revisions import Revisions
 
+# A node that did not run for this long, twice the time between two ticks, can't tell
+# whether its peers were silent.
+MAX_IDLE_MS = 500
+
 
 class ControlPlane:
     """Combines membership, configuration and configuration reads of one node.
@@ -34,6 +38,8 @@
 
     def __init__(self, node, region, clock, rng, read_policy=None):
         self.node = node
+        self._clock = clock
+        self._last_run_ms = self._resumed_ms = clock.now()
         self.membership = Membership(node, region, clock, rng)
         self.revisions = Revisions(
             clock, rng, self._find_push_targets, self._find_startup_peers
@@ -53,6 +59,7 @@
 
     def tick(self):
         """Return the messages that are due; call it every 250 ms."""
+        self._detect_pause()
         self.membership.reads_fail = self.reader.reads_fail
         self.membership.heartbeats.refused_revision = self.revisions.refused_revision
         self._confirm_configuration()
@@ -100,8 +107,16 @@
         return self.membership.heartbeats.get_peer(name).reads_fail
 
     def _unheard_ms(self, name):
-        peer = self.membership.heartbeats.get_peer(name)
-        return peer.unheard_ms(self.membership.clock.now())
+        self._detect_pause()
+        now = self._clock.now()
+        unheard_ms = self.membership.heartbeats.get_peer(name).unheard_ms(now)
+        return min(unheard_ms, now - self._resumed_ms)
+
+    def _detect_pause(self):
+        now = self._clock.now()
+        if now - self._last_run_ms > MAX_IDLE_MS:
+            self._resumed_ms = now
+        self._last_run_ms = now
 
     def _confirm_configuration(self):
         first = self.membership.reader_rank()[0]
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -51,6 +51,20 @@
                     current = node.control.revisions.current()
                     self.assertIn("one", current.customer_by_name)
 
+    # After a pause of its own a node took the readers of its zone for silent.
+    def test_a_node_that_stood_still_does_not_read_in_place_of_its_readers(self):
+        for still_ms in (600, 1_200, 2_000):
+            with self.subTest(still_ms=still_ms):
+                fleet = start_fleet({"r": {"a": 6}})
+                name = fleet.node_by_name["a-0"].control.membership.reader_rank()[-1]
+                control = fleet.node_by_name[name].control
+                for _ in range(20):
+                    fleet.links.pause(name)
+                    fleet.links.run(still_ms)
+                    self.assertFalse(control.reader.reads_for_zone())
+                    fleet.links.resume(name)
+                    fleet.links.run(250)
+
     def test_a_stopped_node_is_lost_within_3_s_but_not_on_a_silent_link(self):
         fleet = start_fleet()
         fleet.node_events.clear()
