A large revision is not requested again while its answer is on its way

What callers saw: four nodes of 74 reached no server for four seconds and knew of leaving servers up to 3.3 s late, after a document with 1,400 routes. Cause: a node that can't apply a pushed delta asks the sender for all that it lacks, at most each 200 ms, whether or not an answer is on its way. With a large revision each answer is hundreds of KB, and on a link of 10 Mbit/s takes longer than that: the copies fill the link, further pushes come that can't be applied, and ask again. Change: one unanswered request at a time, for 1 s, the time after which another peer is asked; a revision that comes into force or an offer ends it. That this was the cause at the four nodes is inferred, not traced: no log names these requests.

--- a/peridotcove/revision_fetcher.py
+++ b/peridotcove/revision_fetcher.py
@@ -71,6 +71,7 @@
         self._fetch = None
         self._requested_ms = None
         self._requested_peer = None
+        self._is_unanswered = False
         self._answered_peers = set()
         self._start_requested_ms = None
         self._created_ms = clock.now()
@@ -128,6 +129,11 @@
             Name of the peer.
         """
         self._answered_peers.add(peer)
+        self._is_unanswered = False
+
+    def record_progress(self):
+        """Record that a later revision has come into force."""
+        self._is_unanswered = False
 
     def tick(self, revision, wants):
         """Return the requests that are due.
@@ -158,7 +164,10 @@
         return outgoing
 
     def request_now(self, peer, revision):
-        """Return a request to a peer, unless one was just sent or a fetch is active.
+        """Return a request to a peer, unless an answer or a fetch is on its way.
+
+        An answer may be large and take long on a thin link, which further answers to
+        the same request would fill.
 
         Parameters
         ----------
@@ -171,9 +180,11 @@
         now = self.clock.now()
         if self._fetch is not None:
             return []
-        if self._requested_ms is not None and now - self._requested_ms < MIN_GRACE_MS:
+        gap_ms = RETRY_MS if self._is_unanswered else MIN_GRACE_MS
+        if self._requested_ms is not None and now - self._requested_ms < gap_ms:
             return []
         self._requested_ms, self._requested_peer = now, peer
+        self._is_unanswered = True
         self._due_ms = now + RETRY_MS + self.rng.randint(0, MIN_GRACE_MS)
         return [OutgoingMessage(peer, AskConfiguration(revision))]
 
--- a/peridotcove/revisions.py
+++ b/peridotcove/revisions.py
@@ -379,6 +379,7 @@
         except ProtocolError as error:
             return self._refuse(revision, [str(error)])
         self._active = _ActiveRevision(revision, parts, assembly)
+        self._fetcher.record_progress()
         if self.refused is not None and self.refused.revision <= revision:
             self.refused = None
         log.info("configuration: revision %d is in force", revision)
