The log names the engines that have turned cold

Cause: an on-call engineer could not see from the log why an engine gets few requests. Conclusion: no decision changed.

--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -274,6 +274,7 @@
         current = withhold_evacuated(effective)
         self.links.revision = current.revision
         self._record_evacuations(current)
+        self._record_cold_engines(current)
         self._record_endpoint_changes(current)
         self.fleet.set_configuration(current)
         self.endpoint_states.set_configuration(current)
@@ -295,6 +296,18 @@
         inputs = {"zones": zones, "unserved_models": find_unserved_models(current)}
         self.timeline.record("zones-evacuated", inputs, revision=current.revision)
 
+    def _record_cold_engines(self, current):
+        old = self.fleet.configuration.engine_by_name
+        left_ms_by_name = {
+            name: engine.cold_left_ms
+            for name, engine in current.engine_by_name.items()
+            if engine.cold_report
+            and (name not in old or old[name].cold_report != engine.cold_report)
+        }
+        if left_ms_by_name:
+            inputs = {"left_ms": left_ms_by_name}
+            self.timeline.record("engines-cold", inputs, revision=current.revision)
+
     def _record_endpoint_changes(self, current):
         old = self.fleet.configuration.engine_by_name
         new = current.engine_by_name
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -172,6 +172,7 @@
     "engines-aside", "engines that fail get no work for a while", level=logging.WARNING
 )
 add_kind("endpoints-changed", "other endpoints are in service")
+add_kind("engines-cold", "engines say that they are cold")
 add_kind(
     "zones-evacuated", "other availability zones are evacuated", level=logging.WARNING
 )
--- a/tests/platform/test_zone_evacuations.py
+++ b/tests/platform/test_zone_evacuations.py
@@ -141,6 +141,16 @@
         self.assertIn("elsewhere", "".join(logged.output))
         await self.check_served_by(["i-1", "i-2", "i-3"])
 
+    async def test_the_log_names_evacuated_zones_and_cold_servers(self):
+        with self.assertLogs("peridotcove.events", "INFO") as logged:
+            self.evacuate("z2")
+            entry = self.other.make_entry("llm", zone="z2", cold_left_ms=700)
+            self.store.put("servers/i-3", entry)
+            await self.wait_in_force(self.node)
+        by_kind = {record.kind: record for record in logged.records}
+        self.assertEqual(by_kind["zones-evacuated"].zones, ["z2"])
+        self.assertEqual(by_kind["engines-cold"].left_ms, {"i-3": 700})
+
     async def test_an_operator_sees_which_zones_are_evacuated(self):
         self.evacuate("z2")
         await self.wait_in_force(self.node)
