Test: what cold engines can't serve in time is refused at once

Cause: the refusal had a test of its estimate only. Change: a test of the dispatcher with a crowd before cold engines alone. Conclusion: tests only.

--- a/tests/test_cold_engines.py
+++ b/tests/test_cold_engines.py
@@ -230,6 +230,36 @@
             arrivals = play_history(crowd)
             self.assertGreater(count_in_any_second(arrivals["e"]), LIMIT)
 
+    def test_what_cold_engines_can_not_serve_in_time_is_refused_at_once(self):
+        engines = {name: RAW["engines"][name] for name in ("e", "f")}
+        configuration = parse_configuration(RAW | {"engines": engines})
+        (shard,) = compute_shards(configuration, "r")
+        clock = FakeClock()
+        dispatcher = Dispatcher(shard, configuration, clock)
+        dispatcher.set_role(True, True)
+        waits = {"granted": [], "waiting": [], "cold": []}
+        for number in range(200):
+            request = LeaseRequest(
+                number.to_bytes(8), "n", "c", "m", (), "", "a", 1_000
+            )
+            decisions = dispatcher.request_lease(request)
+            if not decisions:
+                waits["waiting"].append(number)
+            elif isinstance(decisions[0], LeaseGrant):
+                waits["granted"].append(number)
+            else:
+                self.assertEqual(decisions[0].code, "cold")
+                waits["cold"].append(decisions[0].retry_after_ms)
+        # Two engines bear 40 requests in the second that each may wait.
+        self.assertLessEqual(len(waits["waiting"]), 2 * RATE)
+        self.assertGreater(len(waits["waiting"]), 2 * RATE - 5)
+        self.assertGreater(max(waits["cold"]), 2 * min(waits["cold"]))
+        granted = 0
+        for _ in range(100):
+            clock.advance(10)
+            granted += sum(isinstance(one, LeaseGrant) for one in dispatcher.tick())
+        self.assertGreaterEqual(granted, len(waits["waiting"]) - 2)
+
     def test_a_crowd_is_served_by_warm_engines(self):
         crowd = [(6, 0, "o1", "o1", 10) for _ in range(300)]
         arrivals = play_history(crowd)
