Names of the users' pages stay in their adapter

Cause: the time for which an engine is cold, and the two figures of its bound, had the names of the users' pages in the core and in the configuration. Change: cold_ms, cold_rate_ratio and cold_rate_extra; names only. Conclusion: no behaviour changed.

--- a/peridotcove/cold_engines.py
+++ b/peridotcove/cold_engines.py
@@ -68,19 +68,19 @@
         spells, rates = {}, {}
         for engine in engines:
             model = model_by_name.get(engine.model)
-            if model is None or not model.cold_rate or not engine.cold_left_ms:
+            if model is None or not model.cold_rate or not engine.cold_ms:
                 continue
             key = engine.incarnation, engine.cold_report
             spell = self._spell_by_engine.get(engine.name)
             if spell is None or (spell.incarnation, spell.report) != key:
-                left_ms = min(engine.cold_left_ms, MAX_COLD_MS)
+                left_ms = min(engine.cold_ms, MAX_COLD_MS)
                 tokens = 0.0 if spell is None else spell.tokens
                 spell = _ColdSpell(*key, now + left_ms, now, tokens)
             spells[engine.name] = spell
             rates[engine.name] = model.cold_rate
         self._spell_by_engine, self._rate_by_engine = spells, rates
-        self._capacity = max(1.0, bounds.cold_slack / (1 + MAX_OTHER_OWNERS))
-        self._allowed_share = bounds.cold_excess / (1 + BUNCHING_SHARE)
+        self._capacity = max(1.0, bounds.cold_rate_extra / (1 + MAX_OTHER_OWNERS))
+        self._allowed_share = bounds.cold_rate_ratio / (1 + BUNCHING_SHARE)
 
     def set_role(self, is_alone, is_owner):
         """Set which part of the rates this node may use.
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -568,7 +568,7 @@
         """Raise a `RequestRefused` if an engine may not get the request any more."""
         self.forwarder.check_available(engine)
         delay_ms = self.forwarder.clock.now() - granted_ms
-        if engine.cold_left_ms and delay_ms > MAX_SEND_DELAY_MS:
+        if engine.cold_ms and delay_ms > MAX_SEND_DELAY_MS:
             text = f"the lease on cold engine {engine.name} is {delay_ms} ms old"
             raise RequestRefused("stale-lease", text, 503, RETRY_AFTER_MS)
 
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -143,7 +143,7 @@
     software_version : str
         Version of its software, not of the weights; empty if unknown. A model may have
         engines of several versions.
-    cold_left_ms : int
+    cold_ms : int
         Time in ms for which it stayed cold when it reported that; 0 if it is not cold.
     cold_report : int
         Number of that report; a later one has a larger number. 0 if it is not cold.
@@ -162,7 +162,7 @@
     shares_cache: bool = False
     incarnation: int = 0
     software_version: str = ""
-    cold_left_ms: int = number_field(0, math.inf, default=0)
+    cold_ms: int = number_field(0, math.inf, default=0)
     cold_report: int = number_field(0, math.inf, default=0)
 
 
@@ -340,10 +340,10 @@
         Read rate of the store of model weights, in bytes per second.
     keys_required : bool
         Whether requests on host routes need an API key, unless the route is public.
-    cold_excess : float
+    cold_rate_ratio : float
         Largest number of requests that reach a cold engine in any second, as a multiple
         of its rate.
-    cold_slack : int
+    cold_rate_extra : int
         Requests that may reach it in addition.
     """
 
@@ -355,8 +355,8 @@
     ticket_ms: int = number_field(1_000, 86_400_000, default=3_600_000)
     weight_store_bytes_per_second: int = number_field(1, 1 << 50, default=1_000_000_000)
     keys_required: bool = False
-    cold_excess: float = number_field(1.0, 100.0, default=1.0)
-    cold_slack: int = number_field(0, 1_000_000, default=0)
+    cold_rate_ratio: float = number_field(1.0, 100.0, default=1.0)
+    cold_rate_extra: int = number_field(0, 1_000_000, default=0)
 
 
 @frozen
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -299,7 +299,7 @@
     def _record_cold_engines(self, current):
         old = self.fleet.configuration.engine_by_name
         left_ms_by_name = {
-            name: engine.cold_left_ms
+            name: engine.cold_ms
             for name, engine in current.engine_by_name.items()
             if engine.cold_report
             and (name not in old or old[name].cold_report != engine.cold_report)
--- a/peridotcove/platform/settings.py
+++ b/peridotcove/platform/settings.py
@@ -57,9 +57,9 @@
         Retries allowed for each request, over all nodes.
     retry_extra : int
         Additional retries allowed in one window, over all nodes.
-    cold_excess : float
+    cold_rate_ratio : float
         Requests of a second to a cold server, as a multiple of the rate that it bears.
-    cold_slack : int
+    cold_rate_extra : int
         Requests of a second to it in addition.
     """
 
@@ -68,8 +68,8 @@
     load_bound: float
     retry_share: float
     retry_extra: int
-    cold_excess: float = 1.0
-    cold_slack: int = 0
+    cold_rate_ratio: float = 1.0
+    cold_rate_extra: int = 0
 
 
 @frozen
--- a/peridotcove/platform/translation.py
+++ b/peridotcove/platform/translation.py
@@ -87,8 +87,8 @@
         "retry_share": float(store.retry_share),
         "block_chars": BLOCK_CHARS,
         "shard_engines": SHARD_ENGINES,
-        "cold_excess": float(store.cold_excess),
-        "cold_slack": int(store.cold_slack),
+        "cold_rate_ratio": float(store.cold_rate_ratio),
+        "cold_rate_extra": int(store.cold_rate_extra),
     }
 
 
@@ -143,9 +143,10 @@
             "incarnation": _read_start_time(raw.get("born")),
             # 'version' is that of the server's software, not of its weights.
             "software_version": _read_software_version(raw.get("version", "")),
-            "cold_left_ms": _read_cold_left_ms(raw.get("cold_left_ms", 0)),
+            # 'cold_left_ms' is the time for which the server still is cold.
+            "cold_ms": _read_cold_ms(raw.get("cold_left_ms", 0)),
         }
-        if engine["cold_left_ms"]:
+        if engine["cold_ms"]:
             engine["cold_report"] = item.revision
         _check_engine(name, tuple(engine.items()))
         return engine
@@ -180,7 +181,7 @@
     return version
 
 
-def _read_cold_left_ms(value):
+def _read_cold_ms(value):
     if type(value) not in (int, float) or not 0 <= value < math.inf:
         raise ValueError(f"cold_left_ms is {value!r:.60}, not a time")
     return min(math.ceil(value), MAX_COLD_MS)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -92,10 +92,10 @@
             with self.subTest(value=value):
                 entry = encode_entry(ENTRY | {"cold_left_ms": value})
                 engines = make_configuration(make_document(), one=entry).engine_by_name
-                found = engines["one"].cold_left_ms if engines else None
+                found = engines["one"].cold_ms if engines else None
                 self.assertEqual(found, expected)
         engines = make_configuration(make_document(), one=ENTRY).engine_by_name
-        self.assertEqual(engines["one"].cold_left_ms, 0)
+        self.assertEqual(engines["one"].cold_ms, 0)
 
     def test_rates_of_cold_servers(self):
         cases = [
--- a/tests/test_cold_engines.py
+++ b/tests/test_cold_engines.py
@@ -14,11 +14,11 @@
 from peridotcove.ownership import compute_shards
 
 RATE, EXCESS, SLACK = 20.0, 1.5, 5
-BOUNDS = Bounds(cold_excess=EXCESS, cold_slack=SLACK)
+BOUNDS = Bounds(cold_rate_ratio=EXCESS, cold_rate_extra=SLACK)
 LIMIT = RATE * EXCESS + SLACK
 COLD_MS = 8_000
 MODELS = {"m": Model("m", cold_rate=RATE)}
-COLD = Engine("e", "", "", "m", incarnation=1, cold_left_ms=COLD_MS, cold_report=1)
+COLD = Engine("e", "", "", "m", incarnation=1, cold_ms=COLD_MS, cold_report=1)
 # Time that a request takes at most from its grant to the engine.
 MAX_DELAY_MS = 250
 
@@ -107,10 +107,10 @@
     def test_odd_reports(self):
         cases = [
             # engine, models, whether it is bounded
-            (evolve(COLD, cold_left_ms=0), MODELS, False),
+            (evolve(COLD, cold_ms=0), MODELS, False),
             (COLD, {"m": Model("m")}, False),
             (COLD, {}, False),
-            (evolve(COLD, cold_left_ms=10**15), MODELS, True),
+            (evolve(COLD, cold_ms=10**15), MODELS, True),
         ]
         for engine, models, is_bounded in cases:
             with self.subTest(engine=engine, models=models):
@@ -132,12 +132,12 @@
 OWNERS = ("o1", "o2", "o3")
 RAW = {
     "revision": 1,
-    "bounds": {"cold_excess": EXCESS, "cold_slack": SLACK, "load_bound": 4.0},
+    "bounds": {"cold_rate_ratio": EXCESS, "cold_rate_extra": SLACK, "load_bound": 4.0},
     "zones": {"a": {"region": "r"}},
     "models": {"m": {"cold_rate": RATE}},
     "engines": {
         name: {"url": f"http://127.0.0.1:{port}", "zone": "a", "model": "m"}
-        | {"capacity": 10_000, "cold_left_ms": cold_ms}
+        | {"capacity": 10_000, "cold_ms": cold_ms}
         for name, port, cold_ms in (("e", 1, COLD_MS), ("f", 2, COLD_MS), ("w", 3, 0))
     },
     "customers": {"c": {"concurrency": 100_000}},
