Streams are taken up after restarts while one software version serves

Callers saw: a stream that broke off and was taken up again at another node was refused with 503, though nothing but the version that began it had served for a long time. Cause: an owner that was asked for the origin of a stream knew only streams that it had granted or was told of; a node knew versions only since its own start, and nobody told it of before; origins were shared only while several versions were known, and once, with the owners of that moment. Change: owners answer from the versions that they have seen; nodes that join are told which versions have served and for how long that is known (ShareVersions); origins are shared while a node is not certain of one version, and in whole with owners that were not told yet. A trial: the case of a changed owner with both first owners restarted passes only after one tick of the nodes, so the test ticks once more.

--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -5,7 +5,7 @@
 from attrs import define, evolve
 
 from peridotcove.dispatch import Dispatcher
-from peridotcove.exceptions import LinkDown
+from peridotcove.exceptions import LinkDown, ProtocolError
 from peridotcove.lease_client import (
     LEASE_ANNOUNCE_INTERVAL_MS,
     MAX_OWNERS,
@@ -25,6 +25,7 @@
     ReleaseLease,
     ShareOrigins,
     ShareSuspects,
+    ShareVersions,
     unpack_hashes,
 )
 from peridotcove.outlier_detection import OutlierDetector
@@ -120,15 +121,15 @@
         ----------
         peer : str
             Name of the entry node.
-        message : AskLease, ReleaseLease, HoldLeases, ShareOrigins or ShareSuspects
+        message : AskLease, ReleaseLease, HoldLeases, or a ``Share...`` message
             The message.
         """
         if isinstance(message, AskLease):
             self._handle_ask(peer, message)
         elif isinstance(message, ReleaseLease):
             self._handle_release(message)
-        elif isinstance(message, ShareOrigins):
-            self.stream_origins.receive(message)
+        elif isinstance(message, (ShareOrigins, ShareVersions)):
+            self._receive_versions(peer, message)
         elif isinstance(message, ShareSuspects):
             self.suspect_sync.receive(peer, message)
             self._refuse_quarantined()
@@ -138,6 +139,23 @@
                 self._dispatcher(message.shard).set_held_leases(peer, leases)
             )
 
+    def _receive_versions(self, peer, message):
+        try:
+            self.stream_origins.receive(message)
+        except ProtocolError as error:
+            log.warning("origins of streams from %s are ignored: %s", peer, error)
+
+    def greet(self, node):
+        """Tell a node that has started what owners know of prompts and streams.
+
+        Parameters
+        ----------
+        node : str
+            Name of the node.
+        """
+        self.suspect_sync.send_suspects(node)
+        self.stream_origins.greet(node)
+
     def _handle_ask(self, peer, message):
         owners = self._fleet.rank_owners(message.shard)[:MAX_OWNERS]
         is_owner = self._node in owners or peer == self._node
@@ -183,7 +201,7 @@
         versions = request.software_versions
         shard = self._fleet.shard_by_name[tracked.shard]
         if request.is_resumed and not versions:
-            origin = self.stream_origins.origins.find(request.stream)
+            origin = self.stream_origins.find_origin(request.stream, [shard.model])
             if origin is None or origin.model != shard.model:
                 self._refuse(request, tracked, UNKNOWN_ORIGIN)
                 return None
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -33,6 +33,7 @@
     ReleaseLease,
     ShareOrigins,
     ShareSuspects,
+    ShareVersions,
 )
 from peridotcove.operators.node_status import NodeStatus
 from peridotcove.operators.server import make_server as make_operator_server
@@ -178,6 +179,7 @@
             HoldLeases: self.lease_server.receive,
             ShareOrigins: self.lease_server.receive,
             ShareSuspects: self.lease_server.receive,
+            ShareVersions: self.lease_server.receive,
             GiveLease: self.lease_client.receive,
             RefuseLease: self.lease_client.receive,
             QueueLease: self.lease_client.receive,
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -237,6 +237,23 @@
     streams: bytes
 
 
+@message(11)
+@frozen
+class ShareVersions:
+    """Reports which software versions have served lately, to a node that has started.
+
+    Attributes
+    ----------
+    reports : list
+        One list for each model: its name, the time in ms for which the sender has
+        known the versions of its engines, and for each version that has served within
+        the life of a stream a list of the version and the time in ms since it was last
+        seen.
+    """
+
+    reports: list
+
+
 def pack_hashes(hashes):
     """Return hashes in their wire encoding.
 
--- a/peridotcove/stream_origin_sync.py
+++ b/peridotcove/stream_origin_sync.py
@@ -1,9 +1,14 @@
 """Decides at which software versions streams may go on, and shares what it needs."""
 
-from peridotcove.exceptions import LinkDown
+from peridotcove.exceptions import LinkDown, ProtocolError
 from peridotcove.logs import get_logger
-from peridotcove.nodes.messages import ShareOrigins, pack_hashes, unpack_hashes
-from peridotcove.software_versions import SoftwareVersions
+from peridotcove.nodes.messages import (
+    ShareOrigins,
+    ShareVersions,
+    pack_hashes,
+    unpack_hashes,
+)
+from peridotcove.software_versions import SoftwareVersions, VersionReport
 from peridotcove.stream_origins import StreamOrigin, StreamOrigins
 
 # Owners of a shard, in order of rank, that are told where streams began.
@@ -15,9 +20,10 @@
 class StreamOriginSync:
     """Knows where streams began, also those of entry nodes that are gone.
 
-    With a single software version of a model in service, where a stream began follows
-    from the view of any node. Only while there are several, nodes tell the owners of
-    the model's shards where each stream began.
+    If a node knows that a single software version of a model has served, it knows where
+    any stream began. While it doesn't, it tells the owners of the model's shards where
+    each stream began that it has seen. Nodes that start learn from the others which
+    versions have served.
 
     Parameters
     ----------
@@ -44,6 +50,8 @@
         self._network = network
         self.origins = StreamOrigins(clock)
         self.versions = SoftwareVersions(clock)
+        # Owners that were told of all streams that this node knows.
+        self._informed_by_model = {}
 
     def update(self):
         """Apply the fleet's current configuration."""
@@ -82,22 +90,53 @@
     def tick(self):
         """Tell the owners of shards where streams began; call it often.
 
-        Nothing is sent while each model has one software version.
+        Nothing is sent while each model is known to have one software version.
         """
         shards_by_model = self._fleet.shards_by_model
-        mixed = {
-            model
-            for model in shards_by_model
-            if len(self.versions.find_recent(model)) > 1
-        }
-        if not mixed:
-            return
-        for origin, streams in self.origins.pop_unshared(mixed).items():
-            message = ShareOrigins(
-                origin.model, origin.software_version, pack_hashes(streams)
+        for model, shards in shards_by_model.items():
+            if self.versions.find_only(model) is not None:
+                self._informed_by_model.pop(model, None)
+                continue
+            unshared = self.origins.pop_unshared(model)
+            informed = self._informed_by_model.get(model, set())
+            owners = self._find_owners(shards)
+            self._informed_by_model[model] = {
+                owner
+                for owner in owners
+                if self._share(
+                    owner,
+                    unshared if owner in informed else self.origins.find_all(model),
+                )
+            }
+
+    def _share(self, owner, streams_by_origin):
+        """Tell an owner where streams began; return whether all of it was sent."""
+        return all(
+            self._send(
+                owner,
+                ShareOrigins(
+                    origin.model, origin.software_version, pack_hashes(streams)
+                ),
             )
-            for owner in self._find_owners(shards_by_model[origin.model]):
-                self._send(owner, message)
+            for origin, streams in streams_by_origin.items()
+        )
+
+    def greet(self, node):
+        """Tell a node that has started what it missed.
+
+        Parameters
+        ----------
+        node : str
+            Name of the node.
+        """
+        for informed in self._informed_by_model.values():
+            informed.discard(node)
+        reports = [
+            [one.model, one.known_ms, [*map(list, one.unseen_ms_by_version.items())]]
+            for one in self.versions.reports()
+        ]
+        if reports:
+            self._send(node, ShareVersions(reports))
 
     def _find_owners(self, shards):
         owners = {
@@ -108,18 +147,44 @@
         return sorted(owners - {self._node})
 
     def receive(self, message):
-        """Record the origins that another node reports.
+        """Record what another node reports.
 
         Parameters
         ----------
-        message : ShareOrigins
+        message : ShareOrigins or ShareVersions
             The report.
+
+        Raises
+        ------
+        ProtocolError
+            If it is malformed.
         """
+        if isinstance(message, ShareVersions):
+            for report in [_read_report(one) for one in message.reports]:
+                self.versions.merge(report)
+            return
         origin = StreamOrigin(message.model, message.software_version)
         self.origins.merge(unpack_hashes(message.streams), origin)
 
     def _send(self, node, message):
+        """Send a message; return whether it was sent."""
         try:
             self._network.send(node, message)
         except LinkDown as error:
             log.info("origins of streams were not sent to %s: %s", node, error)
+            return False
+        return True
+
+
+def _read_report(item):
+    try:
+        model, known_ms, pairs = item
+        unseen_ms_by_version = dict(pairs)
+        times_ms = [known_ms, *unseen_ms_by_version.values()]
+        texts = [model, *unseen_ms_by_version]
+    except (TypeError, ValueError):
+        raise ProtocolError(f"{item!r:.100} is no report of versions") from None
+    is_valid = all(type(time_ms) is int and time_ms >= 0 for time_ms in times_ms)
+    if not is_valid or not all(type(text) is str for text in texts):
+        raise ProtocolError(f"{item!r:.100} is no report of versions")
+    return VersionReport(model, known_ms, unseen_ms_by_version)
--- a/peridotcove/stream_origins.py
+++ b/peridotcove/stream_origins.py
@@ -108,15 +108,13 @@
         self._drop_outdated()
         return self._origin_by_stream.get(stream)
 
-    def pop_unshared(self, models):
-        """Return the streams that no other node was told of yet, by origin.
-
-        Those of other models stay.
+    def pop_unshared(self, model):
+        """Return the streams of a model that this node has not yet shared, by origin.
 
         Parameters
         ----------
-        models : set of str
-            Names of the models.
+        model : str
+            Name of the model.
 
         Returns
         -------
@@ -127,11 +125,31 @@
         for stream, origin in list(self._unshared.items()):
             if stream not in self._origin_by_stream:
                 del self._unshared[stream]
-            elif origin.model in models:
+            elif origin.model == model:
                 del self._unshared[stream]
                 streams_by_origin.setdefault(origin, []).append(stream)
         return streams_by_origin
 
+    def find_all(self, model):
+        """Return all streams of a model that this node knows, by origin.
+
+        Parameters
+        ----------
+        model : str
+            Name of the model.
+
+        Returns
+        -------
+        dict of list of int
+            Hashes of the ids of streams by `StreamOrigin`.
+        """
+        self._drop_outdated()
+        streams_by_origin = {}
+        for stream, origin in self._origin_by_stream.items():
+            if origin.model == model:
+                streams_by_origin.setdefault(origin, []).append(stream)
+        return streams_by_origin
+
 
 def _drop_oldest(items):
     while len(items) > MAX_ORIGINS:
--- a/tests/test_stream_origin_sync.py
+++ b/tests/test_stream_origin_sync.py
@@ -10,7 +10,7 @@
 from peridotcove.exceptions import RequestRefused
 from peridotcove.lease_server import LeaseServer
 from peridotcove.models import Instance, LeaseRequest
-from peridotcove.nodes.messages import ShareOrigins
+from peridotcove.nodes.messages import ShareOrigins, ShareVersions
 from peridotcove.software_versions import STREAM_LIFE_MS, SoftwareVersions
 from tests.test_leases import RAW, Cluster, deliver
 from tests.virtual import run
@@ -59,7 +59,7 @@
         server, receive = self.server_by_node[name], self.receive_by_node[name]
 
         def receive_all(peer, message):
-            if isinstance(message, ShareOrigins):
+            if isinstance(message, (ShareOrigins, ShareVersions)):
                 server.receive(peer, message)
             else:
                 receive(peer, message)
@@ -88,7 +88,7 @@
         for name, server in self.server_by_node.items():
             for started in names:
                 if name != started and name not in names:
-                    server.suspect_sync.send_suspects(started)
+                    server.greet(started)
 
     async def begin(self, entry):
         """Begin a stream at a node."""
@@ -202,7 +202,23 @@
     return restrict_versions(self, request, tracked)
 
 
+def report_current(self):
+    """Return reports that lack the versions that have left."""
+    return [
+        evolve(
+            report,
+            unseen_ms_by_version={
+                version: unseen_ms
+                for version, unseen_ms in report.unseen_ms_by_version.items()
+                if not unseen_ms
+            },
+        )
+        for report in make_reports(self)
+    ]
+
+
 restrict_versions = LeaseServer._restrict_versions
+make_reports = SoftwareVersions.reports
 FAULTY = {
     "the version of now is taken for that of then": (
         SoftwareVersions,
@@ -322,6 +338,9 @@
             fleet.server_by_node[entry].tick()
             await deliver(SHARE_MS)
             fleet.kill([entry, first])
+            for server in fleet.server_by_node.values():
+                server.tick()
+            await deliver(SHARE_MS)
             await fleet.take_up(0, later[-1])
             return fleet
 
@@ -331,6 +350,38 @@
                 self.assertEqual((fleet.joined, fleet.refused), ([], 0))
                 self.assertEqual(fleet.went_on, 1)
 
+    def test_nodes_that_start_learn_of_versions_that_have_left(self):
+        async def play_release():
+            fleet = StreamFleet(("v1", "v1", "v1"))
+            await deliver(STREAM_LIFE_MS)
+            await fleet.begin("n1")
+            fleet.set_versions(("v2", "v2", "v2"))
+            await deliver(SHARE_MS)
+            fleet.kill(["n2", "n3", "n4"])
+            await deliver(SHARE_MS)
+            await fleet.take_up(0, "n2")
+            return fleet
+
+        self.assertEqual(run(play_release()).joined, [])
+        with mock.patch.object(SoftwareVersions, "reports", report_current):
+            self.assertEqual(run(play_release()).joined, [("v1", "v2")])
+
+    def test_malformed_reports_of_versions_are_ignored(self):
+        odd = ([], ["m"], ["m", 1, 2], ["m", -1, []], ["m", 30_000, [["v1", "x"]]])
+        odd += (["m", 30_000, [[["v1"], 0]]], 5, [4, 30_000, [["v1", 0]]])
+
+        async def receive(report):
+            fleet = StreamFleet(("v1", "v1", "v1"))
+            fleet.kill(["n1"])
+            server = fleet.server_by_node["n1"]
+            server.receive("n2", ShareVersions([report]))
+            return server.stream_origins.versions.find_only("m")
+
+        for report in odd:
+            with self.subTest(report=report), self.assertLogs("peridotcove", "WARNING"):
+                self.assertIsNone(run(receive(report)))
+        self.assertEqual(run(receive(["m", STREAM_LIFE_MS, [["v1", 0]]])), "v1")
+
     def test_origins_are_sent_only_while_there_may_be_several_versions(self):
         async def count_messages(first_versions):
             fleet = StreamFleet(first_versions)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -52,7 +52,7 @@
         self.assertEqual(len(self.origins), MAX_ORIGINS)
         self.assertIsNone(self.origins.find(MAX_ORIGINS - 1))
         self.assertEqual(self.origins.find(MAX_ORIGINS), ONE)
-        (streams,) = self.origins.pop_unshared({"m"}).values()
+        (streams,) = self.origins.pop_unshared("m").values()
         self.assertEqual(len(streams), MAX_ORIGINS)
 
     def test_origins_are_shared_once_and_by_model(self):
@@ -60,10 +60,11 @@
         for stream, origin in ((1, ONE), (2, TWO), (3, ONE), (4, other)):
             self.origins.record(stream, origin)
         self.origins.merge([5], ONE)
-        shared = self.origins.pop_unshared({"m"})
+        shared = self.origins.pop_unshared("m")
         self.assertEqual(shared, {ONE: [1, 3], TWO: [2]})
-        self.assertEqual(self.origins.pop_unshared({"m"}), {})
-        self.assertEqual(self.origins.pop_unshared({"other"}), {other: [4]})
+        self.assertEqual(self.origins.pop_unshared("m"), {})
+        self.assertEqual(self.origins.pop_unshared("other"), {other: [4]})
+        self.assertEqual(self.origins.find_all("m"), {ONE: [1, 3, 5], TWO: [2]})
 
     def test_ids_of_any_text_have_a_hash_that_fits_into_a_message(self):
         for text in ("", "r1", "\u00fc", "\ud800", "x" * 10_000):
