Nodes that can't reach engines connect to them through their peers

Callers saw: at nodes that were partitioned from all servers each request ended with 503 after 750 ms (2 of 125 served at the first attempt, 234 of 237 at the other nodes). Cause: a node had one path to an engine, its own connection. It took the fault of that path for one of the engine and tried four more engines over the same path. Change: a connection that fails is opened through a peer in the same try: the entry asks over the authenticated link, picks the connection up at the peer's port for links, and libcurl gets the open socket. An engine is reported as unreachable only if a peer could not connect it either. Resets stay resets; an answer without a length is whole only if the relay says that its engine ended it. What engines say of themselves in relayed answers is told to the peer too. Why it works: lease, retries, deadline and verdict stay at the entry; the peer passes bytes only.

--- a/peridotcove/endpoints/streaming_client.py
+++ b/peridotcove/endpoints/streaming_client.py
@@ -14,6 +14,7 @@
 from tornado.httputil import HTTPHeaders
 
 from peridotcove.curl import BODILESS_STATUSES, INVALID_REPLY, CurlClient
+from peridotcove.engine_paths import find_address
 from peridotcove.exceptions import EndpointFailed, RequestError
 from peridotcove.verdict import Verdict
 
@@ -89,6 +90,10 @@
         Time in ms of the start, the last read or the last resumption.
     clock : Clock
         Source of time.
+    relay : RelayedConnection or None
+        Connection through another node; None for one of this node's own.
+    on_connected : callable
+        Called when this node has made a connection of its own.
     """
 
     first_byte_ms: int
@@ -109,6 +114,8 @@
     connect_ms: int = CONNECT_TIMEOUT_MS
     last_activity_ms: int = 0
     clock: object = None
+    relay: object = None
+    on_connected: object = lambda: None
     _client: object = None
 
     @property
@@ -163,6 +170,8 @@
         """
         if self.cancelled or self.connected:
             return pycurl.PREREQFUNC_ABORT
+        if self.relay is None:
+            self.on_connected()
         try:
             if self.before_send is not None:
                 self.before_send()
@@ -179,6 +188,11 @@
             self.last_activity_ms = self.clock.now()
             self.curl.pause(pycurl.PAUSE_CONT)
 
+    def restart(self):
+        """Reset the progress of a transfer that was not connected."""
+        self.cancelled = self.timed_out = False
+        self.curl = None
+
     def cancel(self):
         """Cancel the transfer and close its connection."""
         self.cancelled = True
@@ -194,10 +208,14 @@
     ----------
     clock : Clock
         Source of time.
+    relays : RelayClient or None
+        Connects to endpoints that this node can't reach; None to connect to all of them
+        directly.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, relays=None):
         self._clock = clock
+        self._relays = relays
         self._transfers = set()
         self._timeout_task = None
         self._client = CurlClient(
@@ -258,6 +276,43 @@
             ),
         )
         request.parse_header_line = transfer.parse_header_line
+        if self._relays is None:
+            return await self._run(request, url, transfer)
+        address = find_address(url)
+        transfer.on_connected = lambda: self._relays.record_connected(address)
+        try:
+            response = await self._run_by_any_way(request, url, transfer, address)
+            await _check_relayed_end(url, transfer)
+            return response
+        finally:
+            if transfer.relay is not None:
+                self._relays.release(transfer.relay)
+
+    async def _run_by_any_way(self, request, url, transfer, address):
+        """Send a request directly, or through a peer if that fails or is known to fail.
+
+        A peer that can't connect to the endpoint either shows that the fault is not
+        here.
+        """
+        unreachable = None
+        if not self._relays.needs_relay(address):
+            try:
+                return await self._run(request, url, transfer)
+            except EndpointFailed as error:
+                if error.code != "unreachable":
+                    raise
+                unreachable = error
+            self._relays.record_unreached(address)
+        try:
+            transfer.relay = await self._relays.connect(address)
+        except EndpointFailed:
+            if unreachable is None or self._relays.needs_relay(address):
+                raise
+            raise unreachable from None
+        transfer.restart()
+        return await self._run(request, url, transfer)
+
+    async def _run(self, request, url, transfer):
         transfer.clock = self._clock
         transfer.last_activity_ms = self._clock.now()
         self._transfers.add(transfer)
@@ -292,6 +347,7 @@
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
         curl.setopt(pycurl.PREREQFUNCTION, transfer.handle_connected)
+        _use_socket(curl, transfer.relay.sock if transfer.relay else None)
         if transfer.on_data is not None:
             curl.setopt(
                 pycurl.WRITEFUNCTION, lambda data: self._handle_data(transfer, data)
@@ -330,6 +386,28 @@
     return f"{scheme}://{host}/", (slash + target or "/").encode("latin-1")
 
 
+def _use_socket(curl, sock):
+    """Let a handle use a connected socket, or open one of its own as usual."""
+    if sock is None:
+        curl.setopt(pycurl.OPENSOCKETFUNCTION, None)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, None)
+        return
+    # libcurl uses and closes a duplicate of the socket.
+    curl.setopt(pycurl.OPENSOCKETFUNCTION, lambda purpose, address: sock)
+    curl.setopt(
+        pycurl.SOCKOPTFUNCTION, lambda fd, purpose: pycurl.SOCKOPT_ALREADY_CONNECTED
+    )
+
+
+async def _check_relayed_end(url, transfer):
+    """Raise an error if it is uncertain that an answer without a length is whole."""
+    if transfer.relay is None or transfer.framing != "connection":
+        return
+    if not await transfer.relay.wait_for_end():
+        text = f"the relayed answer of {url} ended without a sign of the endpoint"
+        raise EndpointFailed("cut", text, Verdict.MAY_HAVE_RUN)
+
+
 def _discard_outcome(future):
     if not future.cancelled():
         future.exception()
--- a/peridotcove/engine_notice_sync.py
+++ b/peridotcove/engine_notice_sync.py
@@ -1,8 +1,10 @@
 """Puts the notices of engines in force at this node and tells the owners of engines."""
 
+from peridotcove.engine_notices import Notice
 from peridotcove.lease_client import MAX_OWNERS
 from peridotcove.nodes.leaving_messages import EndpointsLeaving
 from peridotcove.nodes.network import OutgoingMessage
+from peridotcove.nodes.relay_messages import RelayedNotice
 
 
 class EngineNoticeSync:
@@ -38,7 +40,7 @@
         self._send_all = send_all
         self._on_change = on_change
 
-    def handle_answer(self, engine, notice, request_id=b""):
+    def handle_answer(self, engine, notice, request_id=b"", relay=""):
         """Handle the notice of an answer.
 
         Parameters
@@ -49,7 +51,14 @@
             The notice.
         request_id : bytes
             Id of the request, for the log.
+        relay : str
+            Name of the node through which the request went; empty for none.
         """
+        if relay and (notice.pause_ms or notice.is_leaving):
+            message = RelayedNotice(
+                engine.name, engine.incarnation, notice.is_leaving, notice.pause_ms
+            )
+            self._send_all([OutgoingMessage(relay, message)])
         is_news = self.notices.record(engine, notice)
         if notice.fault:
             self._metrics.notice_faults.labels(engine.name).inc()
@@ -64,6 +73,21 @@
             self._on_change()
             self._send_all(self._make_reports([(engine.name, engine.incarnation)]))
 
+    def receive_relayed(self, peer, message):
+        """Handle the notice of an answer that this node has relayed.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the sender.
+        message : RelayedNotice
+            The notice.
+        """
+        engine = self._fleet.configuration.engine_by_name.get(message.engine)
+        if engine is not None and engine.incarnation == message.incarnation:
+            pause_ms = max(0, message.pause_ms)
+            self.handle_answer(engine, Notice(message.is_leaving, pause_ms))
+
     def receive(self, peer, message):
         """Handle a report of another node.
 
--- a/peridotcove/fleet_view.py
+++ b/peridotcove/fleet_view.py
@@ -2,6 +2,7 @@
 
 from attrs import evolve
 
+from peridotcove.engine_paths import find_address
 from peridotcove.host_routes import HostRoutes
 from peridotcove.models import Configuration, LifecycleStatus
 from peridotcove.ownership import compute_shards, rank_shard_owners
@@ -222,6 +223,27 @@
         """
         return self._zone_by_node.get(node, "")
 
+    def find_engine_at(self, address):
+        """Return the engine at an address, or None.
+
+        Parameters
+        ----------
+        address : str
+            ``HOST:PORT``.
+        """
+        for engine in self.configuration.engine_by_name.values():
+            if find_address(engine.url) == address:
+                return engine
+        return None
+
+    def serving_addresses(self):
+        """Return the addresses of the engines in service, ``HOST:PORT``."""
+        return [
+            find_address(engine.url)
+            for engine in self.configuration.engine_by_name.values()
+            if engine.status is LifecycleStatus.IN_SERVICE
+        ]
+
     def find_customer(self, digest):
         """Return the customer whose API key has a digest, or None.
 
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -57,9 +57,13 @@
 # Change of the held part of an event from which the sum is updated; events are smaller.
 MIN_COUNTED_BYTES = 65_536
 EVENT_STREAM_TYPE = "text/event-stream"
+# Codes of errors of a node that is cut off from the engines. They show little about an
+# engine: that it was tried through one peer at most.
+RELAY_CODES = ("no-relay", "unreachable-by-peer")
 # Codes of errors that mean that no engine was reached.
 UNREACHED_CODES = frozenset(
     (
+        *RELAY_CODES,
         *("unreachable", "leaving", "paused", "stale-view"),
         *("other-version", "stale-lease"),
     )
@@ -67,7 +71,11 @@
 RETRY_AFTER_MS = 1_000
 # Outcome that is reported to the owner of the engine when the lease is released, by
 # error code; "failed" for all other codes.
-OUTCOME_BY_CODE = {"slow-caller": "cancelled", "unreachable": "unreachable"}
+OUTCOME_BY_CODE = {
+    "slow-caller": "cancelled",
+    "unreachable": "unreachable",
+    **dict.fromkeys(RELAY_CODES, "cancelled"),
+}
 
 
 class EngineErrorResponse(EndpointFailed):
@@ -116,8 +124,8 @@
     notices : EngineNotices
         What engines said of themselves.
     on_notice : callable
-        Called with the engine, its `Notice` and the id of the request, if an answer has
-        one.
+        Called with the engine, its `Notice`, the id of the request and the node through
+        which it went, if an answer has one.
     stream_origins : StreamOriginSync
         Which software versions began streams.
     """
@@ -346,7 +354,8 @@
             return forwarded
         except EndpointFailed as error:
             outcome = self._select_outcome(error)
-            self.avoided_engines.append(grant.engine)
+            if error.code != "no-relay":
+                self.avoided_engines.append(grant.engine)
             raise
         except RequestRefused:
             self.avoided_engines.append(grant.engine)
@@ -566,6 +575,9 @@
 
     def _check_before_send(self, engine, granted_ms):
         """Raise a `RequestRefused` if an engine may not get the request any more."""
+        relay = self.transfer.relay
+        if relay is not None:
+            self._record("request-relayed", {}, peer=relay.peer, detail=engine.name)
         self.forwarder.check_available(engine)
         delay_ms = self.forwarder.clock.now() - granted_ms
         if engine.cold_ms and delay_ms > MAX_SEND_DELAY_MS:
@@ -696,7 +708,13 @@
 
     def _handle_notice(self, notice):
         if notice is not NO_NOTICE:
-            self.forwarder.on_notice(self.engine, notice, self.forward.request_id)
+            relay = self.transfer.relay
+            self.forwarder.on_notice(
+                self.engine,
+                notice,
+                self.forward.request_id,
+                "" if relay is None else relay.peer,
+            )
 
     def _check_event_end(self, head, remainder):
         """Raise an error if a stream of events ended inside of one or has none."""
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -11,8 +11,9 @@
 from peridotcove.endpoints.streaming_client import StreamingClient
 from peridotcove.engine_notice_sync import EngineNoticeSync
 from peridotcove.engine_notices import EngineNotices
+from peridotcove.engine_paths import EnginePaths
 from peridotcove.engine_retention import EngineRetention
-from peridotcove.exceptions import LinkDown
+from peridotcove.exceptions import LinkDown, RequestRefused
 from peridotcove.fleet_view import FleetView
 from peridotcove.interfaces import load_interface
 from peridotcove.key_derivation import LINK_PURPOSE, derive_key
@@ -35,6 +36,9 @@
     ShareSuspects,
     ShareVersions,
 )
+from peridotcove.nodes.relay_client import RelayClient
+from peridotcove.nodes.relay_messages import OpenRelay, RelayedNotice, RelayEnded
+from peridotcove.nodes.relay_server import RelayServer
 from peridotcove.operators.node_status import NodeStatus
 from peridotcove.operators.server import make_server as make_operator_server
 from peridotcove.request_counter import RequestCounter
@@ -87,7 +91,8 @@
         self._wire_leaving()
         self._wire_links()
         self._wire_leases()
-        self.streaming_client = StreamingClient(clock)
+        self._wire_relays()
+        self.streaming_client = StreamingClient(clock, self.relay_client)
         self.interface.wire()
         self._wire_servers()
 
@@ -187,6 +192,37 @@
             EndpointsLeaving: self._handle_leaving_message,
         }
 
+    def _wire_relays(self):
+        paths = EnginePaths(self.clock, self.rng, self.settings.zone)
+        self.relay_client = RelayClient(
+            paths,
+            self.links,
+            lambda: [one for one in self.fleet.nodes if one.name != self.name],
+            self.fleet.serving_addresses,
+            self.timeline,
+        )
+        self.relay_server = RelayServer(
+            self.links,
+            self._check_relayed_address,
+            lambda address: self.drain.ready and not paths.needs_relay(address),
+            self.relay_client,
+            self.request_counter,
+        )
+        self.links.make_relay_protocol = self.relay_server.make_protocol
+        self._handler_by_type |= {
+            OpenRelay: self.relay_server.receive,
+            RelayEnded: self.relay_client.receive,
+            RelayedNotice: self.engine_notice_sync.receive_relayed,
+        }
+
+    def _check_relayed_address(self, address):
+        """Raise a `RequestRefused` if a peer may not be connected to an engine."""
+        engine = self.fleet.find_engine_at(address)
+        if engine is None:
+            raise RequestRefused("no-engine", f"no engine has the address {address}")
+        self.endpoint_states.check_available(engine.name)
+        self.engine_notices.check_available(engine)
+
     def add_message_handlers(self, handler_by_type):
         """Add handlers of messages that only one interface uses.
 
--- a/peridotcove/node_lifecycle.py
+++ b/peridotcove/node_lifecycle.py
@@ -271,6 +271,8 @@
     """
     node.caller_server.stop()
     node.operator_server.stop()
+    node.relay_server.close()
+    node.relay_client.close()
     await node.links.close()
     node.streaming_client.close()
     node.configuration_client.close()
--- a/peridotcove/nodes/links.py
+++ b/peridotcove/nodes/links.py
@@ -17,6 +17,7 @@
 from peridotcove.nodes.handshake import accept, dial
 from peridotcove.nodes.messages import MAX_FRAME_BYTES, encode
 from peridotcove.nodes.network import Network
+from peridotcove.nodes.relay_protocol import NodePort
 from peridotcove.nodes.sockets import (
     SOCKET_ERRORS,
     make_client_factory,
@@ -80,6 +81,9 @@
         Revision of the configuration in force, which is sent with every frame.
     on_message : callable or None
         Called with the peer's name, a message and the revision of its frame.
+    make_relay_protocol : callable or None
+        Returns the protocol of a connection that is to be relayed; None if this node
+        relays none.
     """
 
     def __init__(
@@ -88,6 +92,7 @@
         super().__init__()
         self.identity = identity
         self.revision = 0
+        self.make_relay_protocol = None
         self._secret = secret
         self._clock = clock
         self._on_traffic = on_traffic
@@ -108,14 +113,18 @@
         early_socket : socket.socket or None
             Socket that listens at the address already.
         """
-        make_socket = make_server_factory(
+        make_link = make_server_factory(
             MAX_FRAME_BYTES, self._accept, self._accepted.discard
         )
+
+        def make_port():
+            return NodePort(make_link, self.make_relay_protocol, OPEN_TIMEOUT_MS)
+
         loop = asyncio.get_running_loop()
         address = (
             {"sock": early_socket} if early_socket else {"host": host, "port": port}
         )
-        self._server = await loop.create_server(make_socket, **address)
+        self._server = await loop.create_server(make_port, **address)
         return self._server.sockets[0].getsockname()[1]
 
     def set_peers(self, instances):
--- /dev/null
+++ b/peridotcove/nodes/relay_server.py
@@ -0,0 +1,331 @@
+"""Relays connections of peers that are cut off from the engines."""
+
+import asyncio
+
+from attrs import define
+
+from peridotcove.clock import MS_PER_S
+from peridotcove.exceptions import LinkDown, RequestError
+from peridotcove.logs import get_logger
+from peridotcove.nodes.relay_messages import RelayEnded
+from peridotcove.nodes.relay_protocol import (
+    PREAMBLE_BYTES,
+    RELAY_OPEN,
+    RELAY_PREFIX,
+    RELAY_REFUSED,
+    RELAY_UNREACHED,
+    TOKEN_BYTES,
+    reset,
+    set_keepalive,
+)
+
+CONNECT_TIMEOUT_MS = 120
+# Time in which a connection follows its request, or a request its connection.
+PICK_UP_TIMEOUT_MS = 1_000
+# Bounds descriptors and memory: each relay has two connections and two buffers.
+MAX_RELAYS = 256
+# Connections whose request has not come; anyone can open these.
+MAX_UNCLAIMED = 64
+BUFFER_BYTES = 32_768
+
+log = get_logger("relays")
+
+
+@define(eq=False)
+class _Relay:
+    """A connection to an engine, and the one of the peer that uses it."""
+
+    token: bytes
+    address: str = ""
+    peer: str = ""
+    peer_side: object = None
+    engine_side: object = None
+    # The answer to the peer, once it is known.
+    answer: bytes = b""
+    expires: object = None
+    is_open: bool = False
+
+
+class _Pipe(asyncio.Protocol):
+    """One side of a relay; the bytes that it receives go to the other side."""
+
+    def __init__(self, server, relay):
+        self.transport = None
+        self.server = server
+        self.relay = relay
+        self.other = None
+        self.has_ended = False
+
+    def connection_made(self, transport):
+        """Handle a new connection."""
+        self.transport = transport
+        transport.set_write_buffer_limits(BUFFER_BYTES)
+
+    def data_received(self, data):
+        """Pass bytes on."""
+        if self.other is not None:
+            self.other.transport.write(data)
+
+    def pause_writing(self):
+        """Stop reading from the other side while this one is slow."""
+        if self.other is not None:
+            self.other.transport.pause_reading()
+
+    def resume_writing(self):
+        """Go on reading from the other side."""
+        if self.other is not None:
+            self.other.transport.resume_reading()
+
+    def connection_lost(self, exc):
+        """End the other side in the same way."""
+        self.server.handle_lost(self.relay, self, exc)
+
+
+class _EngineSide(_Pipe):
+    def eof_received(self):
+        """Pass the end of the engine's bytes on; the peer closes the connection."""
+        self.has_ended = True
+        self.server.handle_engine_end(self.relay)
+        return True
+
+
+class _PeerSide(_Pipe):
+    def __init__(self, server):
+        super().__init__(server, None)
+        self._preamble = b""
+
+    def data_received(self, data):
+        """Read the preamble, and then pass bytes on."""
+        if self.other is not None:
+            self.other.transport.write(data)
+            return
+        self._preamble += data
+        begin = self._preamble[: len(RELAY_PREFIX)]
+        if len(self._preamble) > PREAMBLE_BYTES or not RELAY_PREFIX.startswith(begin):
+            log.warning("a connection that is to be relayed began with other bytes")
+            self.transport.abort()
+        elif len(self._preamble) == PREAMBLE_BYTES:
+            self.server.handle_connection(self, self._preamble[len(RELAY_PREFIX) :])
+
+    def eof_received(self):
+        """Close the connection to the engine: its client has gone."""
+        return False
+
+
+class RelayServer:
+    """Connects peers to engines that they can't reach by themselves.
+
+    Only engines and endpoints of the configuration can be reached, by peers whose link
+    is authenticated.
+
+    Parameters
+    ----------
+    network : Network
+        Links to the other nodes.
+    check_address : callable
+        Raises a `RequestRefused` if the engine at an address is unknown or may not get
+        new requests.
+    may_relay : callable
+        Called with the address of an engine; whether this node takes new work and
+        connects to that engine by itself.
+    ways : RelayClient
+        Is told whether this node reaches engines by itself.
+    request_counter : RequestCounter
+        Counts relays as requests in progress.
+    """
+
+    def __init__(self, network, check_address, may_relay, ways, request_counter):
+        self._ways = ways
+        self._network = network
+        self._check_address = check_address
+        self._may_relay = may_relay
+        self._request_counter = request_counter
+        self._relay_by_token = {}
+        self._unclaimed_by_token = {}
+        self._tasks = set()
+        self._closed = False
+
+    def __len__(self):
+        return len(self._relay_by_token)
+
+    def make_protocol(self):
+        """Return the protocol of a peer's connection that is to be relayed."""
+        return _PeerSide(self)
+
+    def receive(self, peer, message):
+        """Handle an `OpenRelay` message.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the sender.
+        message : OpenRelay
+            The message.
+        """
+        token = message.token
+        if len(token) != TOKEN_BYTES or token in self._relay_by_token:
+            log.warning("a relay for %s was ignored: its token is invalid", peer)
+            return
+        relay = _Relay(token, message.address, peer)
+        self._relay_by_token[token] = relay
+        self._request_counter.begin()
+        loop = asyncio.get_running_loop()
+        timeout_s = PICK_UP_TIMEOUT_MS / MS_PER_S
+        relay.expires = loop.call_later(timeout_s, self._expire, relay)
+        side = self._unclaimed_by_token.pop(token, None)
+        if side is not None:
+            self._attach(relay, side)
+        task = asyncio.create_task(self._connect(relay))
+        self._tasks.add(task)
+        task.add_done_callback(self._handle_task_end)
+
+    def _handle_task_end(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("a relay failed: %r", task.exception())
+
+    def handle_connection(self, side, token):
+        """Handle a peer's connection, whose preamble has come.
+
+        Parameters
+        ----------
+        side : object
+            Protocol of the connection.
+        token : bytes
+            Token in its preamble.
+        """
+        relay = self._relay_by_token.get(token)
+        if relay is not None and relay.peer_side is None:
+            self._attach(relay, side)
+        elif relay is None and len(self._unclaimed_by_token) < MAX_UNCLAIMED:
+            self._unclaimed_by_token[token] = side
+            loop = asyncio.get_running_loop()
+            timeout_s = PICK_UP_TIMEOUT_MS / MS_PER_S
+            loop.call_later(timeout_s, self._drop_unclaimed, token)
+        else:
+            log.warning("a connection that is to be relayed was closed")
+            side.transport.abort()
+
+    def _drop_unclaimed(self, token):
+        side = self._unclaimed_by_token.pop(token, None)
+        if side is not None:
+            log.info("a connection that is to be relayed had no request; closing it")
+            side.transport.abort()
+
+    def _attach(self, relay, side):
+        side.relay, relay.peer_side = relay, side
+        set_keepalive(side.transport.get_extra_info("socket"))
+        self._answer(relay)
+
+    def _expire(self, relay):
+        if not relay.is_open:
+            log.info("the relay for %s was not picked up", relay.peer)
+            self._end(relay)
+
+    async def _connect(self, relay):
+        try:
+            is_full = len(self._relay_by_token) > MAX_RELAYS
+            if is_full or not self._may_relay(relay.address):
+                relay.answer = RELAY_REFUSED
+                return
+            self._check_address(relay.address)
+            await self._connect_to_engine(relay)
+            relay.answer = RELAY_OPEN
+        except (OSError, RequestError) as error:
+            relay.answer = RELAY_UNREACHED
+            log.info(
+                "relay for %s to %s could not be opened: %s",
+                relay.peer,
+                relay.address,
+                str(error) or "no connection in time",
+            )
+        finally:
+            self._answer(relay)
+
+    async def _connect_to_engine(self, relay):
+        host, _, port = relay.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+                _, relay.engine_side = await loop.create_connection(
+                    lambda: _EngineSide(self, relay), host, int(port)
+                )
+        except OSError:
+            self._ways.record_unreached(relay.address)
+            raise
+        self._ways.record_connected(relay.address)
+        set_keepalive(relay.engine_side.transport.get_extra_info("socket"))
+
+    def _answer(self, relay):
+        """Answer the peer, once both its connection and the answer are there."""
+        if relay.peer_side is None or not relay.answer:
+            return
+        peer, engine = relay.peer_side, relay.engine_side
+        answer = relay.answer
+        if engine is not None and (engine.has_ended or engine.transport.is_closing()):
+            answer = RELAY_UNREACHED
+        peer.transport.write(answer)
+        if answer != RELAY_OPEN:
+            peer.transport.close()
+            return
+        relay.is_open = True
+        relay.expires.cancel()
+        peer.other, engine.other = engine, peer
+
+    def handle_engine_end(self, relay):
+        """Tell the peer that the engine has closed its connection in order.
+
+        Parameters
+        ----------
+        relay : object
+            The relay.
+        """
+        try:
+            self._network.send(relay.peer, RelayEnded(relay.token))
+        except LinkDown as error:
+            log.info("the end of a relay was not sent to %s: %s", relay.peer, error)
+        peer = relay.peer_side
+        if relay.is_open and not peer.transport.is_closing():
+            peer.transport.write_eof()
+
+    def handle_lost(self, relay, side, error):
+        """Handle the end of one of a relay's connections.
+
+        Parameters
+        ----------
+        relay : object or None
+            The relay; None before a connection belongs to one.
+        side : object
+            Protocol of the connection.
+        error : Exception or None
+            Error that ended it. The connection of an engine that ends in order is lost
+            only after that of its peer.
+        """
+        if relay is None:
+            return
+        other = side.other
+        if other is not None and not other.transport.is_closing():
+            if error is not None or side is relay.engine_side:
+                reset(other.transport)
+            else:
+                other.transport.abort()
+        self._end(relay)
+
+    def _end(self, relay):
+        if self._relay_by_token.pop(relay.token, None) is None:
+            return
+        relay.expires.cancel()
+        self._request_counter.end()
+        for side in (relay.peer_side, relay.engine_side):
+            if side is not None and not side.transport.is_closing():
+                side.transport.abort()
+
+    def close(self):
+        """End all relays."""
+        self._closed = True
+        for relay in list(self._relay_by_token.values()):
+            if relay.peer_side is not None:
+                reset(relay.peer_side.transport)
+            self._end(relay)
+        for task in list(self._tasks):
+            task.cancel()
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -168,6 +168,13 @@
 add_kind("part-cleared", "a request with a suspected part was answered")
 add_kind("retry-denied", "the budget of retries is used up", level=logging.WARNING)
 add_kind("owner-silent", "an owner did not answer in time", level=logging.WARNING)
+add_kind(
+    "engines-unreached",
+    "this node can't reach engines; its peers connect it",
+    level=logging.WARNING,
+)
+add_kind("engines-reached", "this node reaches engines again")
+add_kind("request-relayed", "the request went through a peer")
 add_kind(
     "engines-aside", "engines that fail get no work for a while", level=logging.WARNING
 )
