Failing tests: streams are joined at a node that missed a release

A node that is out of step believes that the version that it knows is the only one, and passes a stream that is taken up to it without asking.

--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -3,8 +3,10 @@
 import asyncio
 
 from peridotcove.clock import Clock
+from peridotcove.exceptions import LinkDown
 from peridotcove.node import Node
 from peridotcove.node_lifecycle import close, open_ports, start
+from peridotcove.software_versions import STREAM_LIFE_MS
 from tests.platform import fakes
 from tests.platform.fakes import ServerStandin, make_event, make_stream_answer
 from tests.platform.test_platform_node import WAIT_S, PlatformNodeBase
@@ -14,6 +16,9 @@
 CUT_AFTER = 2
 REPEATS = 10
 VERSIONS = ("v1", "v2", "v1", "v2")
+MAX_BEGINS = 40
+# Time after which a node notices that it is cut off from all others.
+CUT_S = 3.0
 
 
 async def pause_after_events(seen, writer):
@@ -240,3 +245,77 @@
         for number in range(4 * REPEATS):
             self.assertTrue((await self.send(f"r{number}")).is_complete)
         self.assertEqual(self.asked_versions(), {"v1", "v2"})
+
+
+class OutOfStepTest(SoftwareVersionsBase):
+    """A node that missed a release joins no stream of the new version to the old."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.join(3)
+        self.nodes = list(self.tasks_by_node)
+        (shard,) = self.node.fleet.shard_by_name
+        owners = self.node.fleet.rank_owners(shard)
+        by_name = {node.name: node for node in self.nodes}
+        self.owner, self.late = by_name[owners[0]], by_name[owners[-1]]
+        newer = [one for one in self.servers if self.version_by_name[one.name] == "v2"]
+        for server in newer:
+            self.store.drop(f"servers/{server.name}")
+        await self.wait_for_all(self.nodes)
+        for node in self.nodes:
+            # As if the old version had served alone for a long time.
+            versions = node.lease_server.stream_origins.versions
+            versions._seen_ms_by_model.clear()
+            for model in versions._since_ms_by_model:
+                versions._since_ms_by_model[model] -= STREAM_LIFE_MS
+        self.late.apply_configuration = lambda: None
+        for server in newer:
+            self.put_version(server, "v2")
+        self.others = [node for node in self.nodes if node is not self.late]
+        await self.wait_for_all(self.others)
+
+    async def wait_for_all(self, nodes):
+        for node in nodes:
+            await self.wait_in_force(node)
+
+    async def begin_newer_stream(self, number):
+        """Begin a stream at a server of the new version; return its id."""
+        for attempt in range(MAX_BEGINS):
+            name = f"a{number}-{attempt}"
+            if await self.begin_stream(name, self.others[0]) == "v2":
+                return name
+        raise AssertionError("no stream began at the new version")
+
+    async def check_not_joined(self):
+        for number in range(REPEATS):
+            begun = await self.begin_newer_stream(number)
+            got = await self.take_up(f"b{number}", begun, self.late)
+            self.assertLessEqual(self.asked_versions(), {"v2"})
+            self.assertIn(got.status, (200, 503))
+
+    async def test_streams_are_not_joined_at_a_node_that_missed_a_release(self):
+        await self.check_not_joined()
+
+    async def test_streams_are_not_joined_at_a_node_that_is_cut_off(self):
+        for node in self.others:
+            node.links.send = make_cut_send(node.links.send, self.late.name)
+
+        def fail(peer, message):
+            raise LinkDown(peer)
+
+        self.late.links.send = fail
+        # The store is not reached either.
+        self.late.control.revisions.record_read_result = lambda ok=True: None
+        await asyncio.sleep(CUT_S)
+        await self.check_not_joined()
+
+
+def make_cut_send(send, cut_off):
+    """Return a function that sends to all nodes but one."""
+
+    def send_or_fail(peer, message):
+        if peer == cut_off:
+            raise LinkDown(peer)
+        send(peer, message)
+
+    return send_or_fail
