A node that is out of step joins no stream to the version that it knows

Callers would see: a stream that holds events of two software versions (ORDER), during a release. Cause: a node that had known one version for 20 s passed each stream that was taken up to it to that version, without asking the owner, through which the stream had begun at a version that joined since. Change: the owner decides by the streams that it knows, then by versions; what the entry believes counts only if no owner knows. A node asked in place of silent owners refuses what it doesn't know. Who decides by versions must hear half of its peers and have run for a second since a pause.

--- a/peridotcove/control_plane.py
+++ b/peridotcove/control_plane.py
@@ -8,6 +8,8 @@
 # A node that did not run for this long, twice the time between two ticks, can't tell
 # whether its peers were silent.
 MAX_IDLE_MS = 500
+# Time after a pause in which news that it delayed arrives.
+CATCH_UP_MS = 1_000
 
 
 class ControlPlane:
@@ -57,6 +59,15 @@
             self.membership.count_capable_readers,
         )
 
+    def is_current(self):
+        """Return whether this node would have heard of a revision of a moment ago.
+
+        It would not if it is cut off, or did not run until now.
+        """
+        self._detect_pause()
+        running_ms = self._clock.now() - self._resumed_ms
+        return running_ms >= CATCH_UP_MS and self.membership.hears_most()
+
     def tick(self):
         """Return the messages that are due; call it every 250 ms."""
         self._detect_pause()
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -267,7 +267,7 @@
         if not forward.resume_after:
             return
         models = [target.model for target in route.targets]
-        self.origin = self.forwarder.stream_origins.find_origin(self.stream, models)
+        self.origin = self.forwarder.stream_origins.origins.find(self.stream)
         if self.origin is None:
             self.other_models = [model for model in models if model != self.model]
         elif self.origin.model in models:
@@ -367,9 +367,11 @@
     async def _request_lease(self, request):
         """Return the grant of a lease.
 
-        If several models may have begun the stream, the owners of each are asked.
+        If several models may have begun the stream, the owners of each are asked. What
+        this node believes of the origin of all streams counts only if they know none.
         """
         forwarder = self.forwarder
+        models = [self.model, *self.other_models]
         while True:
             shard = forwarder.fleet.pick_shard(self.model, request.chat_key, "")
             try:
@@ -379,11 +381,24 @@
                 return await forwarder.leases.request_lease(shard, request)
             except RequestRefused as error:
                 is_unknown = error.code in ("no-engine", UNKNOWN_ORIGIN)
-                if not is_unknown or not self.other_models:
+                if not is_unknown:
                     raise
+                if not self.other_models:
+                    self.origin = self._find_only_origin(error, models)
+                    request = evolve(
+                        request, software_versions=self._allowed_versions()
+                    )
+                    continue
             self._use_model(self.other_models.pop())
             request = evolve(request, model=self.model)
 
+    def _find_only_origin(self, error, models):
+        """Return the origin of all streams; raise the error if none is certain."""
+        origin = self.forwarder.stream_origins.find_only_origin(models)
+        if error.code != UNKNOWN_ORIGIN or self.origin is not None or origin is None:
+            raise error
+        return origin
+
     def _select_outcome(self, error):
         if error.code == "cut":
             return CUT if self.transfer.received_bytes else CUT_BEFORE_ANSWER
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -11,6 +11,7 @@
     MAX_OWNERS,
     NO_VERSION,
     NOT_OWNER,
+    OWNERS_SILENT,
     QUARANTINED,
     UNKNOWN_ORIGIN,
 )
@@ -81,6 +82,8 @@
         Source of time.
     timeline : Timeline
         Event log of this node.
+    is_current : callable
+        Whether this node would have heard of engines that joined a moment ago.
 
     Attributes
     ----------
@@ -96,7 +99,7 @@
         Set when a request starts to wait.
     """
 
-    def __init__(self, node, fleet, network, clock, timeline):
+    def __init__(self, node, fleet, network, clock, timeline, is_current=lambda: True):
         self._node = node
         self._fleet = fleet
         self._network = network
@@ -106,7 +109,7 @@
         self._outlier_detector = OutlierDetector(clock)
         self.suspect_sync = SuspectSync(node, fleet, network, clock, timeline)
         self._suspects = self.suspect_sync.suspects
-        self.stream_origins = StreamOriginSync(node, fleet, network, clock)
+        self.stream_origins = StreamOriginSync(node, fleet, network, clock, is_current)
         self._ejected_by_shard = {}
         self._owned_shards = frozenset()
         self._used_ms_by_shard = {}
@@ -158,7 +161,7 @@
 
     def _handle_ask(self, peer, message):
         owners = self._fleet.rank_owners(message.shard)[:MAX_OWNERS]
-        is_owner = self._node in owners or peer == self._node
+        is_owner = self._is_owner(message.shard) or peer == self._node
         if message.shard not in self._fleet.shard_by_name or not is_owner:
             self._send_answer(peer, RefuseLease(message.request_id, NOT_OWNER, 0))
             return
@@ -201,9 +204,11 @@
         versions = request.software_versions
         shard = self._fleet.shard_by_name[tracked.shard]
         if request.is_resumed and not versions:
-            origin = self.stream_origins.find_origin(request.stream, [shard.model])
+            origin = self._find_origin(request.stream, shard)
             if origin is None or origin.model != shard.model:
-                self._refuse(request, tracked, UNKNOWN_ORIGIN)
+                is_owner = self._is_owner(shard.name)
+                code = UNKNOWN_ORIGIN if is_owner else OWNERS_SILENT
+                self._refuse(request, tracked, code)
                 return None
             versions = (origin.software_version,)
         if not versions:
@@ -226,6 +231,19 @@
             software_versions=tuple(versions),
         )
 
+    def _find_origin(self, stream, shard):
+        """Return the `StreamOrigin` of a stream, or None if it is not certain.
+
+        A node that is asked since the owners are silent may be cut off: others may know
+        of another software version.
+        """
+        if self._is_owner(shard.name):
+            return self.stream_origins.find_origin(stream, [shard.model])
+        return self.stream_origins.origins.find(stream)
+
+    def _is_owner(self, shard):
+        return self._node in self._fleet.rank_owners(shard)[:MAX_OWNERS]
+
     def _refuse(self, request, tracked, code):
         inputs = {"software_versions": list(request.software_versions)}
         self._record("lease-refused", tracked.trace_id, tracked.entry, code, inputs)
--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -207,6 +207,16 @@
         """
         return self.heartbeats.hears(name)
 
+    def hears_most(self):
+        """Return whether no heartbeat is overdue from half of the peers or more.
+
+        Peers that are lost count too, since it may be this node that is cut off.
+        """
+        now = self.clock.now()
+        monitored = self.heartbeats.monitored()
+        heard = sum(peer.live and not peer.is_overdue(now) for peer in monitored)
+        return 2 * heard >= len(monitored)
+
     def reader_rank(self):
         """Return the names of the zone's live nodes, by rank as readers."""
         return self._reader_rank
--- a/peridotcove/stream_origin_sync.py
+++ b/peridotcove/stream_origin_sync.py
@@ -20,8 +20,10 @@
 class StreamOriginSync:
     """Knows where streams began, also those of entry nodes that are gone.
 
-    If a node knows that a single software version of a model has served, it knows where
-    any stream began. While it doesn't, it tells the owners of the model's shards where
+    A node that has granted a lease for a stream or was told of it knows where it began.
+    If it knows that a single software version of a model has served, it knows that of
+    any stream; but a node that is out of step may believe so in vain, so that others
+    are asked first. While it doesn't, it tells the owners of the model's shards where
     each stream began that it has seen. Nodes that start learn from the others which
     versions have served.
 
@@ -35,6 +37,8 @@
         Links to the other nodes.
     clock : Clock
         Source of time.
+    is_current : callable
+        Whether this node would have heard of engines that joined a moment ago.
 
     Attributes
     ----------
@@ -44,10 +48,11 @@
         Software versions that have served lately.
     """
 
-    def __init__(self, node, fleet, network, clock):
+    def __init__(self, node, fleet, network, clock, is_current=lambda: True):
         self._node = node
         self._fleet = fleet
         self._network = network
+        self._is_current = is_current
         self.origins = StreamOrigins(clock)
         self.versions = SoftwareVersions(clock)
         # Owners that were told of all streams that this node knows.
@@ -72,7 +77,7 @@
             self.origins.record(stream, origin)
 
     def find_origin(self, stream, models):
-        """Return the `StreamOrigin` of a stream, or None if it isn't certain.
+        """Return the `StreamOrigin` of a stream, or None if this node doesn't know it.
 
         Parameters
         ----------
@@ -81,11 +86,21 @@
         models : list of str
             Models that may have begun it.
         """
-        origin = self.origins.find(stream) if stream else None
-        if origin is None and len(models) == 1:
-            version = self.versions.find_only(models[0])
-            origin = None if version is None else StreamOrigin(models[0], version)
-        return origin
+        known = self.origins.find(stream) if stream else None
+        return self.find_only_origin(models) if known is None else known
+
+    def find_only_origin(self, models):
+        """Return the `StreamOrigin` that all streams have, or None if it isn't certain.
+
+        Parameters
+        ----------
+        models : list of str
+            Models that may have begun them.
+        """
+        if len(models) != 1 or not self._is_current():
+            return None
+        version = self.versions.find_only(models[0])
+        return None if version is None else StreamOrigin(models[0], version)
 
     def tick(self):
         """Tell the owners of shards where streams began; call it often.
@@ -94,7 +109,7 @@
         """
         shards_by_model = self._fleet.shards_by_model
         for model, shards in shards_by_model.items():
-            if self.versions.find_only(model) is not None:
+            if self.find_only_origin([model]) is not None:
                 self._informed_by_model.pop(model, None)
                 continue
             unshared = self.origins.pop_unshared(model)
