--- a/tests/test_stream_origin_sync.py
+++ b/tests/test_stream_origin_sync.py
@@ -361,12 +361,13 @@
         async def play_release():
             fleet = StreamFleet(("v1", "v1", "v1"))
             await deliver(STREAM_LIFE_MS)
-            await fleet.begin("n1")
+            *killed, _ = fleet.owners
+            await fleet.begin(killed[0])
             fleet.set_versions(("v2", "v2", "v2"))
             await deliver(SHARE_MS)
-            fleet.kill(["n2", "n3", "n4"])
+            fleet.kill(killed)
             await deliver(SHARE_MS)
-            await fleet.take_up(0, "n2")
+            await fleet.take_up(0, killed[0])
             return fleet
 
         self.assertEqual(run(play_release()).joined, [])
