Test: answers that end inside their head are not complete, direct or relayed

Change: a test with 3 framings, 4 kinds of routes, 9 positions, by an own connection and through a peer.

--- a/tests/platform/test_partitioned_entries.py
+++ b/tests/platform/test_partitioned_entries.py
@@ -233,6 +233,28 @@
                     got = await client.fetch("r", target, body=b"b")
                     self.assertFalse(got.status == 200 and got.is_complete)
 
+    # Reported from other systems: such answers passed as whole, with an empty body.
+    async def test_an_answer_that_ends_inside_its_head_is_not_complete(self):
+        def cut_at(position, **fields):
+            async def answer(seen, writer):
+                head = fakes.make_head(seen, 200, **fields)
+                writer.write(head[: min(position, len(head) - 1)])
+                await writer.drain()
+
+            return answer
+
+        forms = ({"Content_Length": "0"}, {"Transfer_Encoding": "chunked"}, {})
+        node = self.nodes[2]
+        for number, target in enumerate(TARGETS * 3):
+            fields = forms[number // len(TARGETS)]
+            for position in range(1, 90, 11):
+                self.set_answer(cut_at(position, **fields))
+                for entry in (self.entry, node):
+                    client = await self.connect(entry)
+                    got = await client.fetch("r", target, body=b"b")
+                    is_whole = got.status == 200 and got.is_complete
+                    self.assertFalse(is_whole, (target, fields, position))
+
     async def test_an_answer_without_a_length_is_whole(self):
         self.set_answer(fakes.echo_unframed_body)
         client = await self.connect(self.entry)
