Engines that fail when they refuse too much are spared after a refusal

A refused request was tried elsewhere, but the next one went to the same engine again; owners eject only after three failures in a row. Change: a refusal with that number counts as a pause: a second, longer where there are more nodes than refusals that the engine bears, 5 s at most. What is no number is ignored and logged. Measured: test_a_brittle_server_that_is_full_is_spared failed before (11 refusals in place of 1).

--- a/peridotcove/engine_notice_sync.py
+++ b/peridotcove/engine_notice_sync.py
@@ -1,6 +1,8 @@
 """Puts the notices of engines in force at this node and tells the owners of engines."""
 
-from peridotcove.engine_notices import Notice
+from attrs import evolve
+
+from peridotcove.engine_notices import Notice, find_pause_ms
 from peridotcove.lease_client import MAX_OWNERS
 from peridotcove.nodes.leaving_messages import EndpointsLeaving
 from peridotcove.nodes.network import OutgoingMessage
@@ -54,6 +56,9 @@
         relay : str
             Name of the node through which the request went; empty for none.
         """
+        if notice.max_refusals is not None:
+            spared_ms = find_pause_ms(notice.max_refusals, len(self._fleet.nodes))
+            notice = evolve(notice, pause_ms=max(notice.pause_ms, spared_ms))
         if relay and (notice.pause_ms or notice.is_leaving):
             message = RelayedNotice(
                 engine.name, engine.incarnation, notice.is_leaving, notice.pause_ms
--- a/peridotcove/engine_notices.py
+++ b/peridotcove/engine_notices.py
@@ -18,6 +18,10 @@
 KEEP_MS = 120_000
 MAX_NOTICES = 4_096
 RETRY_AFTER_MS = 100
+# Longest time for which a node spares an engine that fails if it refuses too much.
+MAX_SPARED_MS = 5_000
+# Digits of a number of requests that are read; larger numbers bound nothing.
+MAX_DIGITS = 9
 
 
 @frozen
@@ -31,12 +35,16 @@
     pause_ms : int
         Time in ms for which it wants no requests; 0 if it names none.
     fault : str
-        Why a time that it names can't be used; empty if it can.
+        Why a number that it names can't be used; empty if it can.
+    max_refusals : int or None
+        Requests that it can refuse in a second without failing, over all nodes, if it
+        has just refused one; None if it names no such number.
     """
 
     is_leaving: bool = False
     pause_ms: int = 0
     fault: str = ""
+    max_refusals: int | None = None
 
 
 NO_NOTICE = Notice()
@@ -242,6 +250,39 @@
     return Notice(pause_ms=int(seconds * MS_PER_S))
 
 
+def read_max_refusals(text):
+    """Return the `Notice` of how many refusals in a second an engine bears.
+
+    A value that is no number of requests is ignored.
+
+    Parameters
+    ----------
+    text : str
+        A whole number.
+    """
+    if not (text.isascii() and text.isdigit()):
+        return Notice(fault=f"{text[:40]!r} is not a number of requests; ignored")
+    return Notice(max_refusals=int(text[:MAX_DIGITS]))
+
+
+def find_pause_ms(max_refusals, nodes):
+    """Return the time in ms for which a node spares an engine that refused a request.
+
+    If each of the nodes sends one request to an engine that refuses all, and then
+    spares it for that time, the engine refuses no more in a second than it bears, as
+    long as that time is below `MAX_SPARED_MS`.
+
+    Parameters
+    ----------
+    max_refusals : int
+        Requests that the engine can refuse in a second.
+    nodes : int
+        Number of nodes.
+    """
+    spared_ms = int(MS_PER_S * max(1.0, nodes / max(1, max_refusals)))
+    return min(spared_ms, MAX_SPARED_MS)
+
+
 def _make_key(engine):
     return engine.name, engine.incarnation
 
--- a/peridotcove/platform/dialect.py
+++ b/peridotcove/platform/dialect.py
@@ -2,7 +2,7 @@
 
 from attrs import evolve
 
-from peridotcove.engine_notices import NO_NOTICE, read_pause
+from peridotcove.engine_notices import NO_NOTICE, read_max_refusals, read_pause
 from peridotcove.forwarding_types import Dialect, ResponseHead
 from peridotcove.json_values import decode_json
 
@@ -49,6 +49,8 @@
 LEAVING_HEADER = "Server-Leaving"
 LEAVING_VALUE = "1"
 RETRY_AFTER_HEADER = "Retry-After"
+# Number of requests that a server can turn away in a second without falling over.
+BRITTLE_HEADER = "Server-Brittle"
 FULL_STATUS = 503
 MISDIRECTED_STATUS = 421
 EXPECTED_ID_HEADER = "X-Expect-Instance"
@@ -196,6 +198,13 @@
     notice = NO_NOTICE
     if status == FULL_STATUS and RETRY_AFTER_HEADER in headers:
         notice = read_pause(headers[RETRY_AFTER_HEADER])
+    if status == FULL_STATUS and {NOT_RUN_HEADER, BRITTLE_HEADER} <= headers.keys():
+        brittle = read_max_refusals(headers[BRITTLE_HEADER].strip())
+        notice = evolve(
+            notice,
+            max_refusals=brittle.max_refusals,
+            fault=notice.fault or brittle.fault,
+        )
     is_leaving = headers.get(LEAVING_HEADER) == LEAVING_VALUE
     if is_leaving and status != MISDIRECTED_STATUS:
         notice = evolve(notice, is_leaving=True)
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -30,6 +30,7 @@
 )
 
 WAIT_S = 5
+REPEATS = 20
 INTERNAL_HEADERS = {"api-key", "x-hold", "kv-from", "x-pin-ms", "x-kv-backup"}
 
 
@@ -79,11 +80,13 @@
     writer.write(make_head(seen, 500, 0, Server_Leaving="1"))
 
 
-def refuse_for(seconds):
-    """Return an answer that refuses requests and wants none for a time."""
+def refuse_for(seconds, **fields):
+    """Return an answer that refuses requests and wants none for a time, if given."""
+    if seconds is not None:
+        fields["Retry_After"] = seconds
 
     async def answer(seen, writer):
-        writer.write(make_head(seen, 503, 0, X_Not_Run="1", Retry_After=seconds))
+        writer.write(make_head(seen, 503, 0, X_Not_Run="1", **fields))
 
     return answer
 
@@ -900,6 +903,28 @@
         response = await self.fetch("r2", "/booking/")
         self.assertEqual(response.status, 200)
 
+    async def test_a_brittle_server_that_is_full_is_spared(self):
+        brittle, other = self.servers
+        brittle.answer = refuse_for(None, Server_Brittle="2")
+        other.answer = fakes.echo_body
+        await self.send_until(lambda: brittle.seen)
+        refused = len(brittle.seen)
+        for number in range(REPEATS):
+            self.assertEqual((await self.fetch(f"s{number}", "/booking/")).status, 200)
+        self.assertEqual(len(brittle.seen), refused)
+        brittle.answer = fakes.echo_body
+        await self.send_until(lambda: len(brittle.seen) > refused)
+
+    async def test_a_brittle_server_that_serves_is_used(self):
+        async def answer(seen, writer):
+            writer.write(make_head(seen, 200, 0, Server_Brittle="0"))
+
+        for server in self.servers:
+            server.answer = answer
+        for number in range(REPEATS):
+            self.assertEqual((await self.fetch(f"s{number}", "/booking/")).status, 200)
+        self.assertTrue(all(server.seen for server in self.servers))
+
     async def test_times_that_are_none_are_ignored(self):
         for text in ("soon", "-1", "nan", "", "Wed, 21 Oct 2026 07:28:00 GMT"):
             with self.subTest(text=text):
--- a/tests/test_engine_notices.py
+++ b/tests/test_engine_notices.py
@@ -10,8 +10,11 @@
     KEEP_MS,
     MAX_NOTICES,
     MAX_PAUSE_MS,
+    MAX_SPARED_MS,
     EngineNotices,
     Notice,
+    find_pause_ms,
+    read_max_refusals,
     read_pause,
 )
 from peridotcove.exceptions import RequestRefused
@@ -206,3 +209,29 @@
 
 
 NoticeHistoryTest = NoticeHistory.TestCase
+
+
+class MaxRefusalsTest(unittest.TestCase):
+    """How long a node spares an engine that fails if it refuses too much."""
+
+    def test_numbers_of_requests(self):
+        for text, number in (("0", 0), ("7", 7), ("9" * 99, 999_999_999)):
+            with self.subTest(text=text[:9]):
+                self.assertEqual(read_max_refusals(text), Notice(max_refusals=number))
+
+    def test_what_is_no_number_is_ignored(self):
+        for text in ("", "-1", "1.5", "many", "\u0663"):
+            with self.subTest(text=text):
+                notice = read_max_refusals(text)
+                self.assertIsNone(notice.max_refusals)
+                self.assertTrue(notice.fault)
+
+    def test_all_nodes_together_cause_no_more_refusals_than_the_engine_bears(self):
+        for nodes in (1, 9, 70, 330):
+            for number in (0, 1, 5, 40, 1_000):
+                with self.subTest(nodes=nodes, number=number):
+                    pause_ms = find_pause_ms(number, nodes)
+                    self.assertTrue(1_000 <= pause_ms <= MAX_SPARED_MS)
+                    refusals_per_s = nodes * 1_000 / pause_ms
+                    if pause_ms < MAX_SPARED_MS:
+                        self.assertLess(refusals_per_s, max(1, number) * 1.01)
