--- a/peridotcove/endpoints/streaming_client.py
+++ b/peridotcove/endpoints/streaming_client.py
@@ -299,7 +299,8 @@
             try:
                 return await self._run(request, url, transfer)
             except EndpointFailed as error:
-                if error.code != "unreachable":
+                is_given_up = transfer.cancelled and not transfer.timed_out
+                if error.code != "unreachable" or is_given_up:
                     raise
                 unreachable = error
             self._relays.record_unreached(address)
