Failing test: a stream that comes late in a planned stop is taken and cut

Cause: a node that drains takes requests for up to 3.1 s after SIGTERM, however long they last, and cuts them at the end of its grace.

--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -94,3 +94,49 @@
         statuses = [got.status for got in await self.stop_and_read(clients)]
         self.assertEqual(sorted(statuses), [503] * 4 + [504] * 8)
         self.assertEqual(self.arrivals(), 8)
+
+
+class LateRequestTest(PlatformNodeBase):
+    """Requests that come late in the grace are taken only if they can end in it."""
+
+    # Of the grace that the users' machines have.
+    GRACE_MS = 7_700
+    LATE_MS = 2_950
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.node.drain.drain_ms = self.GRACE_MS
+        self.leaving = asyncio.ensure_future(drain(self.node))
+        self.addAsyncCleanup(self.end_drain)
+        await self.wait_for_leaving(self.LATE_MS)
+
+    async def end_drain(self):
+        self.leaving.cancel()
+        await asyncio.gather(self.leaving, return_exceptions=True)
+
+    async def wait_for_leaving(self, passed_ms):
+        """Wait until the drain has begun, and let time pass."""
+        await self.wait_for(lambda: not self.node.drain.ready)
+        self.node.drain._began_ms -= passed_ms
+
+    # Such a stream was cut at the end of the grace, in the middle of its answer.
+    async def test_a_long_stream_is_refused(self):
+        got = await self.fetch("r1", "/slow/", body=b"b", X_Deadline_Ms="15000")
+        self.assertEqual((got.status, got.headers["connection"]), (503, "close"))
+        self.assertIn("retry-after", got.headers)
+        self.assertEqual([server.seen for server in self.servers], [[], []])
+
+    async def test_requests_that_end_in_time_are_served(self):
+        for target in ("/booking/", "/lookup/", "/chat/"):
+            got = await self.fetch("r1", target, body=b"b")
+            self.assertEqual(got.status, 200)
+
+    def publish(self, **changes):
+        super().publish(**changes)
+        routes = [
+            *(fakes.make_route(name, "idempotent") for name in ("booking", "lookup")),
+            fakes.make_route("chat", "stream"),
+            fakes.make_route("slow", "stream", timeout_ms=15_000),
+        ]
+        document = fakes.make_document(*routes, version=8)
+        self.store.put("op/config", document)
