Late requests of a planned stop are taken only if they can end in it

Callers saw: a stream that a node took 3.005 s after SIGTERM was cut in the middle of its answer 4.5 s later, as the process ended (LOST). Cause: a node that shuts down took requests for 0.4 of its time whatever their length. Change: from a third of the shutdown on, a request is refused at once (503, not run) unless its deadline or its route's timeout passes before the node's end. Why it works: what is taken late ends by itself before the process does; what isn't goes elsewhere.

--- a/peridotcove/drain.py
+++ b/peridotcove/drain.py
@@ -7,6 +7,9 @@
 # Largest share of the shutdown that the node spends in the stage LEAVING. Most of the
 # time is for requests in progress.
 LEAVING_SHARE = 0.4
+# Share of the shutdown after which a request is accepted only if it is certain to end
+# in time. By then, load balancers that poll each second have noticed.
+LATE_SHARE = 1 / 3
 HAND_OVER_TIMEOUT_MS = 2_000
 
 
@@ -74,6 +77,20 @@
             self._last_arrival_ms = self.clock.now()
         return self.accepting
 
+    def has_time_for(self, longest_ms):
+        """Return whether a request can end before the shutdown, if it comes late in it.
+
+        Parameters
+        ----------
+        longest_ms : int
+            Longest time in ms that the request may take.
+        """
+        if self._began_ms is None:
+            return True
+        age_ms = self.clock.now() - self._began_ms
+        is_late = age_ms >= LATE_SHARE * self.drain_ms
+        return not is_late or longest_ms <= self.remaining_ms()
+
     def remaining_ms(self):
         """Return the time in ms until requests in progress are aborted."""
         if self._began_ms is None:
--- a/peridotcove/host_route_gateway.py
+++ b/peridotcove/host_route_gateway.py
@@ -180,9 +180,13 @@
         EndpointFailed
             With status 504 if the deadline passes.
         RequestRefused
-            If it passes before the request was sent to an engine.
+            If it passes before the request was sent to an engine, or if the node may
+            end before it.
         """
         left_ms = max(1, forward.end_ms - self.clock.now())
+        if not self._drain.has_time_for(left_ms + LAST_ANSWERS_MS):
+            text = "this node shuts down before the request's deadline"
+            raise RequestRefused("closing", text, 503, RETRY_AFTER_MS)
         limit = asyncio.timeout(left_ms / MS_PER_S)
         self._running_limits.add(limit)
         try:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -138,6 +138,20 @@
                 self.assertIs(drain.tick(in_progress, handed_over), stage)
         self.assertFalse(drain.admit_request())
 
+    def test_late_requests_are_accepted_only_if_they_can_end(self):
+        clock = FakeClock()
+        drain = DrainController(clock, 9_000)
+        self.assertTrue(drain.has_time_for(1_000_000))
+        drain.begin()
+        clock.advance(2_999)
+        self.assertTrue(drain.has_time_for(1_000_000))
+        clock.advance(1)
+        for longest_ms, accepted in ((0, True), (6_000, True), (6_001, False)):
+            with self.subTest(longest_ms=longest_ms):
+                self.assertEqual(drain.has_time_for(longest_ms), accepted)
+        clock.advance(6_001)
+        self.assertFalse(drain.has_time_for(1))
+
     def test_deadline_aborts_and_counts_requests(self):
         clock = FakeClock()
         drain = DrainController(clock, 10_000)
