Connections to be relayed that send less than a preamble are closed

Cause: found by reading: a connection to the port for links that begins like one to be relayed and then sends nothing had no time limit; anyone who reaches the port could hold such connections. Change: each such connection has a second to belong to a relay; what is kept of unclaimed ones goes with the connection. Conclusion: no caller saw it.

--- a/peridotcove/nodes/relay_server.py
+++ b/peridotcove/nodes/relay_server.py
@@ -93,6 +93,26 @@
     def __init__(self, server):
         super().__init__(server, None)
         self._preamble = b""
+        self._expires = None
+
+    def connection_made(self, transport):
+        """Handle a new connection, which must soon belong to a relay."""
+        super().connection_made(transport)
+        loop = asyncio.get_running_loop()
+        timeout_s = PICK_UP_TIMEOUT_MS / MS_PER_S
+        self._expires = loop.call_later(timeout_s, self._expire)
+
+    def _expire(self):
+        if self.relay is None:
+            log.info("a connection that is to be relayed had no request; closing it")
+            self.transport.abort()
+
+    def connection_lost(self, exc):
+        """End the other side in the same way."""
+        self._expires.cancel()
+        if self.relay is None:
+            self.server.drop_unclaimed(self)
+        super().connection_lost(exc)
 
     def data_received(self, data):
         """Read the preamble, and then pass bytes on."""
@@ -143,7 +163,6 @@
         self._relay_by_token = {}
         self._unclaimed_by_token = {}
         self._tasks = set()
-        self._closed = False
 
     def __len__(self):
         return len(self._relay_by_token)
@@ -195,22 +214,28 @@
             Token in its preamble.
         """
         relay = self._relay_by_token.get(token)
+        is_full = len(self._unclaimed_by_token) >= MAX_UNCLAIMED
         if relay is not None and relay.peer_side is None:
             self._attach(relay, side)
-        elif relay is None and len(self._unclaimed_by_token) < MAX_UNCLAIMED:
+        elif relay is None and token not in self._unclaimed_by_token and not is_full:
             self._unclaimed_by_token[token] = side
-            loop = asyncio.get_running_loop()
-            timeout_s = PICK_UP_TIMEOUT_MS / MS_PER_S
-            loop.call_later(timeout_s, self._drop_unclaimed, token)
         else:
             log.warning("a connection that is to be relayed was closed")
             side.transport.abort()
 
-    def _drop_unclaimed(self, token):
-        side = self._unclaimed_by_token.pop(token, None)
-        if side is not None:
-            log.info("a connection that is to be relayed had no request; closing it")
-            side.transport.abort()
+    def drop_unclaimed(self, side):
+        """Forget a connection that ended before its request came.
+
+        Parameters
+        ----------
+        side : object
+            Protocol of the connection.
+        """
+        self._unclaimed_by_token = {
+            token: one
+            for token, one in self._unclaimed_by_token.items()
+            if one is not side
+        }
 
     def _attach(self, relay, side):
         side.relay, relay.peer_side = relay, side
@@ -322,7 +347,6 @@
 
     def close(self):
         """End all relays."""
-        self._closed = True
         for relay in list(self._relay_by_token.values()):
             if relay.peer_side is not None:
                 reset(relay.peer_side.transport)
--- a/tests/platform/test_partitioned_entries.py
+++ b/tests/platform/test_partitioned_entries.py
@@ -10,7 +10,13 @@
 from peridotcove.engine_notices import Notice
 from peridotcove.node_lifecycle import drain
 from peridotcove.nodes.relay_messages import OpenRelay
-from peridotcove.nodes.relay_protocol import RELAY_OPEN, RELAY_PREFIX, RELAY_UNREACHED
+from peridotcove.nodes.relay_protocol import (
+    RELAY_OPEN,
+    RELAY_PREFIX,
+    RELAY_UNREACHED,
+    TOKEN_BYTES,
+)
+from peridotcove.nodes.relay_server import MAX_UNCLAIMED
 from tests.platform import fakes
 from tests.platform.fakes import HOST, ServerStandin, make_event, make_stream_answer
 from tests.platform.test_platform_node import (
@@ -349,7 +355,23 @@
         self.assertEqual(await self.open(b"a" * 16), b"")
         self.assertEqual(await self.open(b"a" * 17, address), b"")
         self.assertEqual(await self.open(b"b" * 16, preamble=b"RELAX "), b"")
-        self.assertEqual(self.relaying(), 0)
+        self.assertEqual(await self.open(b"", preamble=b"R"), b"")
+        self.assertEqual(await self.open(b"c" * 15), b"")
+        await self.wait_for(lambda: not self.relaying())
+        self.assertEqual(self.node.relay_server._unclaimed_by_token, {})
+
+    async def test_connections_without_a_request_are_bounded(self):
+        nodes = self.node.settings.nodes
+        writers = []
+        for number in range(MAX_UNCLAIMED + 10):
+            _, writer = await asyncio.open_connection(nodes.host, nodes.port)
+            writer.write(RELAY_PREFIX + number.to_bytes(TOKEN_BYTES, "big"))
+            writers.append(writer)
+        unclaimed = self.node.relay_server._unclaimed_by_token
+        await self.wait_for(lambda: len(unclaimed) == MAX_UNCLAIMED)
+        await self.wait_for(lambda: not self.node.relay_server._unclaimed_by_token)
+        for writer in writers:
+            writer.close()
 
     async def test_a_token_opens_one_connection(self):
         address = self.servers[0].address
