A stream of a route with several services is passed to the one that began it

Change: a request for a lease says that the stream may be elsewhere; the owner then goes by the streams that it knows. Measured: two new tests, both failed before (200 in place of 503; a stream that went on at the other service), pass now.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -459,6 +459,7 @@
             stream=self.stream,
             is_resumed=bool(forward.resume_after),
             software_versions=self._allowed_versions(),
+            may_be_elsewhere=self.origin is None and len(forward.route.targets) > 1,
         )
 
     def _allowed_versions(self):
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -348,6 +348,7 @@
         request.stream,
         request.is_resumed,
         list(request.software_versions),
+        request.may_be_elsewhere,
     )
 
 
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -204,7 +204,7 @@
         versions = request.software_versions
         shard = self._fleet.shard_by_name[tracked.shard]
         if request.is_resumed and not versions:
-            origin = self._find_origin(request.stream, shard)
+            origin = self._find_origin(request, shard)
             if origin is None or origin.model != shard.model:
                 is_owner = self._is_owner(shard.name)
                 code = UNKNOWN_ORIGIN if is_owner else OWNERS_SILENT
@@ -231,15 +231,15 @@
             software_versions=tuple(versions),
         )
 
-    def _find_origin(self, stream, shard):
+    def _find_origin(self, request, shard):
         """Return the `StreamOrigin` of a stream, or None if it is not certain.
 
         A node that is asked since the owners are silent may be cut off: others may know
         of another software version.
         """
-        if self._is_owner(shard.name):
-            return self.stream_origins.find_origin(stream, [shard.model])
-        return self.stream_origins.origins.find(stream)
+        if self._is_owner(shard.name) and not request.may_be_elsewhere:
+            return self.stream_origins.find_origin(request.stream, [shard.model])
+        return self.stream_origins.origins.find(request.stream)
 
     def _is_owner(self, shard):
         return self._node in self._fleet.rank_owners(shard)[:MAX_OWNERS]
@@ -275,6 +275,7 @@
             stream=message.stream,
             is_resumed=message.is_resumed,
             software_versions=tuple(message.software_versions),
+            may_be_elsewhere=message.may_be_elsewhere,
         )
 
     def _handle_release(self, message):
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -485,6 +485,8 @@
         be taken up again.
     is_resumed : bool
         Whether the request takes the stream up.
+    may_be_elsewhere : bool
+        Whether the stream may have begun at another model, if it is not known where.
     software_versions : tuple of str
         Software versions of the engines that may be used; any if empty. If a stream is
         taken up without them, its owner uses the one that began it.
@@ -508,6 +510,7 @@
     stream: int = 0
     is_resumed: bool = False
     software_versions: tuple = ()
+    may_be_elsewhere: bool = False
 
 
 @frozen
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -112,6 +112,8 @@
         Whether the request takes the stream up.
     software_versions : list
         Software versions of the engines that may be used; any if empty.
+    may_be_elsewhere : bool
+        Whether the stream may have begun at another model, if it is not known where.
     """
 
     request_id: bytes
@@ -130,6 +132,7 @@
     stream: int = 0
     is_resumed: bool = False
     software_versions: list = field(factory=list)
+    may_be_elsewhere: bool = False
 
 
 @message(3)
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -115,6 +115,7 @@
             await client.reader.readuntil(make_event(CUT_AFTER))
         client.close()
         (version,) = self.asked_versions()
+        (self.begun_at,) = {one.name for one in self.servers if one.seen}
         for server in self.servers:
             server.seen.clear()
             server.answer = make_stream_answer(EVENTS)
@@ -319,3 +320,47 @@
         send(peer, message)
 
     return send_or_fail
+
+
+class SplitRouteTest(SoftwareVersionsBase):
+    """A route leads to two services, each of one version for a long time."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.models = ("llm", "other")
+        for server, service in zip(self.servers, self.models * 2, strict=True):
+            entry = server.make_entry(service, version="v1")
+            self.store.put(f"servers/{server.name}", entry)
+        self.service_by_name = dict(
+            zip([one.name for one in self.servers], self.models * 2, strict=True)
+        )
+        split = [{"service": name, "weight": 1} for name in self.models]
+        route = fakes.make_route("resumed", "stream", resumable=True, split=split)
+        services = [{"name": name, "health_path": "/health"} for name in self.models]
+        document = fakes.make_document(route, version=8, services=services)
+        self.store.put("op/config", document)
+        await self.wait_in_force(self.node)
+        (self.other,) = await self.join()
+        for node in (self.node, self.other):
+            versions = node.lease_server.stream_origins.versions
+            versions._seen_ms_by_model.clear()
+            for model in versions._since_ms_by_model:
+                versions._since_ms_by_model[model] -= STREAM_LIFE_MS
+
+    # The owner of one service took its only version for the origin of all streams.
+    async def test_a_stream_that_no_owner_knows_is_not_passed_to_another_service(self):
+        for number in range(REPEATS):
+            for server in self.servers:
+                server.seen.clear()
+            got = await self.send(
+                f"b{number}", self.other, Last_Event_Id="2", Resumes="never-sent"
+            )
+            self.check_refused(got)
+
+    async def test_a_stream_goes_on_at_the_service_that_began_it(self):
+        for number in range(REPEATS):
+            await self.begin_stream(f"a{number}")
+            begun = {self.service_by_name[self.begun_at]}
+            await self.take_up(f"b{number}", f"a{number}", self.other)
+            asked = {self.service_by_name[one.name] for one in self.servers if one.seen}
+            self.assertEqual(asked, begun)
