Names of the change: plain terms for what nodes tell each other

Cause: read as a newcomer, greet, ways, spared and by any way needed explaining. Change: names only: inform_joined, relay_client, MAX_REFUSAL_PAUSE_MS, _run_with_fallback. Conclusion: behaviour as before.

--- a/peridotcove/endpoints/streaming_client.py
+++ b/peridotcove/endpoints/streaming_client.py
@@ -281,14 +281,14 @@
         address = find_address(url)
         transfer.on_connected = lambda: self._relays.record_connected(address)
         try:
-            response = await self._run_by_any_way(request, url, transfer, address)
+            response = await self._run_with_fallback(request, url, transfer, address)
             await _check_relayed_end(url, transfer)
             return response
         finally:
             if transfer.relay is not None:
                 self._relays.release(transfer.relay)
 
-    async def _run_by_any_way(self, request, url, transfer, address):
+    async def _run_with_fallback(self, request, url, transfer, address):
         """Send a request directly, or through a peer if that fails or is known to fail.
 
         A peer that can't connect to the endpoint either shows that the fault is not
--- a/peridotcove/engine_notice_sync.py
+++ b/peridotcove/engine_notice_sync.py
@@ -57,8 +57,8 @@
             Name of the node through which the request went; empty for none.
         """
         if notice.max_refusals is not None:
-            spared_ms = find_pause_ms(notice.max_refusals, len(self._fleet.nodes))
-            notice = evolve(notice, pause_ms=max(notice.pause_ms, spared_ms))
+            pause_ms = find_pause_ms(notice.max_refusals, len(self._fleet.nodes))
+            notice = evolve(notice, pause_ms=max(notice.pause_ms, pause_ms))
         if relay and (notice.pause_ms or notice.is_leaving):
             message = RelayedNotice(
                 engine.name, engine.incarnation, notice.is_leaving, notice.pause_ms
--- a/peridotcove/engine_notices.py
+++ b/peridotcove/engine_notices.py
@@ -19,7 +19,7 @@
 MAX_NOTICES = 4_096
 RETRY_AFTER_MS = 100
 # Longest time for which a node spares an engine that fails if it refuses too much.
-MAX_SPARED_MS = 5_000
+MAX_REFUSAL_PAUSE_MS = 5_000
 # Digits of a number of requests that are read; larger numbers bound nothing.
 MAX_DIGITS = 9
 
@@ -270,7 +270,7 @@
 
     If each of the nodes sends one request to an engine that refuses all, and then
     spares it for that time, the engine refuses no more in a second than it bears, as
-    long as that time is below `MAX_SPARED_MS`.
+    long as that time is below `MAX_REFUSAL_PAUSE_MS`.
 
     Parameters
     ----------
@@ -279,8 +279,8 @@
     nodes : int
         Number of nodes.
     """
-    spared_ms = int(MS_PER_S * max(1.0, nodes / max(1, max_refusals)))
-    return min(spared_ms, MAX_SPARED_MS)
+    pause_ms = int(MS_PER_S * max(1.0, nodes / max(1, max_refusals)))
+    return min(pause_ms, MAX_REFUSAL_PAUSE_MS)
 
 
 def _make_key(engine):
--- a/peridotcove/engine_paths.py
+++ b/peridotcove/engine_paths.py
@@ -23,7 +23,7 @@
 
 
 class EnginePaths:
-    """What a node knows of its own way to the engines, and of its peers' ways.
+    """What a node knows of its own connections to the engines, and of its peers.
 
     Parameters
     ----------
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -148,7 +148,7 @@
         except ProtocolError as error:
             log.warning("origins of streams from %s are ignored: %s", peer, error)
 
-    def greet(self, node):
+    def inform_joined(self, node):
         """Tell a node that has started what owners know of prompts and streams.
 
         Parameters
@@ -157,7 +157,7 @@
             Name of the node.
         """
         self.suspect_sync.send_suspects(node)
-        self.stream_origins.greet(node)
+        self.stream_origins.inform_joined(node)
 
     def _handle_ask(self, peer, message):
         owners = self._fleet.rank_owners(message.shard)[:MAX_OWNERS]
--- a/peridotcove/node_lifecycle.py
+++ b/peridotcove/node_lifecycle.py
@@ -206,7 +206,7 @@
             )
         elif isinstance(event, NodeJoined):
             node.timeline.record("peer-up", peer=event.node)
-            node.lease_server.greet(event.node)
+            node.lease_server.inform_joined(event.node)
             node.interface.handle_peer_joined(event.node)
     node.update_live_nodes()
     update_endpoints(node)
--- a/peridotcove/nodes/relay_client.py
+++ b/peridotcove/nodes/relay_client.py
@@ -72,7 +72,7 @@
     Parameters
     ----------
     paths : EnginePaths
-        What is known of the ways to the engines.
+        What is known of the connections to the engines.
     network : Network
         Links to the other nodes.
     find_peers : callable
--- a/peridotcove/nodes/relay_server.py
+++ b/peridotcove/nodes/relay_server.py
@@ -148,14 +148,16 @@
     may_relay : callable
         Called with the address of an engine; whether this node takes new work and
         connects to that engine by itself.
-    ways : RelayClient
+    relay_client : RelayClient
         Is told whether this node reaches engines by itself.
     request_counter : RequestCounter
         Counts relays as requests in progress.
     """
 
-    def __init__(self, network, check_address, may_relay, ways, request_counter):
-        self._ways = ways
+    def __init__(
+        self, network, check_address, may_relay, relay_client, request_counter
+    ):
+        self._relay_client = relay_client
         self._network = network
         self._check_address = check_address
         self._may_relay = may_relay
@@ -276,9 +278,9 @@
                     lambda: _EngineSide(self, relay), host, int(port)
                 )
         except OSError:
-            self._ways.record_unreached(relay.address)
+            self._relay_client.record_unreached(relay.address)
             raise
-        self._ways.record_connected(relay.address)
+        self._relay_client.record_connected(relay.address)
         set_keepalive(relay.engine_side.transport.get_extra_info("socket"))
 
     def _answer(self, relay):
--- a/peridotcove/stream_origin_sync.py
+++ b/peridotcove/stream_origin_sync.py
@@ -136,7 +136,7 @@
             for origin, streams in streams_by_origin.items()
         )
 
-    def greet(self, node):
+    def inform_joined(self, node):
         """Tell a node that has started what it missed.
 
         Parameters
--- a/tests/platform/test_partitioned_entries.py
+++ b/tests/platform/test_partitioned_entries.py
@@ -66,19 +66,20 @@
             prepare(curl, *args)
             curl.setopt(pycurl.CONNECT_TO, [f"::{address}"])
 
-        relays, ways = node.relay_server, node.relay_client
-        probe, connect = ways._reaches, relays._connect_to_engine
+        server, relay_client = node.relay_server, node.relay_client
+        probe, connect = relay_client._reaches, server._connect_to_engine
 
         async def connect_cut(relay):
-            ways.record_unreached(relay.address)
+            relay_client.record_unreached(relay.address)
             raise ConnectionRefusedError
 
-        client._prepare, ways._reaches = prepare_cut, lambda _: probe(address)
-        relays._connect_to_engine = connect_cut
+        client._prepare = prepare_cut
+        relay_client._reaches = lambda _: probe(address)
+        server._connect_to_engine = connect_cut
 
         def heal():
-            client._prepare, ways._reaches = prepare, probe
-            relays._connect_to_engine = connect
+            client._prepare, relay_client._reaches = prepare, probe
+            server._connect_to_engine = connect
 
         return heal
 
--- a/tests/test_engine_notices.py
+++ b/tests/test_engine_notices.py
@@ -10,7 +10,7 @@
     KEEP_MS,
     MAX_NOTICES,
     MAX_PAUSE_MS,
-    MAX_SPARED_MS,
+    MAX_REFUSAL_PAUSE_MS,
     EngineNotices,
     Notice,
     find_pause_ms,
@@ -231,7 +231,7 @@
             for number in (0, 1, 5, 40, 1_000):
                 with self.subTest(nodes=nodes, number=number):
                     pause_ms = find_pause_ms(number, nodes)
-                    self.assertTrue(1_000 <= pause_ms <= MAX_SPARED_MS)
+                    self.assertTrue(1_000 <= pause_ms <= MAX_REFUSAL_PAUSE_MS)
                     refusals_per_s = nodes * 1_000 / pause_ms
-                    if pause_ms < MAX_SPARED_MS:
+                    if pause_ms < MAX_REFUSAL_PAUSE_MS:
                         self.assertLess(refusals_per_s, max(1, number) * 1.01)
--- a/tests/test_stream_origin_sync.py
+++ b/tests/test_stream_origin_sync.py
@@ -83,14 +83,14 @@
         self.server_by_node[name].update_dispatchers()
 
     def kill(self, names):
-        """Replace nodes by processes that have just started, and that others greet."""
+        """Replace nodes by processes that have just started, as others notice."""
         for name in names:
             self.add(name)
         self.update_dispatchers()
         for name, server in self.server_by_node.items():
             for started in names:
                 if name != started and name not in names:
-                    server.greet(started)
+                    server.inform_joined(started)
 
     async def begin(self, entry):
         """Begin a stream at a node."""
