Servers that crash cut no node off

Callers would see: after a crash of a third of the engines all nodes refused requests for up to a second. Change: an engine that a peer can't connect either is no sign of the node's own link, if that peer has reached another engine in the last half second; a node that no peer helps connects by itself.

--- a/peridotcove/endpoints/streaming_client.py
+++ b/peridotcove/endpoints/streaming_client.py
@@ -294,25 +294,43 @@
         A peer that can't connect to the endpoint either shows that the fault is not
         here.
         """
-        unreachable = None
-        if not self._relays.needs_relay(address):
-            try:
-                return await self._run(request, url, transfer)
-            except EndpointFailed as error:
-                is_given_up = transfer.cancelled and not transfer.timed_out
-                if error.code != "unreachable" or is_given_up:
-                    raise
-                unreachable = error
-            self._relays.record_unreached(address)
+        if self._relays.needs_relay(address):
+            return await self._run_through_peer(request, url, transfer, address)
+        try:
+            return await self._run(request, url, transfer)
+        except EndpointFailed as error:
+            is_given_up = transfer.cancelled and not transfer.timed_out
+            if error.code != "unreachable" or is_given_up:
+                raise
+            unreachable = error
+        self._relays.record_unreached(address)
         try:
             transfer.relay = await self._relays.connect(address)
-        except EndpointFailed:
-            if unreachable is None or self._relays.needs_relay(address):
+        except EndpointFailed as error:
+            if error.code == "no-relay" and self._relays.needs_relay(address):
                 raise
             raise unreachable from None
         transfer.restart()
         return await self._run(request, url, transfer)
 
+    async def _run_through_peer(self, request, url, transfer, address):
+        """Send a request through a peer, or directly if no peer can help.
+
+        After a crash of several endpoints, all nodes may take themselves for cut off.
+        """
+        try:
+            transfer.relay = await self._relays.connect(address)
+        except EndpointFailed as error:
+            if error.code != "no-relay":
+                raise
+            no_relay = error
+        else:
+            return await self._run(request, url, transfer)
+        try:
+            return await self._run(request, url, transfer)
+        except EndpointFailed as error:
+            raise no_relay if error.code == "unreachable" else error from None
+
     async def _run(self, request, url, transfer):
         transfer.clock = self._clock
         transfer.last_activity_ms = self._clock.now()
--- a/peridotcove/engine_paths.py
+++ b/peridotcove/engine_paths.py
@@ -7,6 +7,9 @@
 # Engines that could not be connected in succession, after which the fault is looked for
 # at this node. One engine may have crashed.
 CUT_OFF_ENGINES = 2
+# Time after a connection to an engine in which another engine that can't be connected
+# is taken for the faulty one.
+CONNECTED_LATELY_MS = 500
 # Time for which a peer that could not help is asked only if no other is left.
 AVOID_RELAY_MS = 1_000
 
@@ -41,6 +44,7 @@
         self._zone = zone
         self._unreached_in_a_row = set()
         self._relayed = set()
+        self._connected_ms = None
         self._avoided_until_ms_by_peer = {}
 
     @property
@@ -48,6 +52,13 @@
         """Whether this node itself seems to be cut off, not the engines."""
         return len(self._unreached_in_a_row) >= CUT_OFF_ENGINES
 
+    @property
+    def has_connected_lately(self):
+        """Whether this node has connected to some engine a moment ago."""
+        if self._connected_ms is None:
+            return False
+        return self._clock.now() - self._connected_ms <= CONNECTED_LATELY_MS
+
     @property
     def uses_relays(self):
         """Whether some engines are reached through peers only."""
@@ -73,6 +84,7 @@
         address : str
             Address of the engine.
         """
+        self._connected_ms = self._clock.now()
         self._unreached_in_a_row.clear()
         if address in self._relayed:
             self._relayed.clear()
@@ -87,6 +99,17 @@
         """
         self._unreached_in_a_row.add(address)
 
+    def record_unreached_by_peer(self, address):
+        """Record that a peer that is not cut off could not connect to an engine either.
+
+        Parameters
+        ----------
+        address : str
+            Address of the engine.
+        """
+        self._unreached_in_a_row.discard(address)
+        self._relayed.discard(address)
+
     def record_relayed(self, address):
         """Record that a peer has connected to an engine that this node can't reach.
 
--- a/peridotcove/nodes/relay_client.py
+++ b/peridotcove/nodes/relay_client.py
@@ -102,6 +102,11 @@
         """
         return self._paths.needs_relay(address) and bool(self._find_peers())
 
+    @property
+    def has_connected_lately(self):
+        """Whether this node has connected to some engine by itself a moment ago."""
+        return self._paths.has_connected_lately
+
     def record_connected(self, address):
         """Record that this node has connected to an engine by itself.
 
@@ -185,6 +190,7 @@
                 return connection
             self._paths.record_relay_failure(peer.name)
             if answer == RELAY_UNREACHED:
+                self._paths.record_unreached_by_peer(address)
                 text = f"{peer.name} could not connect to {address} either"
                 raise EndpointFailed("unreachable-by-peer", text, Verdict.NOT_RUN)
         text = f"no node could relay a connection to {address}"
--- a/peridotcove/nodes/relay_protocol.py
+++ b/peridotcove/nodes/relay_protocol.py
@@ -15,9 +15,10 @@
 TOKEN_BYTES = 16
 PREAMBLE_BYTES = len(RELAY_PREFIX) + TOKEN_BYTES
 RELAY_OPEN = b"+"
-# The relaying node could not connect to the engine, or doesn't use it any more.
+# The relaying node reaches other engines and could not connect to this one, or doesn't
+# use it any more.
 RELAY_UNREACHED = b"-"
-# Nothing was tried: the relaying node is cut off itself, shuts down or is full.
+# The relaying node may be cut off itself, shuts down or is full.
 RELAY_REFUSED = b"!"
 # Dead connections between nodes are noticed within 20 s.
 KEEPALIVE_IDLE_S = 5
--- a/peridotcove/nodes/relay_server.py
+++ b/peridotcove/nodes/relay_server.py
@@ -258,28 +258,38 @@
             self._check_address(relay.address)
             await self._connect_to_engine(relay)
             relay.answer = RELAY_OPEN
-        except (OSError, RequestError) as error:
+        except RequestError as error:
             relay.answer = RELAY_UNREACHED
-            log.info(
-                "relay for %s to %s could not be opened: %s",
-                relay.peer,
-                relay.address,
-                str(error) or "no connection in time",
-            )
+            self._log_failure(relay, error)
+        except OSError as error:
+            relay.answer = self._judge_failure(relay)
+            self._log_failure(relay, str(error) or "no connection in time")
         finally:
             self._answer(relay)
 
+    def _judge_failure(self, relay):
+        """Return the answer to the peer if this node could not connect either."""
+        if self._relay_client.has_connected_lately:
+            return RELAY_UNREACHED
+        # It may be this node that is cut off.
+        self._relay_client.record_unreached(relay.address)
+        return RELAY_REFUSED
+
+    def _log_failure(self, relay, reason):
+        log.info(
+            "relay for %s to %s could not be opened: %s",
+            relay.peer,
+            relay.address,
+            reason,
+        )
+
     async def _connect_to_engine(self, relay):
         host, _, port = relay.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
-                _, relay.engine_side = await loop.create_connection(
-                    lambda: _EngineSide(self, relay), host, int(port)
-                )
-        except OSError:
-            self._relay_client.record_unreached(relay.address)
-            raise
+        async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+            _, relay.engine_side = await loop.create_connection(
+                lambda: _EngineSide(self, relay), host, int(port)
+            )
         self._relay_client.record_connected(relay.address)
         set_keepalive(relay.engine_side.transport.get_extra_info("socket"))
 
--- a/tests/test_engine_paths.py
+++ b/tests/test_engine_paths.py
@@ -7,6 +7,7 @@
 from peridotcove.clock import FakeClock
 from peridotcove.engine_paths import (
     AVOID_RELAY_MS,
+    CONNECTED_LATELY_MS,
     CUT_OFF_ENGINES,
     EnginePaths,
     find_address,
@@ -57,6 +58,23 @@
         self.paths.record_connected(ADDRESSES[0])
         self.assertFalse(self.paths.uses_relays)
 
+    def test_a_connection_shows_for_a_moment_that_the_links_are_sound(self):
+        self.assertFalse(self.paths.has_connected_lately)
+        self.paths.record_connected(ADDRESSES[0])
+        self.clock.advance(CONNECTED_LATELY_MS)
+        self.assertTrue(self.paths.has_connected_lately)
+        self.clock.advance(1)
+        self.assertFalse(self.paths.has_connected_lately)
+
+    def test_engines_that_no_peer_reaches_show_nothing_of_this_node(self):
+        for address in ADDRESSES:
+            self.paths.record_unreached(address)
+            self.paths.record_unreached_by_peer(address)
+        self.assertFalse(self.paths.uses_relays)
+        self.paths.record_relayed(ADDRESSES[0])
+        self.paths.record_unreached_by_peer(ADDRESSES[0])
+        self.assertFalse(self.paths.uses_relays)
+
     def test_engines_that_are_gone_are_not_probed(self):
         self.paths.record_relayed(ADDRESSES[0])
         self.assertEqual(self.paths.choose_probe(ADDRESSES[1:2]), ADDRESSES[1])
