Streams that are taken up wait for the owners that follow killed ones

Callers saw: after a crash of the owners of a shard, streams that were taken up were refused at once, for the second or two until others were the owners, who knew them. Change: such a refusal counts like that of a node that is no owner: the entry asks the next owners until the time that a request may wait is over. Conclusion: streams go on as soon as an owner is there.

--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -44,7 +44,7 @@
 NO_VERSION = "no-version"
 OWNERS_SILENT = "owners-silent"
 # Answers after which another owner may grant the lease.
-OTHER_OWNER_CODES = (NOT_OWNER, MOVED, UNKNOWN_ORIGIN)
+OTHER_OWNER_CODES = (NOT_OWNER, MOVED, UNKNOWN_ORIGIN, OWNERS_SILENT)
 
 log = get_logger("leases")
 
@@ -369,7 +369,6 @@
         "concurrency": "the customer has too many requests in progress",
         QUARANTINED: "engines crashed on a part of the prompt",
         UNKNOWN_ORIGIN: "it is not known which software version began the stream",
-        OWNERS_SILENT: "the nodes that may know where the stream began don't answer",
         NO_VERSION: "no engine of the software version that began the stream serves",
     }
     message = sentences.get(reply.code, "the request was refused")
--- a/tests/test_stream_origin_sync.py
+++ b/tests/test_stream_origin_sync.py
@@ -1,5 +1,6 @@
 """Generated histories of streams at several software versions, with nodes that end."""
 
+import asyncio
 import unittest
 from unittest import mock
 
@@ -374,6 +375,26 @@
         with mock.patch.object(SoftwareVersions, "reports", report_current):
             self.assertEqual(run(play_release()).joined, [("v1", "v2")])
 
+    # A node that is asked in place of owners that were killed knows little.
+    def test_streams_wait_for_the_next_owners(self):
+        async def play_loss():
+            fleet = StreamFleet(("v1", "v2", "v1"))
+            await fleet.begin(fleet.owners[2])
+            for server in fleet.server_by_node.values():
+                server.tick()
+            await deliver(SHARE_MS)
+            fleet.client_by_node[fleet.owners[3]]._grants_locally = True
+            fleet.down.update(fleet.owners[:2])
+            taking_up = asyncio.ensure_future(fleet.take_up(0, fleet.owners[3]))
+            await deliver(SHARE_MS)
+            for name in fleet.owners[2:]:
+                fleet.limit_view(name, fleet.owners[2:])
+            await taking_up
+            return fleet
+
+        fleet = run(play_loss())
+        self.assertEqual((fleet.joined, fleet.refused, fleet.went_on), ([], 0, 1))
+
     def test_malformed_reports_of_versions_are_ignored(self):
         odd = ([], ["m"], ["m", 1, 2], ["m", -1, []], ["m", 30_000, [["v1", "x"]]])
         odd += (["m", 30_000, [[["v1"], 0]]], 5, [4, 30_000, [["v1", 0]]])
