--- a/peridotcove/nodes/relay_client.py
+++ b/peridotcove/nodes/relay_client.py
@@ -182,7 +182,8 @@
             try:
                 answer, connection = await self._open(peer, address)
             except (OSError, LinkDown) as error:
-                log.info("no relay through %s: %s", peer.name, error or "no answer")
+                reason = str(error) or "no answer in time"
+                log.info("no relay through %s: %s", peer.name, reason)
                 self._paths.record_relay_failure(peer.name)
                 continue
             if connection is not None:
