A request that no peer could relay avoids its engine in the next try

While nodes take themselves for cut off after a crash, a try that no peer could help and that failed directly did not count against its engine, so that five tries could go to it.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -354,8 +354,7 @@
             return forwarded
         except EndpointFailed as error:
             outcome = self._select_outcome(error)
-            if error.code != "no-relay":
-                self.avoided_engines.append(grant.engine)
+            self.avoided_engines.append(grant.engine)
             raise
         except RequestRefused:
             self.avoided_engines.append(grant.engine)
