--- a/peridotcove/stream_origin_sync.py
+++ b/peridotcove/stream_origin_sync.py
@@ -21,11 +21,11 @@
     """Knows where streams began, also those of entry nodes that are gone.
 
     A node that has granted a lease for a stream or was told of it knows where it began.
-    If it knows that a single software version of a model has served, it knows that of
-    any stream; but a node that is out of step may believe so in vain, so that others
-    are asked first. While it doesn't, it tells the owners of the model's shards where
-    each stream began that it has seen. Nodes that start learn from the others which
-    versions have served.
+    A node that knows that a single software version of a model has served knows that of
+    any stream. Since a node that missed a release may be wrong about that, owners are
+    asked first. While a node is not certain of a single version, it tells the owners of
+    the model's shards where the streams that it has seen began. Nodes that start learn
+    from the others which versions have served.
 
     Parameters
     ----------
