Nodes say their build and protocol when a link opens

ShareVersions and OpenRelay closed links to builds before them each time.

Change: Hello carries protocol, oldest protocol and build at its end. Messages have the protocol since which peers know them, and aren't sent to others; builds that say none get such a message once, and no more if they close the link at it. Unknown messages are ignored. A peer whose protocol doesn't fit is refused, and the log says why once. GET /nodes, the metric peridotcove_nodes_by_build and one log line a peer show the builds.

No byte more in any other frame.

--- a/peridotcove/exceptions.py
+++ b/peridotcove/exceptions.py
@@ -54,6 +54,24 @@
     """A peer sent something malformed, oversized or not allowed."""
 
 
+class UnknownMessage(ProtocolError):
+    """A peer sent a message that this build doesn't know.
+
+    Parameters
+    ----------
+    code : int
+        Code of the message.
+    """
+
+    def __init__(self, code):
+        super().__init__(f"unknown message code {code}")
+        self.code = code
+
+
+class IncompatiblePeer(ProtocolError):
+    """A peer and this node speak protocols that don't work together."""
+
+
 class UnauthorizedPeer(ProtocolError):
     """A peer failed to prove that it knows the shared secret."""
 
@@ -62,6 +80,10 @@
     """A message was not sent: no link to the peer, or too much data queued for it."""
 
 
+class PeerTooOld(LinkDown):
+    """A message was not sent, since the peer's build does not know it."""
+
+
 class PlatformDown(PeridotcoveError):
     """The platform did not respond, or its response was invalid."""
 
--- a/peridotcove/metrics.py
+++ b/peridotcove/metrics.py
@@ -70,6 +70,12 @@
         self.live_nodes = self._add_gauge(
             "peridotcove_live_nodes", "Nodes of the region believed live."
         )
+        self.nodes_by_build = self._add_gauge(
+            "peridotcove_nodes_by_build",
+            "Nodes by build and protocol, as this node knows them.",
+            "build",
+            "protocol",
+        )
         self.engine_load = self._add_gauge(
             "peridotcove_engine_load", "Leases on an engine, at its owner.", "engine"
         )
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -3,6 +3,7 @@
 import logging
 import random
 
+from peridotcove.build import find_build
 from peridotcove.control_plane import ControlPlane
 from peridotcove.departed_engines import DepartedEngines
 from peridotcove.drain import DrainController
@@ -98,7 +99,7 @@
 
     def _wire_links(self):
         settings = self.settings
-        identity = Identity(self.name, settings.zone, self.incarnation)
+        identity = Identity(self.name, settings.zone, self.incarnation, find_build())
         secret = derive_key(settings.secret.read("secret"), LINK_PURPOSE)
         self.links = LinkManager(
             identity,
@@ -259,6 +260,7 @@
                 self.timeline,
                 self.engine_notices,
                 self.fleet,
+                self.links,
             )
         )
 
--- a/peridotcove/nodes/compression.py
+++ b/peridotcove/nodes/compression.py
@@ -13,7 +13,7 @@
 LEVEL = 1
 
 
-@message(42)
+@message(42, since=2)
 @frozen
 class CompressedFrame:
     """Contains another frame, to nodes that accept such ones.
--- a/peridotcove/nodes/handshake.py
+++ b/peridotcove/nodes/handshake.py
@@ -12,7 +12,13 @@
 from attrs import evolve, frozen
 
 from peridotcove.exceptions import ProtocolError, UnauthorizedPeer
-from peridotcove.nodes.messages import Hello, decode, encode
+from peridotcove.nodes.messages import (
+    OLDEST_PROTOCOL,
+    PROTOCOL,
+    Hello,
+    decode,
+    encode,
+)
 
 NONCE_BYTES = 16
 
@@ -27,11 +33,18 @@
         Name and zone of the node.
     incarnation : int
         Wall time in ms at which the process started.
+    build : str
+        Build of the program.
+    protocol, oldest_protocol : int
+        Protocol that it speaks, and the oldest one of peers that it works with.
     """
 
     node: str
     zone: str
     incarnation: int
+    build: str = ""
+    protocol: int = PROTOCOL
+    oldest_protocol: int = OLDEST_PROTOCOL
 
 
 def compute_proof(secret, nonce, role, hello):
@@ -69,6 +82,9 @@
         identity.incarnation,
         nonce,
         accepts_compressed=True,
+        protocol=identity.protocol,
+        oldest_protocol=identity.oldest_protocol,
+        build=identity.build,
     )
 
 
--- a/peridotcove/nodes/links.py
+++ b/peridotcove/nodes/links.py
@@ -11,12 +11,18 @@
 
 from attrs import define, field
 
-from peridotcove.exceptions import LinkDown
+from peridotcove.exceptions import (
+    IncompatiblePeer,
+    LinkDown,
+    PeerTooOld,
+    UnknownMessage,
+)
 from peridotcove.logs import get_logger
 from peridotcove.nodes.compression import compress_frame, decode_frame
 from peridotcove.nodes.handshake import accept, dial
 from peridotcove.nodes.messages import MAX_FRAME_BYTES, encode
 from peridotcove.nodes.network import Network
+from peridotcove.nodes.peer_builds import PeerBuilds
 from peridotcove.nodes.relay_protocol import NodePort
 from peridotcove.nodes.sockets import (
     SOCKET_ERRORS,
@@ -34,6 +40,8 @@
 MAX_DOUBLINGS = 8
 TCP_IP_HEADER_BYTES = 52
 FRAME_HEADER_BYTES = 8
+# Name in metrics of messages that this build does not know.
+UNKNOWN_KIND = "unknown"
 
 log = get_logger("links")
 
@@ -52,6 +60,8 @@
     failure_count: int = 0
     # Whether the peer reads compressed frames, as it says when the link opens.
     is_compressed: bool = False
+    # Whether this node closes the connection.
+    is_closing: bool = False
 
     @property
     def connect_timeout_ms(self):
@@ -84,6 +94,8 @@
     make_relay_protocol : callable or None
         Returns the protocol of a connection that is to be relayed; None if this node
         relays none.
+    peer_builds : PeerBuilds
+        Builds and protocols of the other nodes.
     """
 
     def __init__(
@@ -93,6 +105,7 @@
         self.identity = identity
         self.revision = 0
         self.make_relay_protocol = None
+        self.peer_builds = PeerBuilds(clock)
         self._secret = secret
         self._clock = clock
         self._on_traffic = on_traffic
@@ -143,6 +156,7 @@
         for peer, (host, port) in address_by_name.items():
             if peer not in self._link_by_peer:
                 self._link_by_peer[peer] = Link(peer, host, port)
+        self.peer_builds.keep(address_by_name)
 
     def send(self, peer, message):
         """Send a message on the link to a peer, and dial the peer if it is not open.
@@ -159,12 +173,15 @@
         LinkDown
             If the peer is unknown, its last dial failed within `REDIAL_DELAY_MS`, or
             its queue is full.
+        PeerTooOld
+            If the peer's build does not know the message.
         """
         link = self._link_by_peer.get(peer)
         if link is None:
             raise LinkDown(f"no address is known for node {peer!r}")
+        kind = type(message)
+        self.peer_builds.check_readable(peer, kind)
         frame = encode(message, self.revision)
-        kind = type(message).__name__
         if link.socket is not None:
             self._send_frame(link, kind, frame)
             return
@@ -180,9 +197,18 @@
         if link.is_compressed:
             frame = compress_frame(frame, self.revision)
         link.socket.send(frame)
-        self._on_traffic(
-            "out", kind, len(frame) + FRAME_HEADER_BYTES + TCP_IP_HEADER_BYTES
-        )
+        self.peer_builds.record_sent(link.peer, kind)
+        size = len(frame) + FRAME_HEADER_BYTES + TCP_IP_HEADER_BYTES
+        self._on_traffic("out", kind.__name__, size)
+
+    def _send_queued(self, link):
+        while link.queued_frames:
+            kind, frame = link.queued_frames.popleft()
+            try:
+                self.peer_builds.check_readable(link.peer, kind)
+                self._send_frame(link, kind, frame)
+            except PeerTooOld as error:
+                log.debug("message dropped: %s", error)
 
     def reset_link(self, peer):
         """Close the connection to a peer; the next send dials a new one.
@@ -211,6 +237,7 @@
 
     def _close(self, link):
         self._link_by_peer.pop(link.peer, None)
+        link.is_closing = True
         if link.task is not None:
             link.task.cancel()
         if link.socket is not None:
@@ -233,15 +260,17 @@
             async with asyncio.timeout(OPEN_TIMEOUT_MS / 1000):
                 await socket.open()
                 hello = await dial(socket, self.identity, self._secret, link.peer)
+            self.peer_builds.record_hello(hello)
             link.is_compressed = hello.accepts_compressed
             link.socket = socket
             link.failure_count = 0
-            while link.queued_frames:
-                self._send_frame(link, *link.queued_frames.popleft())
+            self._send_queued(link)
         except SOCKET_ERRORS as error:
-            log.warning(
-                "link to %s closed: %s", link.peer, error or "no answer in time"
-            )
+            # `PeerBuilds` logs an incompatible peer once, and not at each dial.
+            if not isinstance(error, IncompatiblePeer):
+                log.warning(
+                    "link to %s closed: %s", link.peer, error or "no answer in time"
+                )
             link.failure_count += 1
             self._handle_disconnect(link)
         finally:
@@ -250,6 +279,8 @@
                 socket.close()
 
     def _handle_disconnect(self, link):
+        if link.socket is not None and not link.is_closing:
+            self.peer_builds.record_closed(link.peer)
         link.socket = None
         link.last_failure_ms = self._clock.now()
         link.queued_frames.clear()
@@ -265,16 +296,24 @@
             async with asyncio.timeout(OPEN_TIMEOUT_MS / 1000):
                 await socket.open()
                 hello = await accept(socket, self.identity, self._secret)
+            self.peer_builds.record_hello(hello)
             socket.set_frame_handler(
                 lambda frame: self._handle_frame(hello.node, socket, frame)
             )
+        except IncompatiblePeer:
+            socket.close()
         except SOCKET_ERRORS as error:
             log.warning("incoming link refused: %s", error)
             socket.close()
 
     def _handle_frame(self, peer, socket, frame):
-        message, revision = decode_frame(frame)
         size = len(frame) + FRAME_HEADER_BYTES + TCP_IP_HEADER_BYTES
+        try:
+            message, revision = decode_frame(frame)
+        except UnknownMessage as error:
+            self._on_traffic("in", UNKNOWN_KIND, size)
+            self.peer_builds.record_unknown_message(peer, error.code)
+            return
         self._on_traffic("in", type(message).__name__, size)
         if self.on_message is not None:
             self.on_message(peer, message, revision)
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -2,18 +2,24 @@
 
 A frame is one CBOR array: ``[VERSION, code, revision, fields...]``, where revision is
 that of the sender's configuration. Fields are in the order of the class. Additional
-fields at the end are ignored, so that two versions of the program can run in the fleet
-at once.
+fields at the end are ignored, and absent ones have their defaults, so that two builds
+of the program can run in the fleet at once; see docs/design/upgrades.md.
 """
 
 import attrs
 import cbor2
 from attrs import field, frozen
 
-from peridotcove.exceptions import ProtocolError
+from peridotcove.exceptions import ProtocolError, UnknownMessage
 from peridotcove.registry import Registry
 
 VERSION = 1
+# Protocol that this build speaks. It rises with each release that adds a message, or
+# that has to know whether a peer acts on an added field.
+PROTOCOL = 3
+# Oldest protocol of a peer that this build works with. It rises with each release that
+# changes what peers of older protocols rely on.
+OLDEST_PROTOCOL = 1
 MAX_FRAME_BYTES = 8 << 20
 HEADER_FIELD_COUNT = 3
 HASH_BYTES = 8
@@ -23,18 +29,21 @@
 messages = Registry("message")
 
 
-def message(code):
+def message(code, since=1):
     """Return a decorator that registers a frozen attrs class as a message.
 
     Parameters
     ----------
     code : int
         Number of the message on the wire; never reused for another message.
+    since : int
+        First protocol whose peers know the message; it is not sent to others.
     """
 
     def register_class(cls):
         specs = attrs.fields(cls)
         cls.CODE = code
+        cls.SINCE = since
         cls.FIELD_NAMES = tuple(spec.name for spec in specs)
         cls.FIELD_TYPES = tuple(spec.type for spec in specs)
         cls.REQUIRED_FIELD_COUNT = sum(spec.default is attrs.NOTHING for spec in specs)
@@ -61,6 +70,11 @@
         incarnation; empty in the first message of the accepting node.
     accepts_compressed : bool
         Whether the sender reads compressed frames.
+    protocol, oldest_protocol : int
+        Protocol that the sender speaks, and the oldest one of peers that it works with;
+        0 from builds that don't say.
+    build : str
+        Build of the program, for operators.
     """
 
     node: str
@@ -69,6 +83,9 @@
     nonce: bytes
     proof: bytes = b""
     accepts_compressed: bool = False
+    protocol: int = 0
+    oldest_protocol: int = 0
+    build: str = ""
 
 
 @message(2)
@@ -222,7 +239,7 @@
     records: list
 
 
-@message(9)
+@message(9, since=2)
 @frozen
 class ShareOrigins:
     """Reports which software version began streams that may be taken up again.
@@ -240,7 +257,7 @@
     streams: bytes
 
 
-@message(11)
+@message(11, since=2)
 @frozen
 class ShareVersions:
     """Reports which software versions have served lately, to a node that has started.
@@ -311,6 +328,8 @@
 
     Raises
     ------
+    UnknownMessage
+        If the frame is valid, but this build knows no message of its code.
     ProtocolError
         If the frame is not a valid message.
     """
@@ -327,9 +346,11 @@
         raise ProtocolError(
             f"unsupported frame version {version!r}, expected {VERSION}"
         )
-    cls = messages.by_name.get(code) if isinstance(code, int) else None
+    if type(code) is not int:
+        raise ProtocolError(f"{code!r} is not a message code")
+    cls = messages.by_name.get(code)
     if cls is None:
-        raise ProtocolError(f"unknown message code {code!r}")
+        raise UnknownMessage(code)
     return _make_message(cls, values[HEADER_FIELD_COUNT:]), revision
 
 
--- a/peridotcove/nodes/relay_messages.py
+++ b/peridotcove/nodes/relay_messages.py
@@ -5,7 +5,7 @@
 from peridotcove.nodes.messages import message
 
 
-@message(50)
+@message(50, since=2)
 @frozen
 class OpenRelay:
     """Requests a connection to an engine, which the sender then picks up.
@@ -22,7 +22,7 @@
     address: str
 
 
-@message(51)
+@message(51, since=2)
 @frozen
 class RelayEnded:
     """Confirms that the engine has closed a relayed connection in order.
@@ -39,7 +39,7 @@
     token: bytes
 
 
-@message(52)
+@message(52, since=2)
 @frozen
 class RelayedNotice:
     """Tells a relaying node what an engine said of itself in an answer.
--- a/peridotcove/operators/node_status.py
+++ b/peridotcove/operators/node_status.py
@@ -23,9 +23,13 @@
         What engines said of themselves.
     fleet : FleetView
         The node's view of the fleet.
+    links : LinkManager
+        Links to the other nodes.
     """
 
-    def __init__(self, drain, control, leases, metrics, timeline, notices, fleet):
+    def __init__(
+        self, drain, control, leases, metrics, timeline, notices, fleet, links
+    ):
         self.metrics = metrics
         self.timeline = timeline
         self._drain = drain
@@ -33,6 +37,7 @@
         self._leases = leases
         self._notices = notices
         self._fleet = fleet
+        self._links = links
 
     def find_unready_reason(self):
         """Return why the node is not ready for callers; empty if it is ready."""
@@ -58,6 +63,18 @@
             "unserved_models": find_unserved_models(self._fleet.configuration),
         }
 
+    def describe_nodes(self):
+        """Return the builds of this node and its peers as a dict for JSON."""
+        identity = self._links.identity
+        return {
+            "node": identity.node,
+            "zone": identity.zone,
+            "build": identity.build,
+            "protocol": identity.protocol,
+            "oldest_protocol": identity.oldest_protocol,
+            "peers": self._links.peer_builds.describe(),
+        }
+
     def update_gauges(self):
         """Set the metrics that are gauges to their current values."""
         metrics, revisions = self.metrics, self._control.revisions
@@ -72,6 +89,7 @@
             self._leases.suspect_sync.suspects.quarantined_count
         )
         metrics.draining.set(int(not self._drain.ready))
+        self._update_builds()
         for name, dispatcher in self._leases.dispatcher_by_shard.items():
             load_by_engine = dispatcher.load_by_engine()
             for engine, load in load_by_engine.items():
@@ -79,3 +97,10 @@
             mean = sum(load_by_engine.values()) / max(1, len(load_by_engine))
             highest = max(load_by_engine.values(), default=0)
             metrics.skew.labels(name).set(highest / mean if mean else 1)
+
+    def _update_builds(self):
+        nodes = self.describe_nodes()
+        gauge = self.metrics.nodes_by_build
+        gauge.clear()
+        for node in (nodes, *nodes["peers"]):
+            gauge.labels(node["build"] or "unnamed", str(node["protocol"])).inc()
--- a/peridotcove/operators/server.py
+++ b/peridotcove/operators/server.py
@@ -1,4 +1,4 @@
-"""HTTP server of the operators' port: health, metrics, configuration, timeline.
+"""HTTP server of the operators' port: health, metrics, configuration, nodes, timeline.
 
 The pages need no framework of handlers, whose import would delay the start of a node.
 """
@@ -52,6 +52,12 @@
     return _json_page(node_status.describe_configuration())
 
 
+@pages.register("/nodes")
+def show_nodes(node_status, request):
+    """``GET /nodes``: build and protocol of this node and of its peers."""
+    return _json_page(node_status.describe_nodes())
+
+
 @pages.register("/timeline")
 def show_timeline(node_status, request):
     """``GET /timeline?after=SEQUENCE``: buffered events after a sequence number."""
--- a/peridotcove/stream_origin_sync.py
+++ b/peridotcove/stream_origin_sync.py
@@ -1,6 +1,6 @@
 """Decides at which software versions streams may go on, and shares what it needs."""
 
-from peridotcove.exceptions import LinkDown, ProtocolError
+from peridotcove.exceptions import LinkDown, PeerTooOld, ProtocolError
 from peridotcove.logs import get_logger
 from peridotcove.nodes.messages import (
     ShareOrigins,
@@ -182,9 +182,11 @@
         self.origins.merge(unpack_hashes(message.streams), origin)
 
     def _send(self, node, message):
-        """Send a message; return whether it was sent."""
+        """Send a message; return whether it need not be sent again."""
         try:
             self._network.send(node, message)
+        except PeerTooOld as error:
+            log.debug("origins of streams were not sent: %s", error)
         except LinkDown as error:
             log.info("origins of streams were not sent to %s: %s", node, error)
             return False
--- a/tests/operators/test_server.py
+++ b/tests/operators/test_server.py
@@ -33,6 +33,9 @@
     def describe_configuration(self):
         return {"revision": 7}
 
+    def describe_nodes(self):
+        return {"node": "n1", "build": "0.1.0+abc", "peers": []}
+
     def update_gauges(self):
         self.updated_count += 1
 
@@ -77,6 +80,10 @@
     def test_configuration(self):
         self.assertEqual(self.read("/configuration"), (200, {"revision": 7}))
 
+    def test_nodes_with_their_builds(self):
+        expected = {"node": "n1", "build": "0.1.0+abc", "peers": []}
+        self.assertEqual(self.read("/nodes"), (200, expected))
+
     def test_timeline_after_a_sequence_number(self):
         self.assertEqual(self.read("/timeline")[1]["after"], 0)
         self.assertEqual(self.read("/timeline?after=12")[1]["after"], 12)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,9 +11,11 @@
 import tornado.httpclient
 import tornado.simple_httpclient
 
+from peridotcove.build import find_build
 from peridotcove.clock import Clock
 from peridotcove.node import Node
 from peridotcove.node_lifecycle import close, drain, open_ports, start
+from peridotcove.nodes.messages import PROTOCOL
 from peridotcove.operators.timeline_collection import collect_timelines
 from peridotcove.schema import build
 from peridotcove.settings import Settings
@@ -159,6 +161,16 @@
         self.assertEqual((len(timelines), missing), (3, []))
         return merge_timelines(timelines)
 
+    async def test_each_node_names_the_builds_of_its_peers(self):
+        address = f"http://{HOST}:{self.ports['n1'][2]}"
+        nodes = json.loads((await self.http.fetch(f"{address}/nodes")).body)
+        self.assertEqual([peer["node"] for peer in nodes["peers"]], ["n2", "n3"])
+        builds = {(one["build"], one["protocol"]) for one in (nodes, *nodes["peers"])}
+        self.assertEqual(builds, {(find_build(), PROTOCOL)})
+        metrics = (await self.http.fetch(f"{address}/metrics")).body.decode()
+        labels = f'{{build="{find_build()}",protocol="{PROTOCOL}"}}'
+        self.assertIn(f"peridotcove_nodes_by_build{labels} 3.0", metrics)
+
     async def test_timeline_shows_causes_of_revision_and_request(self):
         self.publish(2)
         nodes = self.node_by_name.values()
