--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,5 +1,7 @@
 """Tests of `peridotcove.ownership`."""
 
+import hashlib
+import json
 import unittest
 
 from attrs import evolve
@@ -82,6 +84,37 @@
             self.assertEqual(rank_shard_owners(shard, reversed(nodes)), expected)
 
 
+class BuildsAgreeTest(unittest.TestCase):
+    """Nodes of several builds run at once, and must agree who owns which shard."""
+
+    # What builds 2779f0e, 3b3ac6e and ae5ca52 compute. Another result needs a later
+    # `OLDEST_PROTOCOL`: owners of both builds would grant leases on the same engines.
+    DIGEST = "33b159d7c850b353"
+
+    def test_shards_and_owners_are_those_of_older_builds(self):
+        zones = {name: Zone(name, "r") for name in "ab"}
+        engines = {}
+        for number in range(40):
+            name, url = f"e{number}", f"http://10.0.0.{number}:80"
+            model = "llm" if number % 5 else "small"
+            engines[name] = Engine(name, url, "ab"[number % 2], model)
+        configuration = Configuration(
+            1, Bounds(shard_engines=8), zone_by_name=zones, engine_by_name=engines
+        )
+        nodes = [
+            Instance(
+                f"n{number}", "node", "h", 1, "a", power=1.0 if number % 4 else 0.2
+            )
+            for number in range(12)
+        ]
+        found = [
+            [shard.name, list(shard.engines), rank_shard_owners(shard.name, nodes)]
+            for shard in compute_shards(configuration, "r")
+        ]
+        digest = hashlib.sha256(json.dumps(found).encode()).hexdigest()
+        self.assertEqual(digest[:16], self.DIGEST, found)
+
+
 class RankCapableTest(unittest.TestCase):
     """Weak nodes rank after all capable nodes."""
 
