Builds that know different keys don't exchange configurations with them

Cause: a build refuses a whole revision at a key that it doesn't know, and takes it from nobody else then. A reader of a newer build sends its peers such keys: older nodes that don't read themselves kept the revision before. The other way, what an older reader sends lacks the key.

Change: fields of the configuration name the protocol that brought them. A node whose configuration uses such a key towards a peer of an older protocol sends it no configuration, ignores its own, says that its reads fail, so that readers of the older build read for theirs, and counts it as a peer whose reads fail.

--- a/peridotcove/control_plane.py
+++ b/peridotcove/control_plane.py
@@ -1,8 +1,12 @@
 """Control plane of one node: membership and configuration, without requests."""
 
+from peridotcove.configuration_protocols import find_needed_protocol
 from peridotcove.configuration_reader import ConfigurationReader
 from peridotcove.membership import Membership
+from peridotcove.nodes.configuration_messages import AskConfiguration, Offer
 from peridotcove.nodes.membership_messages import Heartbeat
+from peridotcove.nodes.messages import PROTOCOL
+from peridotcove.nodes.network import OutgoingMessage
 from peridotcove.revisions import Revisions
 
 # A node that did not run for this long, twice the time between two ticks, can't tell
@@ -36,13 +40,19 @@
         Configuration in force and later revisions.
     reader : ConfigurationReader
         Decides on calls to the configuration service.
+    find_peer_protocol : callable
+        Returns the protocol that another node, given by name, speaks.
     """
 
     def __init__(self, node, region, clock, rng, read_policy=None):
         self.node = node
         self._clock = clock
         self._last_run_ms = self._resumed_ms = clock.now()
+        self.find_peer_protocol = lambda name: PROTOCOL
+        self._checked_revision = 0
+        self._needed_protocol = 0
         self.membership = Membership(node, region, clock, rng)
+        self.membership.hides_reads = lambda name: not self.shares_configuration(name)
         self.revisions = Revisions(
             clock, rng, self._find_push_targets, self._find_startup_peers
         )
@@ -59,6 +69,33 @@
             self.membership.count_capable_readers,
         )
 
+    def shares_configuration(self, name):
+        """Return whether another node knows all keys of the configuration in force.
+
+        One that doesn't would refuse the configuration, and what it sends lacks these
+        keys. Each of both reads the service itself, or has it from others.
+
+        Parameters
+        ----------
+        name : str
+            Name of the node.
+        """
+        protocol = self.find_peer_protocol(name)
+        return protocol >= PROTOCOL or protocol >= self._find_needed_protocol()
+
+    def record_peer_revision(self, name, revision):
+        """Record the revision that another node has in force.
+
+        Parameters
+        ----------
+        name : str
+            Name of the node.
+        revision : int
+            Its revision.
+        """
+        if self.shares_configuration(name):
+            self.revisions.record_peer_revision(name, revision)
+
     def is_current(self):
         """Return whether this node would have heard of a revision of a moment ago.
 
@@ -93,9 +130,14 @@
         -------
         list of Outgoing
         """
-        self.revisions.record_peer_revision(peer, revision)
         refused = message.refused if isinstance(message, Heartbeat) else 0
         outgoing = self.membership.receive(peer, message)
+        if not self.shares_configuration(peer):
+            self.revisions.forget_peer(peer)
+            if isinstance(message, AskConfiguration):
+                outgoing.append(OutgoingMessage(peer, Offer(0, [])))
+            return outgoing
+        self.revisions.record_peer_revision(peer, revision)
         outgoing += self.revisions.receive(peer, message)
         outgoing += self.revisions.handle_peer_refusal(peer, refused)
         return outgoing
@@ -104,7 +146,8 @@
         if not self.reader.reads_for_zone():
             return []
         nodes = self.membership.live_nodes_in_zone()
-        return [node.name for node in nodes if node.name != self.node.name]
+        names = [node.name for node in nodes if node.name != self.node.name]
+        return [name for name in names if self.shares_configuration(name)]
 
     def _find_startup_peers(self):
         if not self.membership.has_instance_list:
@@ -115,8 +158,17 @@
         )
 
     def _reads_fail(self, name):
+        if not self.shares_configuration(name):
+            return True
         return self.membership.heartbeats.get_peer(name).reads_fail
 
+    def _find_needed_protocol(self):
+        revision = self.revisions.revision
+        if revision != self._checked_revision:
+            self._checked_revision = revision
+            self._needed_protocol = find_needed_protocol(self.revisions.parts)
+        return self._needed_protocol
+
     def _unheard_ms(self, name):
         self._detect_pause()
         now = self._clock.now()
--- a/peridotcove/membership.py
+++ b/peridotcove/membership.py
@@ -59,6 +59,9 @@
         Whether this node is leaving; see `leave`.
     reads_fail : bool
         Whether this node's reads of the configuration service fail; set by the caller.
+    hides_reads : callable
+        Returns whether another node, given by name, must not rely on the reads of this
+        one; set by the caller.
     heartbeats : HeartbeatMonitor
         Heartbeat state of other nodes.
     topology : Topology
@@ -73,6 +76,7 @@
         self.incarnation = clock.wall()
         self.leaving = False
         self.reads_fail = False
+        self.hides_reads = lambda name: False
         self.topology = Topology(node, region)
         self.heartbeats = HeartbeatMonitor(clock, self.topology, self.incarnation)
         self._own_shard_loads = {}
@@ -327,7 +331,8 @@
         return outgoing
 
     def _make_heartbeat(self, peer, now, answer=False):
-        flags = LEAVING * self.leaving + READS_FAIL * self.reads_fail
+        reads_fail = self.reads_fail or self.hides_reads(peer.name)
+        flags = LEAVING * self.leaving + READS_FAIL * reads_fail
         flags += MINORITY * self._hears_minority
         shard_loads, view = self._own_shard_loads, b""
         if peer.name not in self.topology.neighbours:
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -5,7 +5,7 @@
 
 from attrs import field, frozen
 
-from peridotcove.schema import key_metadata, number_field
+from peridotcove.schema import added_field, key_metadata, number_field
 
 ZONES_KEY = key_metadata("zones")
 MODELS_KEY = key_metadata("models")
@@ -78,7 +78,7 @@
 
     name: str
     region: str
-    evacuated: bool = False
+    evacuated: bool = added_field(2, False)
 
 
 @frozen
@@ -107,7 +107,7 @@
     adapters: tuple[str, ...] = ()
     weight_bytes: int = number_field(0, 1 << 50, default=0)
     health_path: str = "/health"
-    cold_rate: float = number_field(0, 1e6, default=0.0)
+    cold_rate: float = number_field(0, 1e6, default=0.0, protocol=2)
 
 
 @frozen
@@ -161,9 +161,9 @@
     checks_fencing: bool = True
     shares_cache: bool = False
     incarnation: int = 0
-    software_version: str = ""
-    cold_ms: int = number_field(0, math.inf, default=0)
-    cold_report: int = number_field(0, math.inf, default=0)
+    software_version: str = added_field(2, "")
+    cold_ms: int = number_field(0, math.inf, default=0, protocol=2)
+    cold_report: int = number_field(0, math.inf, default=0, protocol=2)
 
 
 @frozen
@@ -355,8 +355,8 @@
     ticket_ms: int = number_field(1_000, 86_400_000, default=3_600_000)
     weight_store_bytes_per_second: int = number_field(1, 1 << 50, default=1_000_000_000)
     keys_required: bool = False
-    cold_rate_ratio: float = number_field(1.0, 100.0, default=1.0)
-    cold_rate_extra: int = number_field(0, 1_000_000, default=0)
+    cold_rate_ratio: float = number_field(1.0, 100.0, default=1.0, protocol=2)
+    cold_rate_extra: int = number_field(0, 1_000_000, default=0, protocol=2)
 
 
 @frozen
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -108,6 +108,7 @@
             on_traffic=self.count_control_bytes,
         )
         self.links.on_message = self._handle_message
+        self.control.find_peer_protocol = self.links.peer_builds.find_protocol
 
     def count_control_bytes(self, way, kind, size):
         """Count bytes between nodes, or between a node and an engine, in the metrics.
@@ -267,10 +268,10 @@
     def _handle_message(self, peer, message, revision):
         handler = self._handler_by_type.get(type(message))
         if handler is not None:
-            self.control.revisions.record_peer_revision(peer, revision)
+            self.control.record_peer_revision(peer, revision)
             handler(peer, message)
         elif self.interface.receive(peer, message):
-            self.control.revisions.record_peer_revision(peer, revision)
+            self.control.record_peer_revision(peer, revision)
         else:
             self.revision_events.record_received(peer, message)
             self.send_all(self.control.receive(peer, message, revision))
--- a/peridotcove/nodes/peer_builds.py
+++ b/peridotcove/nodes/peer_builds.py
@@ -164,6 +164,17 @@
         if peer.refusal:
             raise IncompatiblePeer(f"node {peer.node!r}: {peer.refusal}")
 
+    def find_protocol(self, name):
+        """Return the protocol that a peer speaks; that of this build if it's unknown.
+
+        Parameters
+        ----------
+        name : str
+            Name of the peer.
+        """
+        peer = self.by_name.get(name)
+        return PROTOCOL if peer is None else peer.protocol
+
     def check_readable(self, name, kind):
         """Raise `PeerTooOld` if a peer is known not to read a class of messages.
 
--- a/peridotcove/revisions.py
+++ b/peridotcove/revisions.py
@@ -79,6 +79,11 @@
         """The revision in force; 0 if none."""
         return self._active.revision
 
+    @property
+    def parts(self):
+        """Parts of the revision in force."""
+        return self._active.part_by_name.values()
+
     @property
     def watch_after(self):
         """The revision after which the service is watched for a later one."""
@@ -226,6 +231,16 @@
         else:
             self._fetcher.forget_peer(peer)
 
+    def forget_peer(self, peer):
+        """Forget the revision of a peer, which can't be fetched from it.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the peer.
+        """
+        self._fetcher.forget_peer(peer)
+
     def handle_peer_refusal(self, peer, revision):
         """Handle a revision refused by a peer; return a request for its faults.
 
--- a/peridotcove/schema.py
+++ b/peridotcove/schema.py
@@ -21,7 +21,7 @@
 }
 
 
-def number_field(low, high, default=attrs.NOTHING):
+def number_field(low, high, default=attrs.NOTHING, protocol=0):
     """Return an attrs field for a number in a closed range.
 
     Parameters
@@ -30,8 +30,42 @@
         Lowest and highest allowed value.
     default : int or float
         Value if the file does not set the field.
+    protocol : int
+        As of `added_field`; 0 if all builds know the field.
     """
-    return attrs.field(default=default, metadata={"low": low, "high": high})
+    metadata = {"low": low, "high": high, "protocol": protocol}
+    return attrs.field(default=default, metadata=metadata)
+
+
+def added_field(protocol, default):
+    """Return an attrs field that builds of older protocols refuse as unknown.
+
+    Parameters
+    ----------
+    protocol : int
+        First protocol between nodes whose builds know it.
+    default : object
+        Value if the file does not set the field.
+    """
+    return attrs.field(default=default, metadata={"protocol": protocol})
+
+
+def find_added_keys(cls):
+    """Return the protocol by key of the fields that some builds don't know.
+
+    Parameters
+    ----------
+    cls : type
+        An attrs class; the classes of its fields are searched too.
+    """
+    protocol_by_key = {}
+    for spec in attrs.fields(cls):
+        if spec.metadata.get("protocol"):
+            protocol_by_key[_file_key(spec)] = spec.metadata["protocol"]
+        for kind in (spec.type, *typing.get_args(spec.type)):
+            if isinstance(kind, type) and attrs.has(kind):
+                protocol_by_key |= find_added_keys(kind)
+    return protocol_by_key
 
 
 def find_range(cls, name):
