--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -9,7 +9,7 @@
 from tests.platform import fakes
 from tests.platform.clients import Client
 from tests.platform.fakes import StoreStandin
-from tests.soak.processes import FRONT_PORT, NodeProcess
+from tests.soak.processes import CURRENT_BUILD, FRONT_PORT, NodeProcess
 from tests.soak.promises import (
     COLD_EXCESS,
     COLD_RATE,
@@ -32,6 +32,8 @@
 EXIT_SLACK_S = 2
 RETRY_BUDGET = {"ratio": 0.2, "extra": 30}
 TARGET_BY_KIND = {"booking": "/book/x", "lookup": "/look/x", "chat": "/chat/x"}
+# Kinds of requests that a client draws from.
+KINDS = ("booking", "lookup", "lookup", "chat", "version")
 # Versions of the operator's document before the first one of a run: ordinary ones, and
 # ones right before a limit that a number of versions had or might have.
 FIRST_VERSIONS = (0, 455, 812, 1_840, 2**31 - 3, 2**53 - 200)
@@ -65,6 +67,8 @@
         Folder for settings and logs of the nodes.
     rng : random.Random
         Draws the seed nodes of each start, and seeds the draws of clients and servers.
+    build : Build
+        Build of the program that the nodes run.
 
     Attributes
     ----------
@@ -86,11 +90,13 @@
         Versions of the servers' software so far; new servers have the last one.
     taken_up : int
         Number of streams that clients took up again and got to their end.
+    not_taken_up : int
+        Number of streams that broke off and that no node went on with.
     evacuated_zones : set of str
         Zones that are evacuated now.
     """
 
-    def __init__(self, nodes, servers, folder, rng):
+    def __init__(self, nodes, servers, folder, rng, build=CURRENT_BUILD):
         self.rng = rng
         self.store = StoreStandin()
         self.promises = PromiseChecker(RETRY_BUDGET["ratio"], RETRY_BUDGET["extra"])
@@ -102,10 +108,11 @@
         self.active_servers = set()
         self.proxy_by_server = {}
         self.software_versions = ["v1"]
-        self.taken_up = 0
+        self.taken_up = self.not_taken_up = 0
         self.evacuated_zones = set()
         self._sizes = nodes, servers
         self._folder = folder
+        self._build = build
         self._id_numbers = itertools.count(1)
         self._clients = []
 
@@ -130,6 +137,7 @@
                 self._folder,
                 bounds,
             )
+            node.build = self._build
             self.store_links.append(StoreLink(node, proxy))
         await asyncio.gather(*[self.start_node(link.node) for link in self.store_links])
         async with asyncio.timeout(READY_TIMEOUT_S):
@@ -138,8 +146,12 @@
                     await asyncio.sleep(REQUEST_INTERVAL_S)
         for link in self.store_links:
             for _ in range(CLIENTS_PER_NODE):
-                client = self._run_client(link.node, random.Random(self.rng.random()))
-                self._clients.append(asyncio.create_task(client))
+                self.add_client(link.node, random.Random(self.rng.random()))
+
+    def add_client(self, node, rng, kinds=KINDS):
+        """Start a client that sends requests to a node until the fleet is closed."""
+        client = self._run_client(node, rng, kinds)
+        self._clients.append(asyncio.create_task(client))
 
     async def start_node(self, node):
         """Start a node; its seed nodes are drawn from all nodes, running or not."""
@@ -251,24 +263,24 @@
         finally:
             client.close()
 
-    async def _run_client(self, node, rng):
+    async def _run_client(self, node, rng, kinds):
         while True:
             client = None
             try:
                 client = await Client.connect(node.host, FRONT_PORT)
-                await self._use_connection(client, node, rng)
+                await self._use_connection(client, node, rng, kinds)
             except (OSError, TimeoutError):
                 await asyncio.sleep(rng.uniform(0.5, 1.5) * REQUEST_INTERVAL_S)
             finally:
                 if client is not None:
                     client.close()
 
-    async def _use_connection(self, client, node, rng):
+    async def _use_connection(self, client, node, rng, kinds):
         """Send requests until the connection can't be used any more."""
         status = None
         while status != 0:
             await asyncio.sleep(rng.uniform(0.5, 1.5) * REQUEST_INTERVAL_S)
-            kind = rng.choice(("booking", "lookup", "lookup", "chat", "version"))
+            kind = rng.choice(kinds)
             status = await self._send_request(client, node, kind, rng)
 
     async def _send_request(self, client, node, kind, rng):
@@ -348,6 +360,7 @@
                 self._check_body(request_id, target, body)
                 self.taken_up += 1
                 return
+        self.not_taken_up += 1
 
     async def check_recovery(self):
         """Check that all nodes serve all kinds of requests soon after the faults."""
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -7,6 +7,8 @@
 import signal
 import sys
 
+from attrs import field, frozen
+
 from peridotcove.platform.early_ports import SETTINGS_PATH_VARIABLE
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -38,6 +40,25 @@
 """
 
 
+@frozen
+class Build:
+    """A build of the program that nodes run.
+
+    Attributes
+    ----------
+    folder : pathlib.Path
+        Folder that contains its package.
+    variables : dict
+        Environment variables that its processes need.
+    """
+
+    folder: pathlib.Path
+    variables: dict = field(factory=dict)
+
+
+CURRENT_BUILD = Build(ROOT)
+
+
 class NodeProcess:
     """A node, and the process that runs it; the process is replaced at each start.
 
@@ -61,8 +82,12 @@
     ----------
     incarnation : int
         Number of the current process, counted from 1.
+    zone : str
+        Availability zone.
     paused : bool
         Whether the process is stopped by SIGSTOP.
+    build : Build
+        Build of the program that the next process runs.
     """
 
     def __init__(self, label, host, zone, store, folder, bounds):
@@ -70,6 +95,8 @@
         self.host = host
         self.incarnation = 0
         self.paused = False
+        self.zone = zone
+        self.build = CURRENT_BUILD
         self._settings_file = folder / f"{label}.toml"
         self._log_file = folder / f"{label}.log"
         self._template_fields = bounds | {"label": label, "host": host, "zone": zone}
@@ -116,10 +143,11 @@
                 "node",
                 stdout=output,
                 stderr=output,
-                cwd=ROOT,
+                cwd=self.build.folder,
                 env={
                     "PATH": os.environ["PATH"],
                     SETTINGS_PATH_VARIABLE: self._settings_file,
+                    **self.build.variables,
                 },
             )
         self.paused = False
--- a/tests/soak/test_cold_servers.py
+++ b/tests/soak/test_cold_servers.py
@@ -25,8 +25,7 @@
         await fleet.start()
         for number in range(EXTRA_CLIENTS):
             node = fleet.store_links[number % NODES].node
-            client = fleet._run_client(node, random.Random(number))
-            fleet._clients.append(asyncio.create_task(client))
+            fleet.add_client(node, random.Random(number))
         for _ in range(COLD_SERVERS):
             await fleet.add_server(COLD_MS)
         fleet.evacuate("z1")
