A node that starts reads the service before it asks older builds

Cause: a starting node asks its peers and the service at once. An older peer that answered first put its form of a revision in force, without the keys that it does not know; the node's own read has the same number, and was dropped.

Change: until the first revision is in force, what peers of older protocols send is ignored, unless a read of the service has failed. Their answers still count for being ready.

Measured: the new test failed on the code before, and passes.

Conclusion: while the service is down at the start, an older peer's form is still taken; said in the design.

--- a/peridotcove/control_plane.py
+++ b/peridotcove/control_plane.py
@@ -73,7 +73,9 @@
         """Return whether another node knows all keys of the configuration in force.
 
         One that doesn't would refuse the configuration, and what it sends lacks these
-        keys. Each of both reads the service itself, or has it from others.
+        keys. Each of both reads the service itself, or has it from others. Before its
+        first read, a node can't tell what an older one leaves out; it takes that only
+        if the read fails.
 
         Parameters
         ----------
@@ -81,7 +83,11 @@
             Name of the node.
         """
         protocol = self.find_peer_protocol(name)
-        return protocol >= PROTOCOL or protocol >= self._find_needed_protocol()
+        if protocol >= PROTOCOL:
+            return True
+        if not self.revisions.revision:
+            return self.reader.reads_fail
+        return protocol >= self._find_needed_protocol()
 
     def record_peer_revision(self, name, revision):
         """Record the revision that another node has in force.
@@ -133,7 +139,7 @@
         refused = message.refused if isinstance(message, Heartbeat) else 0
         outgoing = self.membership.receive(peer, message)
         if not self.shares_configuration(peer):
-            self.revisions.forget_peer(peer)
+            self.revisions.ignore_peer(peer)
             if isinstance(message, AskConfiguration):
                 outgoing.append(OutgoingMessage(peer, Offer(0, [])))
             return outgoing
--- a/peridotcove/revisions.py
+++ b/peridotcove/revisions.py
@@ -231,8 +231,8 @@
         else:
             self._fetcher.forget_peer(peer)
 
-    def forget_peer(self, peer):
-        """Forget the revision of a peer, which can't be fetched from it.
+    def ignore_peer(self, peer):
+        """Record that nothing can be fetched from a peer, whose answer isn't awaited.
 
         Parameters
         ----------
@@ -240,6 +240,7 @@
             Name of the peer.
         """
         self._fetcher.forget_peer(peer)
+        self._fetcher.record_answer(peer)
 
     def handle_peer_refusal(self, peer, revision):
         """Handle a revision refused by a peer; return a request for its faults.
--- a/tests/test_configuration_protocols.py
+++ b/tests/test_configuration_protocols.py
@@ -21,6 +21,7 @@
     AskConfiguration,
     Delta,
     Offer,
+    PartData,
     RevisionRefused,
 )
 from peridotcove.nodes.membership_messages import READS_FAIL, Heartbeat
@@ -151,6 +152,27 @@
         self.assertTrue(self.control._reads_fail(OLD))
         self.assertFalse(self.control._reads_fail(NEW))
 
+    def test_a_node_that_starts_reads_the_service_before_it_asks_older_builds(self):
+        """What they hold may lack a key, under the number that the service has."""
+        part = make_part("all", 1, b"", b'{"customers": {"c": {}}}')
+        descriptor = part.descriptor
+        row = ["all", 1, descriptor.published_digest, descriptor.digest]
+        self.assertEqual(self.ask(OLD, Offer(1, [row]), 1), [])
+        data = PartData("all", descriptor.digest, part.data)
+        self.assertEqual(self.ask(OLD, data, 1), [])
+        self.assertEqual(self.control.revisions.revision, 0)
+        self.control.reader.handle_failure()
+        self.assertEqual(len(self.ask(OLD, Offer(1, [row]), 1)), 1)
+        self.ask(OLD, data, 1)
+        self.assertEqual(self.control.revisions.revision, 1)
+
+    def test_a_node_that_starts_does_not_wait_for_older_builds(self):
+        publish(self.control, 1, 7)
+        self.control.revisions.record_read_result()
+        self.run_for(1)
+        self.ask(NEW, Offer(1, []), 1)
+        self.assertTrue(self.control.revisions.ready())
+
     def test_what_older_builds_send_is_ignored_then(self):
         """It lacks the key, or says that they refuse what this build accepts."""
         publish(self.control, 1, 7)
