--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -3,6 +3,7 @@
 import logging
 import random
 
+from peridotcove.build import find_build
 from peridotcove.control_plane import ControlPlane
 from peridotcove.departed_engines import DepartedEngines
 from peridotcove.drain import DrainController
@@ -98,7 +99,7 @@
 
     def _wire_links(self):
         settings = self.settings
-        identity = Identity(self.name, settings.zone, self.incarnation)
+        identity = Identity(self.name, settings.zone, self.incarnation, find_build())
         secret = derive_key(settings.secret.read("secret"), LINK_PURPOSE)
         self.links = LinkManager(
             identity,
@@ -107,6 +108,7 @@
             on_traffic=self.count_control_bytes,
         )
         self.links.on_message = self._handle_message
+        self.control.find_peer_protocol = self.links.peer_builds.find_protocol
 
     def count_control_bytes(self, way, kind, size):
         """Count bytes between nodes, or between a node and an engine, in the metrics.
@@ -259,16 +261,17 @@
                 self.timeline,
                 self.engine_notices,
                 self.fleet,
+                self.links,
             )
         )
 
     def _handle_message(self, peer, message, revision):
         handler = self._handler_by_type.get(type(message))
         if handler is not None:
-            self.control.revisions.record_peer_revision(peer, revision)
+            self.control.record_peer_revision(peer, revision)
             handler(peer, message)
         elif self.interface.receive(peer, message):
-            self.control.revisions.record_peer_revision(peer, revision)
+            self.control.record_peer_revision(peer, revision)
         else:
             self.revision_events.record_received(peer, message)
             self.send_all(self.control.receive(peer, message, revision))
