Host routes and customers may be limited to regions

Cause: the operator can say in which regions the requests of a route or a tenant may run; nodes ignored it and sent them anywhere. Change: peridotcove/residency.py decides from the configuration in force; both limits bind. Owners grant engines in the regions only, and refuse with the code no-region at once if none is in service. Entries check the granted engine again before the request is sent, so an owner of an older version or configuration costs a repeat and no breach. Relays, fetch sources, chats and calls to services obey it too. A limit that can't be read allows no region. The new field of a lease request is left out while it is empty; so are other defaults at the end.

--- a/peridotcove/api.py
+++ b/peridotcove/api.py
@@ -88,7 +88,7 @@
         """
         self._raw.setdefault("bounds", {}).update(limits)
 
-    def zone(self, name, region=None):
+    def zone(self, name, region=None, residency_region=None):
         """Describe an availability zone.
 
         Parameters
@@ -97,8 +97,12 @@
             Unique name.
         region : str
             Region that it belongs to.
+        residency_region : str
+            Region that counts for limits to regions, if it isn't `region`.
         """
-        self._update_object("zones", name, region=region)
+        self._update_object(
+            "zones", name, region=region, residency_region=residency_region
+        )
 
     def model(self, name, version=None, adapters=None, weight_bytes=None):
         """Describe a model.
@@ -179,8 +183,8 @@
             API keys; only their digests are stored in the configuration.
         key_digests : sequence of str
             Hex SHA-256 digests of API keys, for keys that are not available.
-        **limits : float or int
-            Other fields of `peridotcove.models.Customer`.
+        **limits : float, int or tuple
+            Other fields of `peridotcove.models.Customer`, such as `regions`.
         """
         digests = [hashlib.sha256(key.encode()).hexdigest() for key in keys]
         digests += key_digests or ()
--- a/peridotcove/chat_router.py
+++ b/peridotcove/chat_router.py
@@ -2,6 +2,13 @@
 
 from peridotcove.exceptions import EndpointFailed, RequestRefused
 from peridotcove.models import LeaseRequest
+from peridotcove.residency import (
+    OTHER_REGION,
+    check_engine,
+    find_region_limit,
+    make_unserved_error,
+    may_pass_through,
+)
 from peridotcove.retries import (
     MAX_TRIES,
     RetryBudget,
@@ -129,7 +136,11 @@
         self._timeline.record("request-retried", request_id=request_id, detail=detail)
 
     async def _try_chat(self, chat, request_id, hint, sink, end_ms):
-        shard = self._fleet.pick_shard(chat.base_model, chat.chat_key, hint)
+        limit = self._find_region_limit(chat)
+        shard = self._fleet.pick_shard(chat.base_model, chat.chat_key, hint, limit)
+        if not shard and limit.is_limited:
+            regions = self._fleet.find_serving_regions(chat.base_model)
+            raise make_unserved_error(chat.base_model, limit, regions)
         if not shard:
             text = f"no engine in this region serves model {chat.base_model!r}"
             raise RequestRefused("no-engine", text, 503, 5000)
@@ -145,6 +156,7 @@
             left_ms,
             chat.customer.priority,
             chat.chat_key,
+            regions=limit.list_regions(),
         )
         self._timeline.record("lease-asked", request_id=request_id, peer=shard)
         grant = await self._leases.request_lease(shard, request)
@@ -153,8 +165,8 @@
         )
         outcome, cached = "cancelled", -1
         try:
-            self._states.check_available(grant.engine)
             engine = self._fleet.configuration.engine_by_name[grant.engine]
+            self._check_engine(chat, engine)
             self._timeline.record(
                 "request-sent", request_id=request_id, peer=engine.name
             )
@@ -164,7 +176,8 @@
                 chat.body,
                 name,
                 sink,
-                lambda: self._states.check_available(engine.name),
+                lambda: self._check_engine(chat, engine),
+                lambda node: self._may_relay(chat, node),
             )
             outcome = "done"
             cached = self._count_cached_blocks(chat, reply)
@@ -178,6 +191,18 @@
                 "lease-released", request_id=request_id, detail=outcome
             )
 
+    def _find_region_limit(self, chat):
+        return find_region_limit(self._fleet.configuration, customer=chat.customer)
+
+    def _check_engine(self, chat, engine):
+        self._states.check_available(engine.name)
+        limit = self._find_region_limit(chat)
+        check_engine(self._fleet.configuration, engine, limit)
+
+    def _may_relay(self, chat, node):
+        limit = self._find_region_limit(chat)
+        return may_pass_through(self._fleet.configuration, node.zone, limit)
+
     def _count_cached_blocks(self, chat, reply):
         blocks = len(chat.prefixes)
         self._metrics.prompt_blocks.inc(blocks)
@@ -225,6 +250,7 @@
 
 
 def _is_final(error):
-    # If an engine starts to leave after its lease was granted, another one can serve
-    # the request.
-    return isinstance(error, RequestRefused) and error.code != "leaving"
+    # If an engine starts to leave after its lease was granted, or a limit of regions
+    # changed since, another one can serve the request.
+    again = error.code in ("leaving", OTHER_REGION)
+    return isinstance(error, RequestRefused) and not again
--- a/peridotcove/configuration_checks.py
+++ b/peridotcove/configuration_checks.py
@@ -233,6 +233,33 @@
     return parts.scheme in ("http", "https") and bool(port) and bare
 
 
+@check("regions", "zone_by_name", "customer_by_name", "host_route_by_name")
+def check_regions(configuration, path):
+    """Yield faults of names of regions that a limit or a zone gives.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration whose fields have the right types.
+    path : str
+        Path of the configuration, for error messages.
+    """
+    fits = NAME_PATTERN.fullmatch
+    for zone in configuration.zone_by_name.values():
+        if zone.residency_region and not fits(zone.residency_region):
+            location = f"{path}.zones.{zone.name}.residency_region"
+            yield SettingError(location, zone.residency_region, NAME_RULE)
+    for section, entry_by_name in (
+        ("customers", configuration.customer_by_name),
+        ("host_routes", configuration.host_route_by_name),
+    ):
+        for entry in entry_by_name.values():
+            for region in entry.regions:
+                if not fits(region) or entry.regions.count(region) > 1:
+                    location = f"{path}.{section}.{entry.name}.regions"
+                    yield SettingError(location, region, f"once each: {NAME_RULE}")
+
+
 @check("host routes", "host_route_by_name", "model_by_name")
 def check_host_routes(configuration, path):
     """Yield faults of host routes that are malformed or have unknown models.
--- a/peridotcove/configuration_differences.py
+++ b/peridotcove/configuration_differences.py
@@ -9,6 +9,7 @@
 from peridotcove.ownership import compute_shards
 from peridotcove.registry import Registry
 from peridotcove.rendezvous import RendezvousRanking
+from peridotcove.residency import find_serving_regions
 
 SAMPLED_CHATS = 1_000
 SAMPLE_SEED = 1
@@ -169,6 +170,37 @@
             yield f"{name}: the rules on which calls may be repeated change"
 
 
+@differences.register("regions")
+def describe_region_limits(old, new):
+    """Yield limits to regions in which no engine is in service.
+
+    Parameters
+    ----------
+    old, new : Configuration
+        The two configurations.
+    """
+    unserved = dict(_find_unserved_limits(old))
+    for entry, regions in _find_unserved_limits(new):
+        if unserved.get(entry) != regions:
+            yield f"{entry}: nothing is in service in {', '.join(regions)}"
+
+
+def _find_unserved_limits(configuration):
+    """Yield customers and host routes whose regions serve nothing that they use."""
+    engine_by_name = configuration.engine_by_name
+    serving = find_serving_regions(configuration, engine_by_name)
+    for customer in configuration.customer_by_name.values():
+        if customer.regions and serving.isdisjoint(customer.regions):
+            yield f"customer {customer.name}", customer.regions
+    for route in configuration.host_route_by_name.values():
+        if not route.regions:
+            continue
+        models = {target.model for target in route.targets}
+        names = [one.name for one in engine_by_name.values() if one.model in models]
+        if find_serving_regions(configuration, names).isdisjoint(route.regions):
+            yield f"host route {route.name}", route.regions
+
+
 @differences.register("chats")
 def describe_moved_chats(old, new):
     """Yield the share of chats per region and model whose preferred engine changes.
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -12,6 +12,7 @@
 from peridotcove.models import Customer, LeaseGrant, LeaseRefusal, LifecycleStatus
 from peridotcove.prompt_part_index import PromptPartIndex
 from peridotcove.rendezvous import hash_name
+from peridotcove.residency import NO_REGION, RegionLimit, find_engines_outside
 
 LEASE_RECOVERY_MS = 3_000
 RECOVERY_CAPACITY_SHARE = 0.5
@@ -86,6 +87,7 @@
         self._lists_until_ms = clock.now() + FIRST_LISTS_MS
         self._loads = EngineLoads(configuration.bounds.load_bound)
         self._cold = ColdEngines(clock)
+        self._outside_by_regions = {}
         self.set_configuration(configuration)
 
     def start_recovery(self, entries):
@@ -135,7 +137,37 @@
         self._cold.set_engines(
             engines, configuration.model_by_name, configuration.bounds
         )
-        return self._grant_waiting()
+        had_limits = bool(self._outside_by_regions)
+        self._outside_by_regions.clear()
+        refusals = self._refuse_unserved() if had_limits else []
+        return refusals + self._grant_waiting()
+
+    def _find_outside(self, regions):
+        """Return the engines that a request with a limit of regions must not use."""
+        outside = self._outside_by_regions.get(regions)
+        if outside is None:
+            limit = RegionLimit.from_regions(regions)
+            outside = find_engines_outside(self._configuration, self.engines(), limit)
+            self._outside_by_regions[regions] = outside
+        return outside
+
+    def _is_unserved(self, request):
+        """Return whether no engine that accepts work is in the request's regions."""
+        if not request.regions:
+            return False
+        outside = self._find_outside(request.regions)
+        return all(load.name in outside for load in self._loads.open_engines)
+
+    def _refuse_unserved(self):
+        """Refuse the waiting requests whose regions have lost their last engine."""
+        refusals = []
+        for request in self._waiting_requests():
+            if self._is_unserved(request):
+                self._remove_waiting(request.request_id)
+                refusals.append(
+                    LeaseRefusal(request.request_id, NO_REGION, RETRY_AFTER_MS)
+                )
+        return refusals
 
     def set_role(self, is_first_owner, is_owner):
         """Set which part of the rate of cold engines this node may use.
@@ -238,12 +270,9 @@
             return [LeaseGrant(lease.request_id, lease.engine, lease.cached_blocks)]
         if request_id in self._queue or request_id in self._deferred_by_id:
             return []
-        if not self._loads.open_engines:
-            return [LeaseRefusal(request_id, "no_engine", RETRY_AFTER_MS)]
-        # Engines of a version that began a stream are in service, if none is open now.
-        is_paused = request.excluded and not request.software_versions
-        if is_paused and self._excludes_all(request):
-            return [LeaseRefusal(request_id, "all-paused", RETRY_AFTER_MS)]
+        code = self._find_refusal(request)
+        if code:
+            return [LeaseRefusal(request_id, code, RETRY_AFTER_MS)]
         now = self._clock.now()
         wait = min(request.deadline_ms, self._configuration.bounds.queue_ms)
         cold_wait_ms = self._estimate_cold_wait_ms(request)
@@ -269,15 +298,30 @@
 
     def _estimate_cold_wait_ms(self, request):
         """Return how long a request waits if all engines that it may use are cold."""
+        unusable = self._find_unusable(request)
         names = [
-            load.name
-            for load in self._loads.open_engines
-            if load.name not in request.excluded
+            load.name for load in self._loads.open_engines if load.name not in unusable
         ]
         return self._cold.estimate_wait_ms(names, self.waiting) if names else None
 
+    def _find_unusable(self, request):
+        if not request.regions:
+            return request.excluded
+        return self._find_outside(request.regions).union(request.excluded)
+
+    def _find_refusal(self, request):
+        """Return why no engine may serve a request, or an empty text."""
+        if not self._loads.open_engines:
+            return "no_engine"
+        if self._is_unserved(request):
+            return NO_REGION
+        # Engines of a version that began a stream are in service, if none is open now.
+        is_paused = request.excluded and not request.software_versions
+        return "all-paused" if is_paused and self._excludes_all(request) else ""
+
     def _excludes_all(self, request):
-        return all(load.name in request.excluded for load in self._loads.open_engines)
+        unusable = self._find_unusable(request)
+        return all(load.name in unusable for load in self._loads.open_engines)
 
     def _refuse_if_overloaded(self, request, customer, wait_ms):
         expected_wait_ms = self._slots.estimate_wait_ms(customer)
@@ -445,11 +489,16 @@
     def _grant_waiting(self):
         self._update_capacity_share()
         granted = []
+        # Limits of which no engine has room: the next request of them needs no search.
+        full_limits = set()
         for deferred in list(self._deferred_by_id.values()):
-            if self._can_place_deferred(deferred):
-                self._append_grant(
-                    granted, deferred.item, self._try_grant(deferred.item, deferred)
-                )
+            request = deferred.item.request
+            limit = (request.regions, request.excluded)
+            if limit not in full_limits and self._can_place_deferred(deferred):
+                grant = self._try_grant(deferred.item, deferred)
+                self._append_grant(granted, deferred.item, grant)
+                if grant is None and request.regions and not deferred.preferred_engine:
+                    full_limits.add(limit)
         while len(self._queue) and self._loads.has_room():
             item = self._queue.pop(self._may_lease)
             if item is None:
@@ -498,8 +547,9 @@
             )
             return None
         blocked = self._cold.find_blocked()
-        if blocked:
-            request = evolve(request, excluded=(*request.excluded, *blocked))
+        if blocked or request.regions:
+            unusable = frozenset(self._find_unusable(request)).union(blocked)
+            request = evolve(request, excluded=unusable)
         if request.part_ends:
             index = self._part_index
             lookup = index.look_up(request.prefixes, request.part_ends)
@@ -521,7 +571,7 @@
         now = self._clock.now()
         name = choice.engine
         cached = int(lookup.blocks_by_engine.get(name, 0))
-        source = self._find_source(lookup, name, cached)
+        source = self._find_source(request, lookup, name, cached)
         if request.part_ends:
             missing = (lookup.blocks - cached) * self._block_tokens
             share = FETCH_COST_SHARE if source else 1.0
@@ -546,15 +596,18 @@
             for load in self._loads.open_engines
         ]
 
-    def _find_source(self, lookup, name, cached):
+    def _find_source(self, request, lookup, name, cached):
         """Return the engine to fetch the missing prefix from, or an empty name."""
         engine_by_name = self._configuration.engine_by_name
         if not engine_by_name[name].shares_cache:
             return ""
+        sources = self._fetch_sources
+        if request.regions:
+            sources = sources - self._find_outside(request.regions)
         found = [
             (blocks, other)
             for other, blocks in lookup.blocks_by_engine.items()
-            if blocks - cached >= MIN_FETCH_BLOCKS and other in self._fetch_sources
+            if blocks - cached >= MIN_FETCH_BLOCKS and other in sources
         ]
         return max(found)[1] if found else ""
 
--- a/peridotcove/endpoints/engine_client.py
+++ b/peridotcove/endpoints/engine_client.py
@@ -40,7 +40,15 @@
         self._limits = limits
         self._tasks = set()
 
-    async def run(self, engine, body, request_id, sink=None, before_send=None):
+    async def run(
+        self,
+        engine,
+        body,
+        request_id,
+        sink=None,
+        before_send=None,
+        may_relay=lambda instance: True,
+    ):
         """Run one chat request at an engine and return the response.
 
         A stream that breaks off is resumed after its last complete event, if the engine
@@ -60,6 +68,9 @@
         before_send : callable or None
             Called right before the request is sent; a `RequestError` that it raises
             stops the request.
+        may_relay : callable
+            Called with the `Instance` of another node; whether the request may be sent
+            through it.
 
         Returns
         -------
@@ -75,7 +86,7 @@
             Raised by `before_send`.
         """
         run = _ChatRun(self._client, self._limits, engine, request_id, sink)
-        run.before_send = before_send
+        run.before_send, run.may_relay = before_send, may_relay
         try:
             response = await run.execute(body)
         except (asyncio.CancelledError, RequestError):
@@ -95,6 +106,7 @@
 
     def __init__(self, client, limits, engine, request_id, sink):
         self.before_send = None
+        self.may_relay = lambda instance: True
         self._client = client
         self._limits = limits
         self._engine = engine
@@ -149,6 +161,7 @@
         )
         if method == "POST":
             transfer.before_send = self.before_send
+            transfer.may_relay = self.may_relay
         self._transfer = transfer
         if self._sink is not None:
             self._sink.transfer = transfer
--- a/peridotcove/endpoints/streaming_client.py
+++ b/peridotcove/endpoints/streaming_client.py
@@ -94,6 +94,9 @@
         Connection through another node; None for one of this node's own.
     on_connected : callable
         Called when this node has made a connection of its own.
+    may_relay : callable
+        Called with the `Instance` of another node; whether the request may be sent
+        through it.
     """
 
     first_byte_ms: int
@@ -116,6 +119,7 @@
     clock: object = None
     relay: object = None
     on_connected: object = lambda: None
+    may_relay: object = lambda instance: True
     _client: object = None
 
     @property
@@ -305,7 +309,7 @@
             unreachable = error
         self._relays.record_unreached(address)
         try:
-            transfer.relay = await self._relays.connect(address)
+            transfer.relay = await self._relays.connect(address, transfer.may_relay)
         except EndpointFailed as error:
             if error.code == "no-relay" and self._relays.needs_relay(address):
                 raise
@@ -319,7 +323,7 @@
         After a crash of several endpoints, all nodes may take themselves for cut off.
         """
         try:
-            transfer.relay = await self._relays.connect(address)
+            transfer.relay = await self._relays.connect(address, transfer.may_relay)
         except EndpointFailed as error:
             if error.code != "no-relay":
                 raise
--- a/peridotcove/fleet_view.py
+++ b/peridotcove/fleet_view.py
@@ -6,6 +6,7 @@
 from peridotcove.host_routes import HostRoutes
 from peridotcove.models import Configuration, LifecycleStatus
 from peridotcove.ownership import compute_shards, rank_shard_owners
+from peridotcove.residency import ANY_REGION, find_serving_regions
 from peridotcove.shard_selection import ShardLoad, ShardSelector
 
 STATUS_SECTIONS = ("engine_by_name", "service_by_name")
@@ -48,6 +49,7 @@
         self._customer_by_digest = {}
         self._host_routes = HostRoutes({})
         self._rank_by_shard = {}
+        self._serving_regions_by_shard = {}
 
     def set_configuration(self, configuration):
         """Set the configuration in force.
@@ -58,6 +60,7 @@
             Accepted configuration.
         """
         previous, self._accepted = self._accepted, configuration
+        self._serving_regions_by_shard = {}
         if all(
             _is_unchanged(previous, configuration, section)
             for section in STATUS_SECTIONS
@@ -138,7 +141,29 @@
             if shard.name in self._total_by_shard
         }
 
-    def pick_shard(self, model, chat_key, hint):
+    def find_serving_regions(self, model):
+        """Return the regions in which engines of a model are in service.
+
+        Parameters
+        ----------
+        model : str
+            Name of the model.
+
+        Returns
+        -------
+        frozenset of str
+        """
+        shards = self.shards_by_model.get(model, ())
+        return frozenset().union(*map(self._find_shard_regions, shards))
+
+    def _find_shard_regions(self, shard):
+        regions = self._serving_regions_by_shard.get(shard.name)
+        if regions is None:
+            regions = find_serving_regions(self.configuration, shard.engines)
+            self._serving_regions_by_shard[shard.name] = regions
+        return regions
+
+    def pick_shard(self, model, chat_key, hint, limit=ANY_REGION):
         """Return the name of the shard for a chat; empty if the model has none.
 
         Parameters
@@ -149,12 +174,23 @@
             Key of the chat.
         hint : str
             Name of the engine of the chat's last turn, or empty.
+        limit : RegionLimit
+            Regions in which the shard has to have an engine in service.
         """
         shards = self.shards_by_model.get(model, ())
+        if limit.is_limited:
+            shards = [
+                shard
+                for shard in shards
+                if any(map(limit.allows, self._find_shard_regions(shard)))
+            ]
         if len(shards) < 2:
             return shards[0].name if shards else ""
         return self._picker_by_model[model].select_shard(
-            chat_key, hint, self.find_shard_loads(model)
+            chat_key,
+            hint,
+            self.find_shard_loads(model),
+            {shard.name for shard in shards} if limit.is_limited else None,
         )
 
     def set_leaving(self, names):
@@ -174,6 +210,7 @@
 
     def _update_configuration(self):
         accepted = self._accepted
+        self._serving_regions_by_shard = {}
         engines = {
             name: self._mark_leaving(engine)
             for name, engine in accepted.engine_by_name.items()
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -28,6 +28,17 @@
 from peridotcove.host_routes import pick_model
 from peridotcove.lease_client import UNKNOWN_ORIGIN
 from peridotcove.models import Engine, LeaseRequest, LifecycleStatus, Model
+from peridotcove.residency import (
+    ANY_REGION,
+    NO_REGION,
+    OTHER_REGION,
+    RegionLimit,
+    check_engine,
+    find_engines_outside,
+    find_region_limit,
+    make_unserved_error,
+    may_pass_through,
+)
 from peridotcove.retries import RetryBudget, RetryPolicy, may_repeat, run_tries
 from peridotcove.stream_origins import StreamOrigin, hash_stream_id
 from peridotcove.verdict import Verdict
@@ -65,7 +76,7 @@
     (
         *RELAY_CODES,
         *("unreachable", "leaving", "paused", "stale-view"),
-        *("other-version", "stale-lease"),
+        *("other-version", "stale-lease", OTHER_REGION),
     )
 )
 RETRY_AFTER_MS = 1_000
@@ -176,17 +187,34 @@
         self.states.check_available(engine.name)
         self.notices.check_available(engine)
 
-    def may_fetch_from(self, engine):
+    def may_fetch_from(self, engine, limit=ANY_REGION):
         """Return whether cached prefixes may be fetched from an engine.
 
         Parameters
         ----------
         engine : Engine
             The engine.
+        limit : RegionLimit
+            Regions in which the request may run.
         """
-        zone = self.fleet.configuration.zone_by_name.get(engine.zone)
+        configuration = self.fleet.configuration
+        zone = configuration.zone_by_name.get(engine.zone)
         is_evacuated = zone is not None and zone.evacuated
-        return not is_evacuated and not self.notices.is_leaving(engine)
+        if is_evacuated or self.notices.is_leaving(engine):
+            return False
+        return may_pass_through(configuration, engine.zone, limit)
+
+    def is_served(self, model, limit):
+        """Return whether a model has engines in service in the regions of a limit.
+
+        Parameters
+        ----------
+        model : str
+            Name of the model.
+        limit : RegionLimit
+            Regions in which a request may run.
+        """
+        return any(map(limit.allows, self.fleet.find_serving_regions(model)))
 
     async def run(self, forward, sink):
         """Forward a request, with retries, and return the engine's answer.
@@ -209,7 +237,15 @@
             If no engine answered. The verdict covers all tries: it is "not run" only
             if no engine may have run the request.
         """
-        model = pick_model(forward.route, self.rng)
+        limit = find_region_limit(
+            self.fleet.configuration, forward.route, forward.customer
+        )
+        if limit.is_limited:
+            model = pick_model(
+                forward.route, self.rng, lambda model: self.is_served(model, limit)
+            )
+        else:
+            model = pick_model(forward.route, self.rng)
         state = _RequestState(self, forward, sink, model, self.budgets.get(model))
         if forward.route.streaming:
             state.find_stream()
@@ -255,6 +291,9 @@
     origin: StreamOrigin | None = None
     # Other models that may have begun a stream that the caller takes up.
     other_models: list = field(factory=list)
+    # Whether an owner has granted an engine outside of the allowed regions: it knows
+    # another configuration, or its software knows no regions.
+    lists_outside: bool = False
 
     def find_stream(self):
         """Set what is known of the stream that the request begins or takes up."""
@@ -276,6 +315,14 @@
             text = "the route no longer leads to the service that began the stream"
             raise RequestRefused("no-version", text, 503, RETRY_AFTER_MS)
 
+    def _find_region_limit(self):
+        """Return the `RegionLimit` that the configuration in force sets."""
+        return find_region_limit(
+            self.forwarder.fleet.configuration,
+            self.forward.route,
+            self.forward.customer,
+        )
+
     def _use_model(self, model):
         self.model = model
         self.budget = self.forwarder.budgets.get(model)
@@ -372,14 +419,14 @@
         forwarder = self.forwarder
         models = [self.model, *self.other_models]
         while True:
-            shard = forwarder.fleet.pick_shard(self.model, request.chat_key, "")
+            limit = RegionLimit.from_regions(request.regions)
+            shard = forwarder.fleet.pick_shard(self.model, request.chat_key, "", limit)
             try:
                 if not shard:
-                    text = f"no engine serves {self.model!r}"
-                    raise RequestRefused("no-engine", text, 503, RETRY_AFTER_MS)
+                    raise self._make_unserved_error(limit)
                 return await forwarder.leases.request_lease(shard, request)
             except RequestRefused as error:
-                is_unknown = error.code in ("no-engine", UNKNOWN_ORIGIN)
+                is_unknown = error.code in ("no-engine", NO_REGION, UNKNOWN_ORIGIN)
                 if not is_unknown:
                     raise
                 if not self.other_models:
@@ -391,6 +438,13 @@
             self._use_model(self.other_models.pop())
             request = evolve(request, model=self.model)
 
+    def _make_unserved_error(self, limit):
+        regions = self.forwarder.fleet.find_serving_regions(self.model)
+        if limit.is_limited and regions:
+            return make_unserved_error(self.model, limit, regions)
+        text = f"no engine serves {self.model!r}"
+        return RequestRefused("no-engine", text, 503, RETRY_AFTER_MS)
+
     def _find_only_origin(self, error, models):
         """Return the origin of all streams; raise the error if none is certain."""
         origin = self.forwarder.stream_origins.find_only_origin(models)
@@ -430,16 +484,31 @@
         notices = self.forwarder.notices
         if not notices.has_pauses:
             return {}
-        engine_by_name = self.forwarder.fleet.configuration.engine_by_name
+        configuration = self.forwarder.fleet.configuration
+        limit = self._find_region_limit()
         return {
             name: notices.pause_left_ms(engine)
-            for name, engine in engine_by_name.items()
+            for name, engine in configuration.engine_by_name.items()
             if engine.model == self.model
             and engine.status is LifecycleStatus.IN_SERVICE
+            and may_pass_through(configuration, engine.zone, limit)
         }
 
     def _make_lease_request(self, left_ms, excluded):
+        """Return the request for a lease.
+
+        Raises
+        ------
+        RequestRefused
+            If the limits of the route and of the customer have no region in common.
+        """
         forward = self.forward
+        limit = self._find_region_limit()
+        if limit.is_limited:
+            if not limit.regions:
+                raise self._make_unserved_error(limit)
+            if self.lists_outside:
+                excluded = (*excluded, *self._find_outside(limit))
         customer = forward.customer
         return LeaseRequest(
             os.urandom(LEASE_ID_BYTES),
@@ -459,8 +528,27 @@
             is_resumed=bool(forward.resume_after),
             software_versions=self._allowed_versions(),
             may_be_elsewhere=self.origin is None and len(forward.route.targets) > 1,
+            regions=limit.list_regions(),
         )
 
+    def _find_outside(self, limit):
+        configuration = self.forwarder.fleet.configuration
+        engines = [
+            engine
+            for engine in configuration.engine_by_name.values()
+            if engine.model == self.model
+        ]
+        return sorted(find_engines_outside(configuration, engines, limit))
+
+    def _check_region(self, engine):
+        """Raise a `RequestRefused` if an engine is outside of the allowed regions."""
+        configuration = self.forwarder.fleet.configuration
+        try:
+            check_engine(configuration, engine, self._find_region_limit())
+        except RequestRefused:
+            self.lists_outside = True
+            raise
+
     def _allowed_versions(self):
         return () if self.origin is None else (self.origin.software_version,)
 
@@ -478,13 +566,15 @@
         forwarder.states.check_available(grant.engine)
         engine_by_name = forwarder.fleet.configuration.engine_by_name
         engine = self.engine = engine_by_name[grant.engine]
+        self._check_region(engine)
         self._check_version(engine)
         forwarder.check_available(engine)
         left_ms = max(1, forward.end_ms - forwarder.clock.now())
         self._start_transfer(engine, left_ms)
         resume_after = self.splitter.last_id if self.sink.started else ""
         source = engine_by_name.get(grant.source)
-        if source is not None and not forwarder.may_fetch_from(source):
+        limit = self._find_region_limit()
+        if source is not None and not forwarder.may_fetch_from(source, limit):
             source = None
         attempt = Attempt(engine, source, left_ms, resume_after, self._get_priority())
         headers = HTTPHeaders()
@@ -506,6 +596,8 @@
             "resumes": forward.resumes_text,
             "software_version": engine.software_version,
         }
+        if limit.is_limited:
+            inputs["regions"] = limit.list_regions()
         self._record("request-sent", inputs, peer=engine.name)
         try:
             async with asyncio.timeout(left_ms / 1000):
@@ -586,6 +678,7 @@
         transfer.connect_ms = min(CONNECT_TIMEOUT_MS, left_ms)
         asked_ms = self.forwarder.clock.now()
         transfer.before_send = lambda: self._check_before_send(engine, asked_ms)
+        transfer.may_relay = self._may_relay
         self.transfer = self.sink.transfer = transfer
 
     def _check_before_send(self, engine, granted_ms):
@@ -593,12 +686,34 @@
         relay = self.transfer.relay
         if relay is not None:
             self._record("request-relayed", {}, peer=relay.peer, detail=engine.name)
+            self._check_relay(relay)
+        self._check_region(engine)
         self.forwarder.check_available(engine)
         delay_ms = self.forwarder.clock.now() - granted_ms
         if engine.cold_ms and delay_ms > MAX_SEND_DELAY_MS:
             text = f"the lease on cold engine {engine.name} is {delay_ms} ms old"
             raise RequestRefused("stale-lease", text, 503, RETRY_AFTER_MS)
 
+    def _may_relay(self, instance):
+        """Return whether the body may be sent to a node."""
+        return may_pass_through(
+            self.forwarder.fleet.configuration,
+            instance.zone,
+            self._find_region_limit(),
+        )
+
+    def _check_relay(self, relay):
+        """Raise a `RequestRefused` if the body may not be sent through a node any more.
+
+        Parameters
+        ----------
+        relay : RelayedConnection
+            Connection through the node.
+        """
+        if not self._may_relay(relay):
+            text = f"node {relay.peer} is outside of the allowed regions"
+            raise RequestRefused(OTHER_REGION, text, 503, RETRY_AFTER_MS)
+
     def _get_priority(self):
         customer = self.forward.customer
         return self.forward.route.priority if customer is None else customer.priority
--- a/peridotcove/host_routes.py
+++ b/peridotcove/host_routes.py
@@ -36,7 +36,7 @@
         return None
 
 
-def pick_model(route, rng):
+def pick_model(route, rng, is_served=lambda model: True):
     """Return the model for one request, chosen at random by the targets' weights.
 
     Parameters
@@ -45,8 +45,12 @@
         Route of the request; the sum of its weights is above 0.
     rng : random.Random
         Random number generator.
+    is_served : callable
+        Whether engines of a model may get the request. Models without any are chosen
+        only if no model of a weight above 0 has some.
     """
     if len(route.targets) == 1:
         return route.targets[0].model
-    weights = [target.weight for target in route.targets]
-    return rng.choices(route.targets, weights)[0].model
+    served = [one for one in route.targets if one.weight and is_served(one.model)]
+    targets = served or route.targets
+    return rng.choices(targets, [target.weight for target in targets])[0].model
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -20,6 +20,7 @@
     pack_hashes,
 )
 from peridotcove.prefix_hashes import sample_prefixes
+from peridotcove.residency import NO_REGION
 
 # Ten times the round trip between zones, and short against the latency that callers
 # expect.
@@ -349,6 +350,7 @@
         request.is_resumed,
         list(request.software_versions),
         request.may_be_elsewhere,
+        list(request.regions),
     )
 
 
@@ -366,6 +368,7 @@
         "deadline": "no engine became available in time",
         "all-paused": "all engines of this model want no requests yet",
         "cold": "all engines of this model have just started",
+        NO_REGION: "no engine of this model is in service in the allowed regions",
         "concurrency": "the customer has too many requests in progress",
         QUARANTINED: "engines crashed on a part of the prompt",
         UNKNOWN_ORIGIN: "it is not known which software version began the stream",
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -30,6 +30,7 @@
     unpack_hashes,
 )
 from peridotcove.outlier_detection import OutlierDetector
+from peridotcove.residency import NO_REGION, find_serving_regions
 from peridotcove.stream_origin_sync import StreamOriginSync
 from peridotcove.suspect_sync import SuspectSync, format_part
 
@@ -217,13 +218,20 @@
         engines = [
             engine_by_name[one] for one in shard.engines if one in engine_by_name
         ]
-        if not any(
-            engine.software_version in versions
-            and engine.status is LifecycleStatus.IN_SERVICE
+        serving = [
+            engine.name
             for engine in engines
-        ):
+            if engine.software_version in versions
+            and engine.status is LifecycleStatus.IN_SERVICE
+        ]
+        if not serving:
             self._refuse(request, tracked, NO_VERSION)
             return None
+        if request.regions and find_serving_regions(
+            self._fleet.configuration, serving
+        ).isdisjoint(request.regions):
+            self._refuse(request, tracked, NO_REGION)
+            return None
         others = [one.name for one in engines if one.software_version not in versions]
         return evolve(
             request,
@@ -245,7 +253,10 @@
         return self._node in self._fleet.rank_owners(shard)[:MAX_OWNERS]
 
     def _refuse(self, request, tracked, code):
-        inputs = {"software_versions": list(request.software_versions)}
+        inputs = {
+            "software_versions": list(request.software_versions),
+            "regions": list(request.regions),
+        }
         self._record("lease-refused", tracked.trace_id, tracked.entry, code, inputs)
         refusal = RefuseLease(request.request_id, code, VERSION_RETRY_AFTER_MS)
         self._send_answer(tracked.entry, refusal)
@@ -276,6 +287,7 @@
             is_resumed=message.is_resumed,
             software_versions=tuple(message.software_versions),
             may_be_elsewhere=message.may_be_elsewhere,
+            regions=tuple(message.regions),
         )
 
     def _handle_release(self, message):
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -51,6 +51,8 @@
         Priority class in the queue; 0 is served first.
     label : str
         Name by which engines know the customer, if it isn't `name`.
+    regions : tuple of str
+        Regions in which its requests may run; all if empty.
     """
 
     name: str
@@ -60,6 +62,7 @@
     weight: float = number_field(0.001, 1000, default=1.0)
     priority: int = number_field(0, 9, default=1)
     label: str = ""
+    regions: tuple[str, ...] = ()
 
 
 @frozen
@@ -74,11 +77,15 @@
         Region that the zone belongs to.
     evacuated : bool
         Whether its engines and endpoints get no new work.
+    residency_region : str
+        Region that counts for customers and host routes that allow only some regions,
+        if it isn't `region`. It may divide a region whose nodes share all engines.
     """
 
     name: str
     region: str
     evacuated: bool = False
+    residency_region: str = ""
 
 
 @frozen
@@ -301,6 +308,8 @@
         Maximum time in ms that a caller waits.
     goal_ms : int
         Target time in ms for the response, or for a stream's first event.
+    regions : tuple of str
+        Regions in which its requests may run; all if empty.
     """
 
     name: str
@@ -316,6 +325,7 @@
     priority: int = number_field(0, 9, default=5)
     timeout_ms: int = number_field(1, 86_400_000, default=60_000)
     goal_ms: int = number_field(1, 86_400_000, default=1_000)
+    regions: tuple[str, ...] = ()
 
 
 @frozen
@@ -490,6 +500,8 @@
     software_versions : tuple of str
         Software versions of the engines that may be used; any if empty. If a stream is
         taken up without them, its owner uses the one that began it.
+    regions : tuple of str
+        Regions whose engines may be used, sorted; all if empty.
     """
 
     request_id: bytes
@@ -511,6 +523,7 @@
     is_resumed: bool = False
     software_versions: tuple = ()
     may_be_elsewhere: bool = False
+    regions: tuple = ()
 
 
 @frozen
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -1,9 +1,9 @@
 """Typed messages between nodes and their CBOR encoding.
 
 A frame is one CBOR array: ``[VERSION, code, revision, fields...]``, where revision is
-that of the sender's configuration. Fields are in the order of the class. Additional
-fields at the end are ignored, so that two versions of the program can run in the fleet
-at once.
+that of the sender's configuration. Fields are in the order of the class; those at the
+end that have their defaults are left out. Additional fields at the end are ignored, so
+that two versions of the program can run in the fleet at once.
 """
 
 import attrs
@@ -38,6 +38,12 @@
         cls.FIELD_NAMES = tuple(spec.name for spec in specs)
         cls.FIELD_TYPES = tuple(spec.type for spec in specs)
         cls.REQUIRED_FIELD_COUNT = sum(spec.default is attrs.NOTHING for spec in specs)
+        cls.DEFAULTS = tuple(
+            spec.default.factory()
+            if isinstance(spec.default, attrs.Factory)
+            else spec.default
+            for spec in specs
+        )
         return messages.register(code)(cls)
 
     return register_class
@@ -114,6 +120,8 @@
         Software versions of the engines that may be used; any if empty.
     may_be_elsewhere : bool
         Whether the stream may have begun at another model, if it is not known where.
+    regions : list
+        Regions whose engines may be used; all if empty.
     """
 
     request_id: bytes
@@ -133,6 +141,7 @@
     is_resumed: bool = False
     software_versions: list = field(factory=list)
     may_be_elsewhere: bool = False
+    regions: list = field(factory=list)
 
 
 @message(3)
@@ -298,6 +307,10 @@
         Configuration revision of the sender.
     """
     values = [getattr(item, name) for name in item.FIELD_NAMES]
+    while len(values) > item.REQUIRED_FIELD_COUNT:
+        if values[-1] != item.DEFAULTS[len(values) - 1]:
+            break
+        del values[-1]
     return cbor2.dumps([VERSION, item.CODE, revision, *values])
 
 
--- a/peridotcove/nodes/relay_client.py
+++ b/peridotcove/nodes/relay_client.py
@@ -45,11 +45,14 @@
         Name of the peer.
     token : bytes
         Token of the connection.
+    zone : str
+        Availability zone of the peer.
     """
 
     sock: socket.socket
     peer: str
     token: bytes
+    zone: str = ""
     _ended: asyncio.Event = field(factory=asyncio.Event)
 
     def confirm_end(self):
@@ -161,13 +164,15 @@
         writer.close()
         return True
 
-    async def connect(self, address):
+    async def connect(self, address, may_relay=lambda instance: True):
         """Open a connection to an engine through a peer.
 
         Parameters
         ----------
         address : str
             Address of the engine, ``HOST:PORT``.
+        may_relay : callable
+            Called with the `Instance` of a peer; whether it may be used.
 
         Returns
         -------
@@ -178,7 +183,8 @@
         EndpointFailed
             If no peer has opened one; nothing was sent to the engine.
         """
-        for peer in self._paths.rank_relays(self._find_peers())[:MAX_PEERS]:
+        peers = list(filter(may_relay, self._find_peers()))
+        for peer in self._paths.rank_relays(peers)[:MAX_PEERS]:
             try:
                 answer, connection = await self._open(peer, address)
             except (OSError, LinkDown) as error:
@@ -202,7 +208,7 @@
         token = os.urandom(TOKEN_BYTES)
         loop = asyncio.get_running_loop()
         sock = socket.socket()
-        connection = RelayedConnection(sock, peer.name, token)
+        connection = RelayedConnection(sock, peer.name, token, peer.zone)
         self._connection_by_token[token] = connection
         answer = b""
         try:
--- a/peridotcove/platform/document.py
+++ b/peridotcove/platform/document.py
@@ -28,6 +28,8 @@
 # A name that is sent in a header field: no control characters.
 SENT_NAME_PATTERN = re.compile(r"[^\x00-\x1f\x7f]+")
 HASHED_NAME_CHARS = 16
+# In place of a limit that can't be read; no zone lies there.
+UNREADABLE_REGION = "x-unreadable"
 # Entries whose check is remembered; most stay the same from one version to the next.
 ENTRY_CACHE_SIZE = 16_384
 # Errors of a value that has other fields, types or sizes than expected.
@@ -204,7 +206,7 @@
         customer["label"] = name
     if type(raw.get("priority")) is int:
         customer["priority"] = _clamp(HostRoute, "priority", raw["priority"], name)
-    return customer
+    return customer | _read_regions(raw)
 
 
 def _drop_repeated_keys(customer_by_name):
@@ -252,9 +254,31 @@
         "priority": _read_number(raw, "priority", DEFAULT_PRIORITY),
         "timeout_ms": _clamp(HostRoute, "timeout_ms", int(raw["timeout_ms"]), name),
         "goal_ms": _read_number(raw, "goal_ms", DEFAULT_GOAL_MS),
+        **_read_regions(raw),
     }
 
 
+def _read_regions(raw):
+    """Return the regions to which a route or tenant is limited, as a field if it is.
+
+    A limit that can't be read allows no region. Without its entry, a request could
+    match another route, which has no limit.
+    """
+    # 'allowed_regions' lists names of regions; without any, all are allowed.
+    value = raw.get("allowed_regions")
+    if value is None or value == []:
+        return {}
+    if isinstance(value, list) and all(isinstance(one, str) for one in value):
+        return {"regions": [make_name(one) for one in dict.fromkeys(value)]}
+    log.error(
+        "%s: the regions of %.60r are %.80r, no list of names; it gets no engine",
+        CONFIGURATION_KEY,
+        raw["name"],
+        value,
+    )
+    return {"regions": [UNREADABLE_REGION]}
+
+
 def _read_number(raw, field, default):
     """Return a whole number of a route, within its range; the default if it is none."""
     value = raw.get(field, default)
--- a/peridotcove/platform/translation.py
+++ b/peridotcove/platform/translation.py
@@ -9,7 +9,7 @@
 from peridotcove.json_values import decode_json
 from peridotcove.logs import get_logger
 from peridotcove.models import Configuration
-from peridotcove.platform.document import VALUE_ERRORS
+from peridotcove.platform.document import VALUE_ERRORS, make_name
 from peridotcove.schema import build
 
 SERVERS_PREFIX = "servers/"
@@ -18,6 +18,8 @@
 STATUS_BY_SERVER_STATE = {"ready": "in-service", "draining": "leaving"}
 # Servers of any zone may serve clients of any other zone: all zones form one region.
 REGION = "machines"
+# Name of a zone's own region if the settings give no text for it.
+UNKNOWN_REGION_NAME = "x-unknown"
 # Characters of a block of 64 tokens, at 4 characters for each token as the cache index
 # assumes. Rounding to whole blocks costs the shortest shared prompts a fiftieth of
 # their wait.
@@ -52,14 +54,17 @@
     """
     return {
         "bounds": _make_bounds(store, document.keys_required),
-        "zones": _make_zones(item_by_key, store.region_by_zone),
+        "zones": _make_zones(item_by_key, document, store.region_by_zone),
         "engines": _make_engines(item_by_key, document, store.region_by_zone),
         **document.sections,
     }
 
 
-def _make_zones(item_by_key, zones):
-    raw_by_zone = {zone: {"region": REGION} for zone in zones}
+def _make_zones(item_by_key, document, region_by_zone):
+    raw_by_zone = {zone: {"region": REGION} for zone in region_by_zone}
+    if _has_region_limits(document):
+        for zone, region in region_by_zone.items():
+            raw_by_zone[zone]["residency_region"] = _make_region_name(region)
     for key in item_by_key:
         if not key.startswith(EVACUATION_PREFIX):
             continue
@@ -71,6 +76,19 @@
     return raw_by_zone
 
 
+def _has_region_limits(document):
+    return any(
+        "regions" in entry
+        for section in ("customers", "host_routes")
+        for entry in document.sections[section].values()
+    )
+
+
+def _make_region_name(region):
+    """Return the name of a zone's region; one that can't be read is in no limit."""
+    return make_name(region) if isinstance(region, str) else UNKNOWN_REGION_NAME
+
+
 @functools.lru_cache(maxsize=ENTRY_CACHE_SIZE)
 def _log_unknown_zone(zone):
     """Log once that a zone can't be evacuated."""
--- a/peridotcove/service_router.py
+++ b/peridotcove/service_router.py
@@ -5,6 +5,15 @@
 from peridotcove.endpoints.service_client import HttpCall
 from peridotcove.exceptions import RequestRefused, TicketRefused
 from peridotcove.models import LifecycleStatus
+from peridotcove.residency import (
+    NO_REGION,
+    RETRY_AFTER_MS,
+    check_engine,
+    find_region_limit,
+    find_zone_region,
+    make_unserved_error,
+    may_pass_through,
+)
 from peridotcove.retries import (
     MAX_TRIES,
     RetryBudget,
@@ -145,7 +154,7 @@
         headers += (("X-Request-Id", request_id.hex()),)
         if service.repeatable(request.method, path):
             call = HttpCall(request.method, target, headers, request.body)
-            answer = await self._send_with_retries(service, call, True)
+            answer = await self._send_with_retries(service, call, True, customer)
         else:
             answer = await self._run_at_most_once(
                 TicketedCall(
@@ -177,7 +186,11 @@
         service = self._find_service(call.service)
         key = call.ticket
         service_call = HttpCall(call.method, call.path, call.headers, call.body, key)
-        return await self._send_with_retries(service, service_call, False)
+        customer = self._fleet.configuration.customer_by_name.get(call.customer)
+        if customer is None:
+            text = f"customer {call.customer!r} is not in this node's configuration"
+            raise RequestRefused("unknown-customer", text, 503, RETRY_AFTER_MS)
+        return await self._send_with_retries(service, service_call, False, customer)
 
     def _find_service(self, name):
         service = self._fleet.configuration.service_by_name.get(name)
@@ -195,28 +208,34 @@
             reply.code, text, answer.status, answer.verdict, reply.ticket
         )
 
-    async def _send_with_retries(self, service, call, repeatable):
+    async def _send_with_retries(self, service, call, repeatable, customer):
         self._budget.share = self._fleet.configuration.bounds.retry_share
         tried = set()
 
         def attempt(number):
-            endpoint = self._pick_endpoint(service, tried)
+            endpoint = self._pick_endpoint(service, tried, customer)
             tried.add(endpoint.name)
-            return self._send(endpoint, call, repeatable)
+            return self._send(endpoint, call, repeatable, customer)
 
         policy = RetryPolicy(
             self._budget,
             self._rng,
             lambda error, tries: (
                 tries < MAX_TRIES
-                and error.code != NO_ENDPOINT
+                and error.code not in (NO_ENDPOINT, NO_REGION)
                 and may_repeat(error, repeatable, False)
             ),
             lambda error, tries: self._metrics.retries.inc(),
         )
         return await run_tries(policy, attempt)
 
-    async def _send(self, endpoint, call, repeatable):
+    def _check_endpoint(self, endpoint, customer):
+        self._states.check_available(endpoint.name)
+        configuration = self._fleet.configuration
+        limit = find_region_limit(configuration, customer=customer)
+        check_engine(configuration, endpoint, limit)
+
+    async def _send(self, endpoint, call, repeatable, customer):
         load = self._load_by_endpoint
         load[endpoint.name] = load.get(endpoint.name, 0) + 1
         try:
@@ -225,18 +244,27 @@
                 call,
                 self._limits.first_byte_ms,
                 repeatable,
-                lambda: self._states.check_available(endpoint.name),
+                lambda: self._check_endpoint(endpoint, customer),
             )
         finally:
             load[endpoint.name] -= 1
 
-    def _pick_endpoint(self, service, tried):
+    def _pick_endpoint(self, service, tried, customer):
         leaving = set(self._states.leaving())
         usable = [item for item in service.endpoints if item.name not in leaving]
         usable = [item for item in usable if item.status is LifecycleStatus.IN_SERVICE]
         if not usable:
             text = f"no endpoint of service {service.name!r} is in service"
             raise RequestRefused(NO_ENDPOINT, text, 503, 5000)
+        configuration = self._fleet.configuration
+        limit = find_region_limit(configuration, customer=customer)
+        inside = [
+            item for item in usable if may_pass_through(configuration, item.zone, limit)
+        ]
+        if not inside:
+            regions = {find_zone_region(configuration, item.zone) for item in usable}
+            raise make_unserved_error(service.name, limit, regions)
+        usable = inside
         untried = [item for item in usable if item.name not in tried] or usable
         return min(untried, key=self._rank_endpoint)
 
--- a/peridotcove/shard_selection.py
+++ b/peridotcove/shard_selection.py
@@ -52,7 +52,7 @@
             engine: shard.name for shard in shards for engine in shard.engines
         }
 
-    def select_shard(self, chat_key, hint, load_by_shard):
+    def select_shard(self, chat_key, hint, load_by_shard, allowed=None):
         """Return the name of the shard whose owner is asked for a lease.
 
         Parameters
@@ -63,8 +63,12 @@
             Engine of the chat's last turn, or empty.
         load_by_shard : dict
             `ShardLoad` by name of the shard; missing shards count as having mean load.
+        allowed : set of str or None
+            Shards of which one is selected; None for all.
         """
         order = self._ranking.order(chat_key)
+        if allowed is not None:
+            order = [name for name in order if name in allowed]
         hinted = self._shard_by_engine.get(hint)
         if hinted in order:
             order.remove(hinted)
--- a/tests/test_chat_router.py
+++ b/tests/test_chat_router.py
@@ -40,7 +40,7 @@
         """Return whether an outcome is next in the script."""
         return bool(self.script) and self.script[0] == outcome
 
-    async def run(self, engine, body, name, sink, before_send):
+    async def run(self, engine, body, name, sink, before_send, may_relay):
         """Run one try."""
         before_send()
         self.tries += 1
