--- a/peridotcove/native_interface.py
+++ b/peridotcove/native_interface.py
@@ -36,6 +36,7 @@
     HomeRateLimiter,
 )
 from peridotcove.rendezvous import rank
+from peridotcove.residency import find_region_limit, may_pass_through
 from peridotcove.service_router import ServiceRouter
 from peridotcove.ticket_authority import TicketAuthority
 from peridotcove.ticketed_call_coordinator import TicketedCallCoordinator
@@ -101,7 +102,7 @@
             node.name, node.incarnation, secret, node.clock
         )
         self.call_coordinator = TicketedCallCoordinator(
-            self.ticket_authority, node.clock
+            self.ticket_authority, node.clock, self._may_forward
         )
         events = TicketedCallEvents(node.timeline)
         self.call_executor = TicketedCallExecutor(
@@ -111,6 +112,13 @@
             dict.fromkeys(TICKETED_CALL_MESSAGES, self.call_executor.handle_message)
         )
 
+    def _may_forward(self, peer, customer):
+        """Return whether the body of a customer's call may be sent to a node."""
+        fleet = self.node.fleet
+        found = fleet.configuration.customer_by_name.get(customer)
+        limit = find_region_limit(fleet.configuration, customer=found)
+        return may_pass_through(fleet.configuration, fleet.zone_of(peer), limit)
+
     async def _run_ticketed(self, call):
         return await self.service_router.run_ticketed(call)
 
--- a/peridotcove/service_router.py
+++ b/peridotcove/service_router.py
@@ -36,6 +36,8 @@
     "ticket-expired": "the ticket has expired",
     "ticket-spent": "the ticket's call was not run; use the new ticket",
     "ticket-home-gone": "the node that recorded the outcome of the call is gone",
+    "ticket-home-outside": "the node that recorded the outcome of the call is outside "
+    "of the customer's regions",
     "ticket-home-unreachable": "the node that recorded the outcome did not answer",
     "outcome-unknown": "the endpoint gave no complete answer",
 }
--- a/peridotcove/ticketed_call_coordinator.py
+++ b/peridotcove/ticketed_call_coordinator.py
@@ -18,6 +18,7 @@
 from peridotcove.ticket_codec import digest_call
 from peridotcove.ticketed_calls import (
     BODY_TOO_LARGE,
+    HOME_OUTSIDE,
     HOME_UNREACHABLE,
     MAX_BODY_BYTES,
     REPEAT_TOO_LARGE,
@@ -48,6 +49,9 @@
         Decides which process may run the call of a ticket.
     clock : Clock
         Time in ms.
+    may_forward : callable
+        Called with the names of a node and of a customer; whether the body of a call of
+        the customer may be sent to the node.
 
     Attributes
     ----------
@@ -55,9 +59,12 @@
         Calls of this node's callers that were forwarded to another process.
     """
 
-    def __init__(self, ticket_authority, clock):
+    def __init__(
+        self, ticket_authority, clock, may_forward=lambda node, customer: True
+    ):
         self.ticket_authority = ticket_authority
         self.clock = clock
+        self._may_forward = may_forward
         self.pending_by_call_id = {}
         self._waiters_by_ticket = {}
         self._hand_over_by_origin = {}
@@ -275,6 +282,9 @@
         if not isinstance(decision, ForwardTo):
             del self.pending_by_call_id[call_id]
             return self._apply_decision(decision, call, None, call_id)
+        if not self._may_forward(decision.node, call.customer):
+            del self.pending_by_call_id[call_id]
+            return [self._refuse_caller(call_id, HOME_OUTSIDE, call.customer)]
         pending.resend_ms = self.clock.now() + RESEND_INTERVAL_MS
         message = make_run_message(call_id, decision.incarnation, call)
         return [OutgoingMessage(decision.node, message)]
--- a/peridotcove/ticketed_calls.py
+++ b/peridotcove/ticketed_calls.py
@@ -15,6 +15,7 @@
 CLOSING = Refuse("closing", Verdict.NOT_RUN)
 TICKET_IN_USE = Refuse("ticket-in-use", Verdict.MAY_HAVE_RUN)
 HOME_UNREACHABLE = Refuse("ticket-home-unreachable", Verdict.MAY_HAVE_RUN)
+HOME_OUTSIDE = Refuse("ticket-home-outside", Verdict.MAY_HAVE_RUN)
 BODY_TOO_LARGE = Refuse("body-too-large", Verdict.NOT_RUN)
 REPEAT_TOO_LARGE = Refuse("body-too-large", Verdict.MAY_HAVE_RUN)
 
@@ -30,6 +31,7 @@
     "answer-not-kept": 409,
     "outcome-unknown": 409,
     "ticket-home-gone": 409,
+    "ticket-home-outside": 409,
     "ticket-home-unreachable": 503,
     "closing": 503,
     "body-too-large": 413,
--- a/tests/test_configuration_checks.py
+++ b/tests/test_configuration_checks.py
@@ -6,7 +6,17 @@
 
 from peridotcove.configuration import parse_configuration
 from peridotcove.configuration_checks import find_faults
-from peridotcove.models import Customer, Endpoint, Engine, Model, Route, Service, Zone
+from peridotcove.models import (
+    Customer,
+    Endpoint,
+    Engine,
+    HostRoute,
+    Model,
+    Route,
+    Service,
+    Target,
+    Zone,
+)
 from tests.test_leases import RAW
 
 URL = "http://127.0.0.1:7"
@@ -48,6 +58,21 @@
                 changed = evolve(base, **{section: {}})
                 self.assertTrue(list(find_faults(changed, "x", base)))
 
+    def test_odd_or_repeated_regions_are_faults(self):
+        base = parse_configuration(RAW)
+        route = HostRoute("r", "h", targets=(Target("m"),), regions=("east", "east"))
+        for section, entry in (
+            ("customer_by_name", Customer("c", regions=("no such region!",))),
+            ("customer_by_name", Customer("c", regions=("",))),
+            ("host_route_by_name", route),
+            ("zone_by_name", Zone("a", "r", residency_region="x y")),
+        ):
+            with self.subTest(entry=entry):
+                changed = evolve(base, **{section: {entry.name: entry}})
+                faults = list(find_faults(changed, "x", base))
+                self.assertTrue(faults)
+                self.assertIn("region", faults[0].path)
+
     def test_a_newline_in_a_name_is_a_fault(self):
         base = parse_configuration(RAW)
         customers = {"good\nname": Customer("good\nname")}
--- a/tests/test_configuration_differences.py
+++ b/tests/test_configuration_differences.py
@@ -38,6 +38,13 @@
         lambda fleet: fleet._raw["customers"]["hotels"].update(key_digests=["0" * 64]),
         ["customers: hotels: key_digests change"],
     ),
+    (
+        lambda fleet: fleet._raw["customers"]["hotels"].update(regions=["nowhere"]),
+        [
+            "customers: hotels: regions () -> ('nowhere',)",
+            "regions: customer hotels: nothing is in service in nowhere",
+        ],
+    ),
     (
         lambda fleet: fleet.remove("customers", "clubs"),
         ["customers: removed: clubs"],
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -409,6 +409,69 @@
         self.assertIn(decision.engine, others)
 
 
+class RegionDispatchTest(unittest.TestCase):
+    """Limits of regions: engine-0 is in the region west, all others are in east."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.engines = make_engines(capacity=1)
+        self.engines["engine-0"] = evolve(self.engines["engine-0"], zone="z2")
+        self.configuration = self.configure(self.engines)
+        shard = compute_shards(self.configuration, "north")[0]
+        self.dispatcher = Dispatcher(shard, self.configuration, self.clock)
+
+    def configure(self, engines, **bounds):
+        zones = {
+            "z1": Zone("z1", "north", residency_region="east"),
+            "z2": Zone("z2", "north", residency_region="west"),
+        }
+        found = make_configuration(engines, load_bound=50.0, **bounds)
+        return evolve(found, zone_by_name=zones)
+
+    def ask(self, number, *regions, **values):
+        request = make_request(number, regions=regions, **values)
+        return self.dispatcher.request_lease(request)
+
+    # The queue is served in order: its first request would hold up all others.
+    def test_a_full_region_holds_up_no_request_of_another(self):
+        self.assertEqual(self.ask(1, "west")[0].engine, "engine-0")
+        self.assertEqual([self.ask(n, "west") for n in (2, 3)], [[], []])
+        granted = [self.ask(n, *regions) for n, regions in ((4, ("east",)), (5, ()))]
+        self.assertEqual([len(one) for one in granted], [1, 1])
+        self.assertNotIn("engine-0", {one.engine for (one,) in granted})
+        released = self.dispatcher.release((1).to_bytes(8, "big"), "done")
+        self.assertEqual([one.engine for one in released], ["engine-0"])
+        self.assertEqual(self.dispatcher.waiting, 1)
+
+    def test_a_region_without_engines_in_service_is_refused_at_once(self):
+        self.assertEqual(self.ask(1, "south")[0].code, "no-region")
+        self.ask(2, "west")
+        self.assertEqual(self.ask(3, "west"), [])
+        leaving = evolve(self.engines["engine-0"], status=LifecycleStatus.LEAVING)
+        configuration = self.configure(self.engines | {"engine-0": leaving})
+        decisions = self.dispatcher.set_configuration(configuration)
+        self.assertEqual([one.code for one in decisions], ["no-region"])
+        self.assertEqual(self.dispatcher.waiting, 0)
+
+    def test_engines_of_the_region_that_want_no_requests_are_no_choice(self):
+        (refusal,) = self.ask(1, "west", excluded=("engine-0",))
+        self.assertEqual(refusal.code, "all-paused")
+
+    def test_prefixes_are_fetched_from_the_regions_only(self):
+        sharing = {
+            name: evolve(one, shares_cache=True) for name, one in self.engines.items()
+        }
+        self.dispatcher.set_configuration(self.configure(sharing))
+        parts = ([("one", 4_000)], [("two", 200)])
+        keys, ends = hash_prompt_parts("m", [*parts[0], *parts[1]])
+        values = {"prefixes": keys, "part_ends": ends}
+        self.assertEqual(self.ask(1, "west", **values)[0].engine, "engine-0")
+        (limited,) = self.ask(2, "east", **values)
+        (free,) = self.ask(3, excluded=(limited.engine,), **values)
+        self.assertEqual(limited.source, "")
+        self.assertNotEqual(free.source, "")
+
+
 class UnknownCachesTest(unittest.TestCase):
     """A new owner waits for the lists of the caches rather than compute prompts again.
 
--- a/tests/test_ticketed_call_coordinator.py
+++ b/tests/test_ticketed_call_coordinator.py
@@ -181,6 +181,26 @@
         assert not open_calls, "a call got no reply"
 
 
+class MayForwardTest(unittest.TestCase):
+    """The body of a call goes to the holder of its ticket only where it may."""
+
+    def test_a_call_is_refused_if_its_holder_may_not_get_it(self):
+        clock, asked = FakeClock(), []
+        minter, other = (
+            TicketAuthority(name, number, SECRET, clock)
+            for number, name in enumerate(NODES[:2], 1)
+        )
+        coordinator = TicketedCallCoordinator(
+            other, clock, lambda *pair: asked.append(pair)
+        )
+        call = TicketedCall(minter.mint("firm"), "firm", "POST", "stock", "/r")
+        (reply,) = coordinator.submit(b"12345678", call, WAIT_MS)
+        self.assertEqual(asked, [("a", "firm")])
+        self.assertEqual(reply.code, "ticket-home-outside")
+        self.assertEqual(reply.answer.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(coordinator.count_pending(), 0)
+
+
 class TestTicketedCallCoordinator(unittest.TestCase):
     """The invariants hold; for naive variants see `tests.test_ticketed_call_faults`."""
 
