Owners learn from answers that an engine is cold; it grows into its load

Cause: only entries of the store told of a cold time, so an engine that turned cold under load got its whole share until its entry came; at the end of the time it got all new requests at once. Change: the dialect reads the time of any answer; the notice marks the engine in the configuration in force and reaches the shard's owners in a new field at the end of their report, which older nodes read as a report of nothing. A warm engine that turns cold gets nothing for 250 ms. After the cold time the rate doubles each 500 ms until the engine could be full within a second.

--- a/peridotcove/cold_engines.py
+++ b/peridotcove/cold_engines.py
@@ -3,6 +3,10 @@
 The first owner of a shard grants leases on a cold engine at the rate that it bears. An
 owner that stands in for it, or that has just become the first, may run beside others
 that still grant; it uses a part of what the bound allows beyond that rate.
+
+After its cold time the rate of an engine doubles in each `RAMP_DOUBLING_MS`, until it
+could fill the engine in a second. Without that, the least loaded engine of the model
+would get all new requests at once.
 """
 
 from attrs import define
@@ -15,6 +19,8 @@
 BUNCHING_SHARE = 0.25
 # Time for which a request may be on its way from the grant to the engine.
 MAX_SEND_DELAY_MS = int(BUNCHING_SHARE * MS_PER_S)
+# Time after the end of the cold time in which the rate of an engine doubles.
+RAMP_DOUBLING_MS = 500
 # Owners that may grant beside the first one.
 MAX_OTHER_OWNERS = 2
 
@@ -29,6 +35,10 @@
     refilled_ms: int
     tokens: float = 0.0
 
+    def ramp_factor(self, now):
+        """Return by how much the rate has grown since the end of the cold time."""
+        return 2.0 ** (max(0, now - self.end_ms) / RAMP_DOUBLING_MS)
+
 
 class ColdEngines:
     """The engines of a shard that are cold, and which may get a request now.
@@ -48,6 +58,8 @@
         self._clock = clock
         self._spell_by_engine = {}
         self._rate_by_engine = {}
+        self._full_rate_by_engine = {}
+        self._incarnation_by_engine = {}
         self._capacity = 1.0
         self._allowed_share = 1.0
         self.share = 0.0
@@ -64,24 +76,48 @@
         bounds : Bounds
             Bounds of the configuration.
         """
-        now = self._clock.now()
+        engines = list(engines)
         spells, rates = {}, {}
         for engine in engines:
             model = model_by_name.get(engine.model)
-            if model is None or not model.cold_rate or not engine.cold_ms:
+            if model is None or not model.cold_rate:
                 continue
-            key = engine.incarnation, engine.cold_report
-            spell = self._spell_by_engine.get(engine.name)
-            if spell is None or (spell.incarnation, spell.report) != key:
-                left_ms = min(engine.cold_ms, MAX_COLD_MS)
-                tokens = 0.0 if spell is None else spell.tokens
-                spell = _ColdSpell(*key, now + left_ms, now, tokens)
-            spells[engine.name] = spell
-            rates[engine.name] = model.cold_rate
+            spell = self._find_spell(engine, model.cold_rate)
+            if spell is not None:
+                spells[engine.name] = spell
+                rates[engine.name] = model.cold_rate
         self._spell_by_engine, self._rate_by_engine = spells, rates
+        # Requests a second with which an engine could be full within one.
+        self._full_rate_by_engine = {
+            one.name: one.capacity for one in engines if one.name in spells
+        }
+        self._incarnation_by_engine = {one.name: one.incarnation for one in engines}
         self._capacity = max(1.0, bounds.cold_rate_extra / (1 + MAX_OTHER_OWNERS))
         self._allowed_share = bounds.cold_rate_ratio / (1 + BUNCHING_SHARE)
 
+    def _find_spell(self, engine, rate):
+        """Return the spell of an engine, or None if it is warm."""
+        now = self._clock.now()
+        spell = self._spell_by_engine.get(engine.name)
+        if spell is not None and spell.incarnation != engine.incarnation:
+            tokens, end_ms, spell = spell.tokens, now, None
+        elif spell is not None:
+            tokens, end_ms = spell.tokens, spell.end_ms
+        else:
+            # Requests that were granted while it was warm are still on their way.
+            is_known = (
+                self._incarnation_by_engine.get(engine.name) == engine.incarnation
+            )
+            tokens, end_ms = -BUNCHING_SHARE * rate if is_known else 0.0, now
+        if not engine.cold_ms:
+            if spell is not None:
+                spell.end_ms = min(spell.end_ms, now)
+            return spell
+        if spell is not None and spell.report == engine.cold_report:
+            return spell
+        end_ms = max(end_ms, now + min(engine.cold_ms, MAX_COLD_MS))
+        return _ColdSpell(engine.incarnation, engine.cold_report, end_ms, now, tokens)
+
     def set_role(self, is_alone, is_owner):
         """Set which part of the rates this node may use.
 
@@ -102,14 +138,19 @@
             self.share = 0.0
 
     def find_blocked(self):
-        """Return the names of the cold engines that may get no request now."""
+        """Return the names of the engines that may get no request now.
+
+        They are cold, or were until a moment ago.
+        """
         if not self._spell_by_engine:
             return ()
         self._refill()
+        now = self._clock.now()
+        # A node that is no owner of the shard has no rate that could grow.
         return tuple(
             name
             for name, spell in self._spell_by_engine.items()
-            if spell.tokens < 1 and spell.end_ms > self._clock.now()
+            if spell.tokens < 1 and (spell.end_ms > now or self.share)
         )
 
     def record_grant(self, engine):
@@ -153,8 +194,15 @@
 
     def _refill(self):
         now = self._clock.now()
-        for name, spell in self._spell_by_engine.items():
-            rate = self.share * self._rate_by_engine[name]
+        for name, spell in list(self._spell_by_engine.items()):
+            factor = spell.ramp_factor(now)
+            rate = self.share * self._rate_by_engine[name] * factor
+            if factor > 1 and rate >= self._full_rate_by_engine[name]:
+                del self._spell_by_engine[name]
+                continue
             gained = rate * (now - spell.refilled_ms) / MS_PER_S
-            spell.tokens = min(self._capacity, spell.tokens + gained)
+            capacity = self._capacity
+            if factor > 1:
+                capacity = max(capacity, BUNCHING_SHARE * rate)
+            spell.tokens = min(capacity, spell.tokens + gained)
             spell.refilled_ms = now
--- a/peridotcove/engine_notice_sync.py
+++ b/peridotcove/engine_notice_sync.py
@@ -8,12 +8,15 @@
 from peridotcove.nodes.network import OutgoingMessage
 from peridotcove.nodes.relay_messages import RelayedNotice
 
+NO_INCARNATION = 0
+
 
 class EngineNoticeSync:
     """Handles notices that answers bring, and reports of them by other nodes.
 
-    An owner that knows that an engine leaves grants no lease on it to any node, so only
-    the owners of its shard are told.
+    An owner that knows that an engine leaves grants no lease on it to any node, and few
+    if it knows that it is cold. So only the owners of its shard are told, at once: the
+    report is on its way before the end of the request.
 
     Parameters
     ----------
@@ -72,11 +75,18 @@
             self._metrics.engine_pauses.labels(engine.name).inc()
             text = f"{notice.pause_ms} ms"
             self._record("engine-paused", engine, request_id, text)
+        key = engine.name, engine.incarnation
+        if notice.cold_ms and self.notices.record_cold(key, notice.cold_ms):
+            text = f"{notice.cold_ms} ms"
+            self._record("engine-turned-cold", engine, request_id, text)
+            self._on_change()
+            message = _make_cold_message([(*key, notice.cold_ms)])
+            self._send_all(self._make_reports([engine.name], message))
         if is_news:
             self._metrics.engines_leaving.labels(engine.name).inc()
             self._record("engine-leaving", engine, request_id)
             self._on_change()
-            self._send_all(self._make_reports([(engine.name, engine.incarnation)]))
+            self._send_all(self._make_reports([engine.name], _make_message([key])))
 
     def receive_relayed(self, peer, message):
         """Handle the notice of an answer that this node has relayed.
@@ -115,32 +125,49 @@
             inputs = {"engines": new_names}
             self._timeline.record("engine-leaving", inputs, peer=peer)
             self._on_change()
+        self._receive_cold(peer, message.cold)
+
+    def _receive_cold(self, peer, items):
+        new_names = [
+            item[0]
+            for item in items
+            if _is_cold_item(item)
+            and self.notices.record_cold(tuple(item[:2]), item[2])
+        ]
+        if new_names:
+            inputs = {"engines": new_names}
+            self._timeline.record("engine-turned-cold", inputs, peer=peer)
+            self._on_change()
 
     def make_report(self, peer):
-        """Return the messages that tell a node of all engines that leave.
+        """Return the messages that tell a node of all engines that leave or are cold.
 
         Parameters
         ----------
         peer : str
             Name of the node.
         """
+        messages = []
         keys = self.notices.leaving_keys()
-        return [OutgoingMessage(peer, _make_message(keys))] if keys else []
+        if keys:
+            messages.append(OutgoingMessage(peer, _make_message(keys)))
+        cold = self.notices.list_cold()
+        if cold:
+            messages.append(OutgoingMessage(peer, _make_cold_message(cold)))
+        return messages
 
     def leaving_names(self):
         """Return the names of the engines that leave by a notice."""
         return [name for name, _ in self.notices.leaving_keys()]
 
-    def _make_reports(self, keys):
-        names = {name for name, _ in keys}
+    def _make_reports(self, names, message):
         shards = self._fleet.shard_by_name.values()
         owners = {
             owner
             for shard in shards
-            if not names.isdisjoint(shard.engines)
+            if not set(names).isdisjoint(shard.engines)
             for owner in self._fleet.rank_owners(shard.name)[:MAX_OWNERS]
         }
-        message = _make_message(keys)
         return [
             OutgoingMessage(owner, message) for owner in sorted(owners - {self._node})
         ]
@@ -155,3 +182,18 @@
 def _make_message(keys):
     names = [name for name, _ in keys]
     return EndpointsLeaving(names, incarnations=[number for _, number in keys])
+
+
+def _make_cold_message(items):
+    # A node that does not know the last field reads a list of no engine that leaves.
+    return EndpointsLeaving(
+        [], incarnations=[NO_INCARNATION], cold=[list(item) for item in items]
+    )
+
+
+def _is_cold_item(item):
+    return (
+        isinstance(item, list)
+        and [type(one) for one in item] == [str, int, int]
+        and item[2] > 0
+    )
--- a/peridotcove/engine_notices.py
+++ b/peridotcove/engine_notices.py
@@ -1,13 +1,15 @@
-"""What engines say in their answers to this node: that they leave, or want no work yet.
+"""What engines say in answers to this node: that they leave, want no work or are cold.
 
 A notice is one of an incarnation of an engine, not of its name or address: a restarted
 engine gets work at once. That an engine leaves holds until the engine is gone; no other
-source cancels it. That it wants no work for a time holds for this node only.
+source cancels it. That it wants no work for a time holds for this node only. That it is
+cold holds for that time, whatever the configuration says.
 """
 
 from attrs import evolve, frozen
 
 from peridotcove.clock import MS_PER_S
+from peridotcove.cold_engines import MAX_COLD_MS
 from peridotcove.exceptions import RequestRefused
 from peridotcove.models import LifecycleStatus
 
@@ -22,6 +24,11 @@
 MAX_REFUSAL_PAUSE_MS = 5_000
 # Digits of a number of requests that are read; larger numbers bound nothing.
 MAX_DIGITS = 9
+# An engine that names a later end of its cold time than before by at least this is cold
+# anew; less is the delay of its answers.
+COLD_NEWS_MS = 250
+# Numbers of reports that come from notices; those of the configuration are smaller.
+FIRST_COLD_REPORT = 1 << 60
 
 
 @frozen
@@ -39,12 +46,15 @@
     max_refusals : int or None
         Requests that it can refuse in a second without failing, over all nodes, if it
         has just refused one; None if it names no such number.
+    cold_ms : int
+        Time in ms for which it stays cold; 0 if it names none.
     """
 
     is_leaving: bool = False
     pause_ms: int = 0
     fault: str = ""
     max_refusals: int | None = None
+    cold_ms: int = 0
 
 
 NO_NOTICE = Notice()
@@ -63,6 +73,9 @@
         self._clock = clock
         self._seen_ms_by_leaving = {}
         self._pause_end_by_key = {}
+        # End of the cold time and number of the report.
+        self._cold_by_key = {}
+        self._cold_reports = 0
         self._changed = False
 
     @property
@@ -89,6 +102,63 @@
             _drop_oldest(self._pause_end_by_key)
         return notice.is_leaving and self._record_leaving(key)
 
+    def record_cold(self, key, left_ms):
+        """Record that an engine is cold; return whether that is news.
+
+        Parameters
+        ----------
+        key : tuple
+            Name and incarnation of the engine.
+        left_ms : int
+            Time in ms for which it stays cold.
+        """
+        end_ms = self._clock.now() + min(left_ms, MAX_COLD_MS)
+        known_end_ms, _ = self._cold_by_key.get(key, (self._clock.now(), 0))
+        if left_ms <= 0 or end_ms < known_end_ms + COLD_NEWS_MS:
+            return False
+        self._cold_reports += 1
+        self._cold_by_key[key] = end_ms, FIRST_COLD_REPORT + self._cold_reports
+        self._changed = True
+        _drop_oldest(self._cold_by_key)
+        return True
+
+    def list_cold(self):
+        """Return name, incarnation and time left in ms of the engines that are cold."""
+        now = self._clock.now()
+        return [
+            (*key, end_ms - now)
+            for key, (end_ms, _) in sorted(self._cold_by_key.items())
+            if end_ms > now
+        ]
+
+    def mark_cold_engines(self, current):
+        """Return the current configuration with the engines that are cold marked so.
+
+        Parameters
+        ----------
+        current : Configuration
+            Configuration that was read last.
+
+        Returns
+        -------
+        Configuration
+            The object `current` itself if no engine is marked.
+        """
+        engine_by_name = current.engine_by_name
+        marked = {
+            name: evolve(
+                engine_by_name[name],
+                cold_ms=left_ms,
+                cold_report=self._cold_by_key[name, incarnation][1],
+            )
+            for name, incarnation, left_ms in self.list_cold()
+            if name in engine_by_name
+            and engine_by_name[name].incarnation == incarnation
+        }
+        if not marked:
+            return current
+        return evolve(current, engine_by_name=engine_by_name | marked)
+
     def handle_report(self, keys):
         """Record engines that leave by the report of another node; return the new ones.
 
@@ -163,7 +233,7 @@
             raise RequestRefused("paused", text, 503, left_ms)
 
     def pop_changed(self):
-        """Return whether an engine was recorded as leaving since the last call."""
+        """Return whether an engine was recorded since the last call."""
         changed, self._changed = self._changed, False
         return changed
 
@@ -214,12 +284,17 @@
             replaced = engine is not None and engine.incarnation > key[1]
             if end_ms <= now or replaced:
                 del self._pause_end_by_key[key]
+        for key, (end_ms, _) in list(self._cold_by_key.items()):
+            engine = engine_by_name.get(key[0])
+            if end_ms <= now or (engine is not None and engine.incarnation > key[1]):
+                del self._cold_by_key[key]
 
     def describe(self):
         """Return the notices in force as a value for JSON."""
         now = self._clock.now()
         return {
             "leaving": [name for name, _ in self.leaving_keys()],
+            "cold_ms": {name: left_ms for name, _, left_ms in self.list_cold()},
             "paused_ms": {
                 name: end_ms - now
                 for (name, _), end_ms in sorted(self._pause_end_by_key.items())
@@ -265,6 +340,22 @@
     return Notice(max_refusals=int(text[:MAX_DIGITS]))
 
 
+def read_cold_time(text):
+    """Return the `Notice` of a time for which an engine stays cold.
+
+    A value that is no such time is ignored. A long one is cut to `MAX_COLD_MS`: an
+    engine that lies hurts only itself.
+
+    Parameters
+    ----------
+    text : str
+        A whole number of ms.
+    """
+    if not (text.isascii() and text.isdigit()):
+        return Notice(fault=f"{text[:40]!r} is not a time in ms; ignored")
+    return Notice(cold_ms=min(int(text[:MAX_DIGITS]), MAX_COLD_MS))
+
+
 def find_pause_ms(max_refusals, nodes):
     """Return the time in ms for which a node spares an engine that refused a request.
 
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -690,7 +690,11 @@
         self._check_region(engine)
         self.forwarder.check_available(engine)
         delay_ms = self.forwarder.clock.now() - granted_ms
-        if engine.cold_ms and delay_ms > MAX_SEND_DELAY_MS:
+        engine_by_name = self.forwarder.fleet.configuration.engine_by_name
+        if not engine_by_name.get(engine.name, engine).cold_ms:
+            return
+        has_turned_cold = not engine.cold_ms
+        if has_turned_cold or delay_ms > MAX_SEND_DELAY_MS:
             text = f"the lease on cold engine {engine.name} is {delay_ms} ms old"
             raise RequestRefused("stale-lease", text, 503, RETRY_AFTER_MS)
 
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -307,6 +307,7 @@
         trusted = self.departed_engines.withhold_engines(current)
         self._withholds_engines = trusted is not current
         trusted = self.engine_notices.withhold_engines(trusted)
+        trusted = self.engine_notices.mark_cold_engines(trusted)
         effective = self.engine_retention.retain_engines(
             self.fleet.configuration, trusted
         )
--- a/peridotcove/nodes/leaving_messages.py
+++ b/peridotcove/nodes/leaving_messages.py
@@ -33,8 +33,12 @@
     incarnations : list
         Incarnation of each engine, if the engines have said themselves that they leave;
         else empty.
+    cold : list
+        Engines that have said that they are cold: lists of name, incarnation and time
+        left in ms.
     """
 
     names: list
     asked_ms: int = -1
     incarnations: list = field(factory=list)
+    cold: list = field(factory=list)
--- a/peridotcove/platform/dialect.py
+++ b/peridotcove/platform/dialect.py
@@ -2,7 +2,12 @@
 
 from attrs import evolve
 
-from peridotcove.engine_notices import NO_NOTICE, read_max_refusals, read_pause
+from peridotcove.engine_notices import (
+    NO_NOTICE,
+    read_cold_time,
+    read_max_refusals,
+    read_pause,
+)
 from peridotcove.forwarding_types import Dialect, ResponseHead
 from peridotcove.json_values import decode_json
 
@@ -51,6 +56,8 @@
 RETRY_AFTER_HEADER = "Retry-After"
 # Number of requests that a server can turn away in a second without falling over.
 BRITTLE_HEADER = "Server-Brittle"
+# Time in ms for which a server stays cold, in answers to health checks.
+COLD_HEADER = "X-Cold-Ms"
 FULL_STATUS = 503
 MISDIRECTED_STATUS = 421
 EXPECTED_ID_HEADER = "X-Expect-Instance"
@@ -208,6 +215,11 @@
     is_leaving = headers.get(LEAVING_HEADER) == LEAVING_VALUE
     if is_leaving and status != MISDIRECTED_STATUS:
         notice = evolve(notice, is_leaving=True)
+    if COLD_HEADER in headers and status != MISDIRECTED_STATUS:
+        cold = read_cold_time(headers[COLD_HEADER].strip())
+        if cold != NO_NOTICE:
+            fault = notice.fault or cold.fault
+            notice = evolve(notice, cold_ms=cold.cold_ms, fault=fault)
     return notice
 
 
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -180,6 +180,7 @@
 )
 add_kind("endpoints-changed", "other endpoints are in service")
 add_kind("engines-cold", "engines say that they are cold")
+add_kind("engine-turned-cold", "an engine says in an answer that it is cold")
 add_kind(
     "zones-evacuated", "other availability zones are evacuated", level=logging.WARNING
 )
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -955,6 +955,33 @@
             self.assertEqual((await client.fetch("r1", "/booking/")).status, 200)
         self.assertEqual(server.seen, [])
 
+    async def test_owners_learn_that_a_server_turns_cold_before_the_next_grant(self):
+        self.publish(services=[{"name": "llm", "cold_per_s": 1}])
+        other = await self.start((self.node.name,))
+        for node in (self.node, other):
+            await self.wait_in_force(node)
+            await self.wait_for(lambda node=node: len(node.fleet.nodes) == 2)
+        (shard,) = self.node.fleet.shard_by_name
+        owner = self.node.fleet.rank_owners(shard)[0]
+        entry = other if owner == self.node.name else self.node
+
+        async def answer_cold(seen, writer):
+            writer.write(make_head(seen, 200, 0, X_Cold_Ms="4000"))
+
+        server = self.servers[0]
+        server.answer = answer_cold
+        async with asyncio.timeout(WAIT_S):
+            while not server.seen:
+                client = await self.connect(entry)
+                await client.fetch("r1", "/lookup/")
+        server.seen.clear()
+        for _ in range(REPEATS):
+            client = await self.connect(entry)
+            self.assertEqual((await client.fetch("r1", "/lookup/")).status, 200)
+        # One a second, and what the bound allows beside it.
+        self.assertLessEqual(len(server.seen), 2)
+        self.assertGreaterEqual(len(self.servers[1].seen), REPEATS - 2)
+
     # The error of the look-up of the dropped service closed their connections.
     async def test_requests_that_wait_for_a_dropped_service_are_refused(self):
         async def answer_slowly(seen, writer):
