Requests that are limited to regions may pass the load bound by two

Cause: the bound is a multiple of the mean over all engines. With most requests limited to a third of them, each of these was at twice the mean with one request. Change: a limited request may pass the bound of its engine by two requests. Conclusion: beyond that the bound goes first.

--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -6,7 +6,7 @@
 from peridotcove.cold_engines import ColdEngines
 from peridotcove.customer_slots import CustomerSlots
 from peridotcove.engine_loads import PREFILL_TOKENS_PER_MS, EngineLoads
-from peridotcove.engine_selection import EngineSelector
+from peridotcove.engine_selection import LIMITED_REQUEST_EXTRA, EngineSelector
 from peridotcove.fair_queue import FairQueue, QueuedRequest
 from peridotcove.lease_table import Lease, LeaseTable
 from peridotcove.models import Customer, LeaseGrant, LeaseRefusal, LifecycleStatus
@@ -516,12 +516,12 @@
         expired = self._clock.now() >= deferred.until_ms
         if not deferred.preferred_engine:
             expired = expired or not self._awaits_lists()
-        ready = (
-            self._loads.has_room()
-            if expired
-            else self._loads.has_room(deferred.preferred_engine)
+        request = deferred.item.request
+        ready = self._loads.has_room(
+            None if expired else deferred.preferred_engine,
+            LIMITED_REQUEST_EXTRA if request.regions else 0,
         )
-        return ready and self._may_lease(deferred.item.request.customer)
+        return ready and self._may_lease(request.customer)
 
     def _append_grant(self, granted, item, grant):
         if grant is not None:
--- a/peridotcove/engine_loads.py
+++ b/peridotcove/engine_loads.py
@@ -281,20 +281,22 @@
         """
         return self.load_bound * mean_load * (1 - ROUNDING_TOLERANCE)
 
-    def has_room(self, engine=None):
+    def has_room(self, engine=None, extra=0):
         """Return whether an engine can accept the next request.
 
         Parameters
         ----------
         engine : str or None
             Name of the engine; any engine when None.
+        extra : int
+            Requests beyond the load bound that are allowed.
         """
         if not self.open_engines:
             return False
         per_weight = self.load_bound_per_weight(self.mean_load())
         for load in self.open_engines:
             matches = engine is None or load.name == engine
-            below = matches and load.total < per_weight * load.weight
+            below = matches and load.total < per_weight * load.weight + extra
             if below and load.has_free_slot(self.capacity_share):
                 return True
         return False
--- a/peridotcove/engine_selection.py
+++ b/peridotcove/engine_selection.py
@@ -13,6 +13,10 @@
 # Exceeds any difference in cached blocks, so that an engine that failed comes last.
 EXCLUDED_COST = float("inf")
 AVOIDED_ENGINE_BLOCKS = 1e6
+# Requests beyond the load bound of an engine, for one that is limited to some regions.
+# The engines that it may not use count for the mean; while only few requests run, an
+# engine would be at its bound with one.
+LIMITED_REQUEST_EXTRA = 2
 
 
 @frozen
@@ -109,10 +113,12 @@
         selected_cost = 0.0
         per_weight = loads.load_bound_per_weight(mean)
         share = loads.capacity_share
+        extra = LIMITED_REQUEST_EXTRA if request.regions else 0
         for load, cost in zip(loads.open_engines, costs, strict=True):
             if cost == EXCLUDED_COST or (engine and cost >= selected_cost):
                 continue
-            if load.total < per_weight * load.weight and load.has_free_slot(share):
+            bound = per_weight * load.weight + extra
+            if load.total < bound and load.has_free_slot(share):
                 engine = load.name
                 selected_cost = cost
         if not engine or selected_cost == lowest_cost:
