Test: builds without stream origins are not sent them at each tick

Cause: PeerTooOld counts as told; nothing tested that.

Measured: the test passes, and fails with the exception treated as a link that is down.

Conclusion: no messages or log lines each tick towards a build of protocol 1.

--- a/tests/test_stream_origin_sync.py
+++ b/tests/test_stream_origin_sync.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, Phase, given, settings, strategies
 
 from peridotcove.configuration import parse_configuration
-from peridotcove.exceptions import RequestRefused
+from peridotcove.exceptions import PeerTooOld, RequestRefused
 from peridotcove.lease_client import UNKNOWN_ORIGIN
 from peridotcove.lease_server import LeaseServer
 from peridotcove.models import Instance, LeaseRequest
@@ -431,3 +431,27 @@
 
         self.assertEqual(run(count_messages(("v1", "v1", "v1"))), 0)
         self.assertGreater(run(count_messages(("v1", "v2", "v1"))), 0)
+
+    def test_origins_are_not_sent_again_and_again_to_builds_that_lack_them(self):
+        """Owners get origins that they missed at each tick, until these are sent."""
+
+        async def count_tries():
+            fleet = StreamFleet(("v1", "v2", "v1"))
+            await deliver(STREAM_LIFE_MS)
+            tries = []
+
+            def refuse(sender, peer, message):
+                if isinstance(message, ShareOrigins):
+                    tries.append(message)
+                    raise PeerTooOld(peer)
+                return False
+
+            fleet.is_dropped = refuse
+            await fleet.begin("n1")
+            for _ in range(8):
+                for server in fleet.server_by_node.values():
+                    server.tick()
+                await deliver(SHARE_MS)
+            return len(tries)
+
+        self.assertIn(run(count_tries()), range(1, 7))
