A waiting request gets no engine of another software version that joins

Cause: the owner excludes the engines of other versions when a request that takes a stream up arrives. One of another version that came into service while the request waited was granted; the entry refused it, or did not know the version either, and the owner took the granted one for the stream's from then on.

Change: engines of other versions are left out at each try to grant.

Measured: the new test failed before, and passes; tests.test_dispatch, test_leases, test_stream_origin_sync, test_cold_engines 71 passed.

Conclusion: owners of older builds keep the fault until they are replaced.

--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -497,7 +497,7 @@
                 item, "", self._clock.now() + prompt_ms
             )
             return None
-        blocked = self._cold.find_blocked()
+        blocked = [*self._cold.find_blocked(), *self._find_other_versions(request)]
         if blocked:
             request = evolve(request, excluded=(*request.excluded, *blocked))
         if request.part_ends:
@@ -537,6 +537,21 @@
         blocks = int(lookup.blocks)
         return LeaseGrant(request_id, name, cached, source, load, self.waiting, blocks)
 
+    def _find_other_versions(self, request):
+        """Return the open engines of software versions that a request must not use.
+
+        Those that have joined while it waited are not in its `excluded`.
+        """
+        if not request.software_versions:
+            return []
+        engine_by_name = self._configuration.engine_by_name
+        return [
+            load.name
+            for load in self._loads.open_engines
+            if engine_by_name[load.name].software_version
+            not in request.software_versions
+        ]
+
     def _backlogs(self):
         """Return the blocks that each open engine still has to prefill."""
         wall_ms = self._clock.wall()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -178,6 +178,32 @@
         released = dispatcher.release(make_request(1).request_id, "done")
         self.assertEqual([item.request_id for item in released], [b"\0" * 7 + b"\2"])
 
+    def test_waiting_request_gets_no_engine_of_another_version_that_joins(self):
+        """A stream is taken up while all engines of its version are busy.
+
+        The owner granted it the new engine, and took that one's version for the
+        stream's from then on.
+        """
+        engines = {
+            name: evolve(engine, software_version="v1")
+            for name, engine in make_engines((1.0,), capacity=1).items()
+        }
+        dispatcher = make_dispatcher(engines)
+        (first,) = dispatcher.request_lease(make_request(1))
+        resumed = make_request(2, is_resumed=True, software_versions=("v1",))
+        self.assertEqual(dispatcher.request_lease(resumed), [])
+        engines["newer"] = Engine(
+            "newer", "http://127.0.0.1:9", "z1", "m", 8, software_version="v2"
+        )
+        configuration = make_configuration(engines)
+        dispatcher.shard = compute_shards(configuration, "north")[0]
+        self.assertEqual(dispatcher.set_configuration(configuration), [])
+        self.assertEqual(dispatcher.tick(), [])
+        (grant,) = dispatcher.release(first.request_id, "done")
+        self.assertEqual(
+            (grant.request_id, grant.engine), (resumed.request_id, "engine-0")
+        )
+
     def test_customer_at_its_concurrency_waits_without_blocking_another(self):
         dispatcher = make_dispatcher()
         kinds = [dispatcher.request_lease(make_request(n, "small")) for n in range(4)]
