Test: a broken promise of the upgrade run names the harness's own stalls

Cause: on a busy machine clients and servers of the harness stand still for seconds, and a reader of the failure could not tell.

Change: the message of the assertion; no bound changes.

--- a/tests/soak/test_upgrade.py
+++ b/tests/soak/test_upgrade.py
@@ -28,7 +28,8 @@
                     SEED, (earlier, CURRENT_BUILD), NODES, SERVERS, returned=RETURNED
                 )
             )
-        self.assertEqual(outcome.violations, ())
+        stalls = f"clients and servers stalled for {outcome.stalled_ms} ms"
+        self.assertEqual(outcome.violations, (), stalls)
         self.assertGreater(outcome.served, MIN_SERVED_SHARE * outcome.requests)
         self.assertGreater(outcome.taken_up, 0)
 
