--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -546,7 +546,7 @@
                 item, "", self._clock.now() + prompt_ms
             )
             return None
-        blocked = self._cold.find_blocked()
+        blocked = [*self._cold.find_blocked(), *self._find_other_versions(request)]
         if blocked or request.regions:
             unusable = frozenset(self._find_unusable(request)).union(blocked)
             request = evolve(request, excluded=unusable)
@@ -587,6 +587,21 @@
         blocks = int(lookup.blocks)
         return LeaseGrant(request_id, name, cached, source, load, self.waiting, blocks)
 
+    def _find_other_versions(self, request):
+        """Return the open engines of software versions that a request must not use.
+
+        Those that have joined while it waited are not in its `excluded`.
+        """
+        if not request.software_versions:
+            return []
+        engine_by_name = self._configuration.engine_by_name
+        return [
+            load.name
+            for load in self._loads.open_engines
+            if engine_by_name[load.name].software_version
+            not in request.software_versions
+        ]
+
     def _backlogs(self):
         """Return the blocks that each open engine still has to prefill."""
         wall_ms = self._clock.wall()
