Owners keep requests in their zone unless leaving pays

Cause: Traffic between zones costs time and money. Owner, entry and engine crossed without knowing of it: another zone cost one block, so that a request went to the least loaded engine wherever it was. Change: New package zone_traffic. The owner plans for each request what an engine of another zone costs it, and decides a share of each zone's requests that may leave for its load, with a ramp, a hold and hysteresis. Three bounds (zone_traffic, zone_crossing_ms, zone_kilobyte_ms); false gives the earlier behaviour. Sources of prompts in the engine's zone go first. Status, two gauges and one kind of event tell the shares and reasons.

--- a/peridotcove/cold_engines.py
+++ b/peridotcove/cold_engines.py
@@ -112,6 +112,13 @@
             if spell.tokens < 1 and spell.end_ms > self._clock.now()
         )
 
+    def find_cold(self):
+        """Return the names of the engines that are still cold."""
+        now = self._clock.now()
+        return {
+            name for name, spell in self._spell_by_engine.items() if spell.end_ms > now
+        }
+
     def record_grant(self, engine):
         """Record that a request was granted an engine.
 
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -12,6 +12,7 @@
 from peridotcove.models import Customer, LeaseGrant, LeaseRefusal, LifecycleStatus
 from peridotcove.prompt_part_index import PromptPartIndex
 from peridotcove.rendezvous import hash_name
+from peridotcove.zone_traffic.planner import ZonePlanner
 
 LEASE_RECOVERY_MS = 3_000
 RECOVERY_CAPACITY_SHARE = 0.5
@@ -86,6 +87,7 @@
         self._lists_until_ms = clock.now() + FIRST_LISTS_MS
         self._loads = EngineLoads(configuration.bounds.load_bound)
         self._cold = ColdEngines(clock)
+        self.zones = ZonePlanner(clock)
         self.set_configuration(configuration)
 
     def start_recovery(self, entries):
@@ -109,6 +111,7 @@
         """
         self._configuration = configuration
         self._loads.load_bound = configuration.bounds.load_bound
+        self.zones.set_configuration(configuration)
         engines = configuration.engine_by_name
         names = [name for name in self.shard.engines if name in engines]
         self._selector = EngineSelector(
@@ -411,6 +414,8 @@
         wall = self._clock.wall()
         for load in self._loads.engine_load_by_name.values():
             load.expire_report(wall)
+        cold = self._cold.find_cold()
+        self.zones.update(self._loads, wall, cold, not self.is_recovering)
         refusals = []
         now = self._clock.now()
         expired = self._queue.expire(now)
@@ -508,7 +513,9 @@
             index = self._prefix_index
             lookup = index.look_up(request.prefixes, request.blocks)
             backlogs = ()
-        choice = self._selector.select(request, lookup, self._loads, backlogs)
+        block_ms = self._block_tokens / PREFILL_TOKENS_PER_MS
+        plan = self.zones.plan(request, lookup, self._loads, block_ms)
+        choice = self._selector.select(request, lookup, self._loads, backlogs, plan)
         if not choice.engine and request.excluded and deferred is None:
             # Only engines that the request must not use have room.
             self._deferred_by_id[request.request_id] = _DeferredRequest(
@@ -520,12 +527,13 @@
         self._deferred_by_id.pop(request.request_id, None)
         now = self._clock.now()
         name = choice.engine
+        load = self._loads.engine_load_by_name[name]
+        self.zones.record_grant(request, lookup, load, plan, self._loads)
         cached = int(lookup.blocks_by_engine.get(name, 0))
         source = self._find_source(lookup, name, cached)
         if request.part_ends:
             missing = (lookup.blocks - cached) * self._block_tokens
             share = FETCH_COST_SHARE if source else 1.0
-            load = self._loads.engine_load_by_name[name]
             load.add_prefill(missing * share, self._clock.wall())
         index.record(lookup, name, self._clock.wall())
         self._cold.record_grant(name)
@@ -533,9 +541,10 @@
         self._add_lease(
             Lease(request_id, request.entry, request.customer, name, now, cached)
         )
-        load = self._loads.engine_load_by_name[name].total
         blocks = int(lookup.blocks)
-        return LeaseGrant(request_id, name, cached, source, load, self.waiting, blocks)
+        return LeaseGrant(
+            request_id, name, cached, source, load.total, self.waiting, blocks
+        )
 
     def _backlogs(self):
         """Return the blocks that each open engine still has to prefill."""
@@ -548,15 +557,28 @@
 
     def _find_source(self, lookup, name, cached):
         """Return the engine to fetch the missing prefix from, or an empty name."""
-        engine_by_name = self._configuration.engine_by_name
-        if not engine_by_name[name].shares_cache:
+        engine = self._configuration.engine_by_name[name]
+        if not engine.shares_cache:
             return ""
         found = [
             (blocks, other)
             for other, blocks in lookup.blocks_by_engine.items()
             if blocks - cached >= MIN_FETCH_BLOCKS and other in self._fetch_sources
         ]
-        return max(found)[1] if found else ""
+        if not found:
+            return ""
+        most, best = max(found)
+        if self._configuration.bounds.zone_traffic:
+            # A transfer between zones takes longer than the rest of the prompt.
+            engine_by_name = self._configuration.engine_by_name
+            found = [
+                (blocks, other)
+                for blocks, other in found
+                if most - blocks < MIN_FETCH_BLOCKS
+                and engine_by_name[other].zone == engine.zone
+            ]
+            best = max(found, default=(most, best))[1]
+        return best
 
     def _should_defer(self, item, deferred, choice):
         if choice.engine == choice.preferred_engine:
@@ -573,8 +595,11 @@
         self._leases.add(lease)
         self._slots.change_usage(self._customer(lease.customer), leases=1)
         self._loads.change_leases(lease.engine, 1, self._clock.wall())
+        self.zones.change_leases(lease.entry, 1)
 
     def _remove_lease(self, lease):
         self._leases.remove(lease)
         self._slots.change_usage(self._customer(lease.customer), leases=-1)
         self._loads.change_leases(lease.engine, -1, self._clock.wall())
+        self.zones.change_leases(lease.entry, -1)
+        self.zones.record_service_time(self._clock.now() - lease.since_ms)
--- a/peridotcove/engine_loads.py
+++ b/peridotcove/engine_loads.py
@@ -184,6 +184,10 @@
         `EngineLoad` by name of the engine.
     open_engines : list of EngineLoad
         Engines that accept new work.
+    open_engines_by_zone : dict of list
+        The same by zone; zones without any are absent.
+    open_positions_by_zone : dict of list
+        Positions of the zone's engines in `open_engines`.
     weight : float
         Summed weight of the open engines.
     capacity : int
@@ -196,6 +200,8 @@
         self.load_bound = load_bound
         self.engine_load_by_name = {}
         self.open_engines = []
+        self.open_engines_by_zone = {}
+        self.open_positions_by_zone = {}
         self.weight = 0.0
         self.capacity = 0
         self.capacity_share = 1.0
@@ -224,6 +230,10 @@
         self.open_engines = [
             load for load in self.engine_load_by_name.values() if load.is_open
         ]
+        self.open_engines_by_zone, self.open_positions_by_zone = {}, {}
+        for position, load in enumerate(self.open_engines):
+            self.open_engines_by_zone.setdefault(load.zone, []).append(load)
+            self.open_positions_by_zone.setdefault(load.zone, []).append(position)
         self.weight = sum(load.weight for load in self.open_engines)
         self.capacity = sum(load.capacity for load in self.open_engines)
 
--- a/peridotcove/engine_selection.py
+++ b/peridotcove/engine_selection.py
@@ -82,9 +82,16 @@
 
     def __init__(self, engines, weights=None):
         self.weights = weights or SelectionWeights()
+        engines = list(engines)
         self._ranking = RendezvousRanking({item.name: item.weight for item in engines})
-
-    def select(self, request, lookup, loads, backlogs=()):
+        self._ranking_by_zone = {
+            zone: RendezvousRanking(
+                {item.name: item.weight for item in engines if item.zone == zone}
+            )
+            for zone in {item.zone for item in engines}
+        }
+
+    def select(self, request, lookup, loads, backlogs=(), plan=None):
         """Return the `EngineChoice` of a request.
 
         Parameters
@@ -97,46 +104,88 @@
             Loads of the engines; at least one accepts work.
         backlogs : sequence of float
             Blocks that each open engine still has to prefill; ignored when empty.
+        plan : ZonePlan or None
+            What engines of other zones cost the request; a fixed cost when None.
         """
         mean = loads.mean_load()
-        costs = self._costs(request, lookup, loads.open_engines, mean)
+        ranked = self._find_ranked(request, lookup, loads, plan)
+        base_costs = self._costs(
+            request, lookup, loads.open_engines, mean, plan, ranked
+        )
         if backlogs:
-            pairs = zip(costs, backlogs, strict=True)
-            costs = [cost + backlog for cost, backlog in pairs]
+            pairs = zip(base_costs, backlogs, strict=True)
+            base_costs = [cost + backlog for cost, backlog in pairs]
+        bound = loads.load_bound_per_weight(mean)
+        costs = base_costs
+        if plan is not None:
+            costs = self._add_zone_costs(base_costs, loads, mean, plan, ranked)
         lowest_cost = min(costs)
-        preferred = loads.open_engines[costs.index(lowest_cost)].name
-        engine = ""
+        selected = None
         selected_cost = 0.0
-        per_weight = loads.load_bound_per_weight(mean)
         share = loads.capacity_share
-        for load, cost in zip(loads.open_engines, costs, strict=True):
-            if cost == EXCLUDED_COST or (engine and cost >= selected_cost):
+        for index, (load, cost) in enumerate(
+            zip(loads.open_engines, costs, strict=True)
+        ):
+            if cost == EXCLUDED_COST or (
+                selected is not None and cost >= selected_cost
+            ):
                 continue
-            if load.total < per_weight * load.weight and load.has_free_slot(share):
-                engine = load.name
+            if load.total < bound * load.weight and load.has_free_slot(share):
+                selected = index
                 selected_cost = cost
-        if not engine or selected_cost == lowest_cost:
-            return EngineChoice(engine, engine or preferred, 0)
+        preferred = costs.index(lowest_cost)
+        preferred_name = loads.open_engines[preferred].name
+        if selected is None:
+            return EngineChoice("", preferred_name, 0)
+        name = loads.open_engines[selected].name
+        if selected_cost == lowest_cost:
+            return EngineChoice(name, name, 0)
+        # A request doesn't wait in order to stay in its zone.
+        saved_blocks = min(
+            selected_cost - lowest_cost, base_costs[selected] - base_costs[preferred]
+        )
         weights = PART_WEIGHTS if request.part_ends else self.weights
-        wait_ms = int((selected_cost - lowest_cost) * weights.wait_ms_per_block)
-        return EngineChoice(engine, preferred, min(wait_ms, weights.max_wait_ms))
+        wait_ms = max(0, int(saved_blocks * weights.wait_ms_per_block))
+        return EngineChoice(name, preferred_name, min(wait_ms, weights.max_wait_ms))
+
+    def _add_zone_costs(self, costs, loads, mean, plan, ranked):
+        """Return the costs with those of engines in other zones.
+
+        For a request that stays, the load of such an engine counts as at least that of
+        the engine that it would get in its zone. The bonus of rank, which decides
+        between the engines of one zone, is no reason to stay there.
+        """
+        zone, zone_cost, level = plan.zone, plan.crossing_blocks, 0.0
+        best = _find_best(costs, loads, mean, zone) if plan.stays else None
+        if best is not None:
+            level = best.total / best.weight
+            if best.name == ranked:
+                zone_cost -= self.weights.rendezvous
+        per_load = self.weights.load / mean
+        costs = costs.copy()
+        for position, load in enumerate(loads.open_engines):
+            if load.zone != zone:
+                costs[position] += zone_cost
+                missing_level = level - load.total / load.weight
+                if missing_level > 0:
+                    costs[position] += per_load * missing_level
+        return costs
 
-    def _costs(self, request, lookup, open_loads, mean):
+    def _costs(self, request, lookup, open_loads, mean, plan, ranked):
         weights = self.weights
         per_load = weights.load / mean
-        zone_cost = weights.zone
+        zone_cost = weights.zone if plan is None else 0.0
         zone = request.zone
         hint = request.hint
         known = lookup.blocks_by_engine
         get = known.get
-        rendezvous_engine = self._rendezvous_engine(request, lookup, open_loads)
         costs = []
         for load in open_loads:
             name = load.name
             cost = per_load * load.total / load.weight - get(name, 0)
             if load.zone != zone:
                 cost += zone_cost
-            if name == rendezvous_engine:
+            if name == ranked:
                 cost -= weights.rendezvous
             if name == hint and name not in known:
                 cost -= weights.hint * lookup.blocks
@@ -145,11 +194,31 @@
             costs.append(EXCLUDED_COST if name in request.excluded else cost)
         return costs
 
-    def _rendezvous_engine(self, request, lookup, open_loads):
+    def _find_ranked(self, request, lookup, loads, plan):
+        """Return the engine that rendezvous hashing ranks first."""
+        ranking, open_loads = self._ranking, loads.open_engines
+        if plan is not None and plan.stays:
+            ranking = self._ranking_by_zone[plan.zone]
+            open_loads = loads.open_engines_by_zone[plan.zone]
         allowed = None
-        if len(open_loads) < len(self._ranking.names):
+        if len(open_loads) < len(ranking.names):
             allowed = {load.name for load in open_loads}
-        return self._ranking.best(_placement_key(request, lookup), allowed)
+        return ranking.best(_placement_key(request, lookup), allowed)
+
+
+def _find_best(costs, loads, mean, zone):
+    """Return the engine of a zone with the lowest cost and with room, or None."""
+    bound = loads.load_bound_per_weight(mean)
+    best, lowest_cost = None, EXCLUDED_COST
+    for position in loads.open_positions_by_zone[zone]:
+        cost = costs[position]
+        if cost >= lowest_cost or cost >= AVOIDED_ENGINE_BLOCKS / 2:
+            continue
+        load = loads.open_engines[position]
+        is_below = load.total < bound * load.weight
+        if is_below and load.has_free_slot(loads.capacity_share):
+            best, lowest_cost = load, cost
+    return best
 
 
 def _placement_key(request, lookup):
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -183,7 +183,8 @@
         if self._refuse_if_quarantined(message.request_id, tracked, is_first_owner):
             return
         if self._node not in owners:
-            request = _ignore_caches(request)
+            keeps_zone = self._fleet.configuration.bounds.zone_traffic
+            request = _ignore_caches(request, keeps_zone)
         dispatcher = self._dispatcher(message.shard)
         dispatcher.set_role(is_first_owner, self._node in owners)
         decisions = dispatcher.request_lease(request)
@@ -422,6 +423,20 @@
         for name, dispatcher in list(self.dispatcher_by_shard.items()):
             self._update_ejected(name, dispatcher)
             self._send_decisions(dispatcher.tick())
+            self._record_zone_changes(name, dispatcher)
+
+    def _record_zone_changes(self, shard, dispatcher):
+        for change in dispatcher.zones.pop_changes():
+            inputs = {
+                "shard": shard,
+                "zone": change.zone,
+                "may_leave": round(change.share, 3),
+                "reason": change.reason,
+                "previous_reason": change.previous_reason,
+                "load": dispatcher.load,
+                "waiting": dispatcher.waiting,
+            }
+            self._timeline.record("zone-share-changed", inputs)
 
     def _update_ejected(self, name, dispatcher):
         ejected = self._outlier_detector.ejected_engines(dispatcher.shard.engines)
@@ -543,14 +558,15 @@
     }
 
 
-def _ignore_caches(request):
-    """Return a request that is placed by load alone.
+def _ignore_caches(request, keeps_zone):
+    """Return a request that is placed by load and zone alone.
 
     While no owner answers, many nodes grant leases, and each knows only its own. Chosen
     for their caches, the same few engines would get the requests of all nodes.
     """
+    zone = request.zone if keeps_zone else ""
     return evolve(
-        request, prefixes=(), part_ends=(), blocks=0, hint="", chat_key=0, zone=""
+        request, prefixes=(), part_ends=(), blocks=0, hint="", chat_key=0, zone=zone
     )
 
 
--- a/peridotcove/metrics.py
+++ b/peridotcove/metrics.py
@@ -76,6 +76,19 @@
         self.skew = self._add_gauge(
             "peridotcove_shard_skew", "Highest load over mean, at the owner.", "shard"
         )
+        self.zone_may_leave = self._add_gauge(
+            "peridotcove_zone_may_leave",
+            "Share of a zone's requests that may leave it, at the owner.",
+            "shard",
+            "zone",
+        )
+        self.zone_left = self._add_gauge(
+            "peridotcove_zone_left",
+            "Share of a zone's leases on engines of other zones, at the owner.",
+            "shard",
+            "zone",
+            "reason",
+        )
         self.quarantined_parts = self._add_gauge(
             "peridotcove_quarantined_parts",
             "Prompt parts that crashed engines and are refused.",
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -345,6 +345,13 @@
         of its rate.
     cold_rate_extra : int
         Requests that may reach it in addition.
+    zone_traffic : bool
+        Whether owners decide how many requests leave the zone in which they arrived;
+        otherwise an engine in another zone has a small fixed cost.
+    zone_crossing_ms : float
+        Time in ms for which a caller waits longer for an engine in another zone.
+    zone_kilobyte_ms : float
+        Price of 1,000 bytes between zones, in ms of an engine's time.
     """
 
     load_bound: float = number_field(1.0, 100.0, default=1.25)
@@ -357,6 +364,9 @@
     keys_required: bool = False
     cold_rate_ratio: float = number_field(1.0, 100.0, default=1.0)
     cold_rate_extra: int = number_field(0, 1_000_000, default=0)
+    zone_traffic: bool = True
+    zone_crossing_ms: float = number_field(0.0, 10_000.0, default=4.0)
+    zone_kilobyte_ms: float = number_field(0.0, 10_000.0, default=0.02)
 
 
 @frozen
--- a/peridotcove/operators/node_status.py
+++ b/peridotcove/operators/node_status.py
@@ -56,6 +56,10 @@
             "engine_notices": self._notices.describe(),
             "evacuated_zones": find_evacuated_zones(self._fleet.configuration),
             "unserved_models": find_unserved_models(self._fleet.configuration),
+            "zone_traffic": {
+                name: dispatcher.zones.describe()
+                for name, dispatcher in self._leases.dispatcher_by_shard.items()
+            },
         }
 
     def update_gauges(self):
@@ -79,3 +83,10 @@
             mean = sum(load_by_engine.values()) / max(1, len(load_by_engine))
             highest = max(load_by_engine.values(), default=0)
             metrics.skew.labels(name).set(highest / mean if mean else 1)
+            self._update_zone_gauges(name, dispatcher)
+
+    def _update_zone_gauges(self, shard, dispatcher):
+        for zone, described in dispatcher.zones.describe().items():
+            self.metrics.zone_may_leave.labels(shard, zone).set(described["may_leave"])
+            for reason, part in described["left"].items():
+                self.metrics.zone_left.labels(shard, zone, reason).set(part)
--- a/peridotcove/platform/settings.py
+++ b/peridotcove/platform/settings.py
@@ -3,7 +3,7 @@
 import math
 import tomllib
 
-from attrs import frozen
+from attrs import field, frozen
 
 from peridotcove.clock import MS_PER_S
 from peridotcove.exceptions import InvalidSettings, SettingError
@@ -16,6 +16,9 @@
 # weakest instances in use.
 REFERENCE_CORES = 0.5
 REFERENCE_MBPS = 10.0
+# Largest cost in ms of a crossing, and of 1,000 bytes, between zones.
+MAX_COST_MS = 10_000
+COST_RANGE = f"0 to {MAX_COST_MS}"
 # Time reserved between the end of a graceful shutdown and the kill that follows it.
 KILL_MARGIN_MS = 300
 # The instances are in a closed network and their settings contain no secret. Links
@@ -61,6 +64,8 @@
         Requests of a second to a cold server, as a multiple of the rate that it bears.
     cold_rate_extra : int
         Requests of a second to it in addition.
+    zone_bounds : dict
+        Bounds on traffic between zones, for those that differ from the defaults.
     """
 
     address: str
@@ -70,6 +75,7 @@
     retry_extra: int
     cold_rate_ratio: float = 1.0
     cold_rate_extra: int = 0
+    zone_bounds: dict = field(factory=dict)
 
 
 @frozen
@@ -119,6 +125,16 @@
         self._faults.append(SettingError(f"{self._path}.{name}", found, allowed))
         return None
 
+    def optional(self, name, kind, allowed):
+        found = self._raw.get(name)
+        if found is None or (kind is bool and isinstance(found, bool)):
+            return found
+        is_number = isinstance(found, (int, float)) and not isinstance(found, bool)
+        if kind is float and is_number and 0 <= found <= MAX_COST_MS:
+            return float(found)
+        self._faults.append(SettingError(f"{self._path}.{name}", found, allowed))
+        return None
+
     def table(self, name):
         found = self._raw.get(name, {})
         return _Table(found, f"{self._path}.{name}", self._faults)
@@ -209,4 +225,19 @@
         bounds.get("budget_extra", number, "a number", 0),
         bounds.get("cold_excess", number, "a number of 1 or more", 1.0),
         bounds.get("cold_slack", number, "a number", 0),
+        _read_zone_bounds(document.table("zone_traffic")),
     )
+
+
+def _read_zone_bounds(table):
+    """Return the bounds that the table sets, by name.
+
+    Bounds that it doesn't set are left out: nodes of earlier software refuse a
+    configuration that names them.
+    """
+    found = {
+        "zone_traffic": table.optional("on", bool, "true or false"),
+        "zone_crossing_ms": table.optional("crossing_ms", float, COST_RANGE),
+        "zone_kilobyte_ms": table.optional("kilobyte_ms", float, COST_RANGE),
+    }
+    return {name: value for name, value in found.items() if value is not None}
--- a/peridotcove/platform/translation.py
+++ b/peridotcove/platform/translation.py
@@ -89,6 +89,7 @@
         "shard_engines": SHARD_ENGINES,
         "cold_rate_ratio": float(store.cold_rate_ratio),
         "cold_rate_extra": int(store.cold_rate_extra),
+        **store.zone_bounds,
     }
 
 
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -183,6 +183,7 @@
 add_kind(
     "zones-evacuated", "other availability zones are evacuated", level=logging.WARNING
 )
+add_kind("zone-share-changed", "another share of a zone's requests may leave it")
 add_kind("owners-changed", "other nodes own shards")
 add_kind("dispatcher-closed", "the node grants no more leases of a shard")
 add_kind(
--- /dev/null
+++ b/tests/zone_traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `peridotcove.zone_traffic`."""
