--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -355,6 +355,13 @@
         of its rate.
     cold_rate_extra : int
         Requests that may reach it in addition.
+    zone_traffic : bool
+        Whether owners decide how many requests leave the zone in which they arrived;
+        otherwise an engine in another zone has a small fixed cost.
+    zone_crossing_ms : float
+        Time in ms for which a caller waits longer for an engine in another zone.
+    zone_kilobyte_ms : float
+        Price of 1,000 bytes between zones, in ms of an engine's time.
     """
 
     load_bound: float = number_field(1.0, 100.0, default=1.25)
@@ -367,6 +374,9 @@
     keys_required: bool = False
     cold_rate_ratio: float = number_field(1.0, 100.0, default=1.0, protocol=2)
     cold_rate_extra: int = number_field(0, 1_000_000, default=0, protocol=2)
+    zone_traffic: bool = added_field(3, True)
+    zone_crossing_ms: float = number_field(0.0, 10_000.0, default=4.0, protocol=3)
+    zone_kilobyte_ms: float = number_field(0.0, 10_000.0, default=0.02, protocol=3)
 
 
 @frozen
--- a/peridotcove/timeline.py
+++ b/peridotcove/timeline.py
@@ -184,6 +184,7 @@
 add_kind(
     "zones-evacuated", "other availability zones are evacuated", level=logging.WARNING
 )
+add_kind("zone-share-changed", "another share of a zone's requests may leave it")
 add_kind("owners-changed", "other nodes own shards")
 add_kind("dispatcher-closed", "the node grants no more leases of a shard")
 add_kind(
