Only messages that some builds of protocol 2 lack are withheld after a closed link

Cause: a peer of protocol 2 that ended within 0.5 s of the first ShareOrigins, which all of them know, got no more of them if it lived on.

Conclusion: a relay or a report of versions may still be withheld from such a peer until its process ends.

--- a/peridotcove/nodes/peer_builds.py
+++ b/peridotcove/nodes/peer_builds.py
@@ -8,10 +8,13 @@
 
 from peridotcove.exceptions import IncompatiblePeer, PeerTooOld
 from peridotcove.logs import get_logger
-from peridotcove.nodes.messages import OLDEST_PROTOCOL, PROTOCOL
+from peridotcove.nodes.messages import OLDEST_PROTOCOL, PROTOCOL, ShareVersions
+from peridotcove.nodes.relay_messages import OpenRelay, RelayedNotice, RelayEnded
 
 # First protocol whose builds say it, and ignore messages that they don't know.
 ANNOUNCED_PROTOCOL = 3
+# Messages that only some builds of the protocol before know.
+UNCERTAIN_KINDS = (ShareVersions, OpenRelay, RelayEnded, RelayedNotice)
 # Protocols of builds that say none, by whether they read compressed frames.
 COMPRESSING_PROTOCOL, FIRST_PROTOCOL = 2, 1
 # Time in ms in which a build that says no protocol has closed the link at a message
@@ -59,7 +62,7 @@
 
     def record_sent(self, kind, now):
         """Record that a message of a class was sent."""
-        if self.protocol < ANNOUNCED_PROTOCOL and self.protocol == kind.SINCE:
+        if self.protocol < ANNOUNCED_PROTOCOL and kind in UNCERTAIN_KINDS:
             self._first_sent_ms_by_kind.setdefault(kind, now)
 
     def find_unknown_kinds(self, now):
--- a/tests/nodes/test_recorded_messages.py
+++ b/tests/nodes/test_recorded_messages.py
@@ -25,6 +25,7 @@
     message,
     messages,
 )
+from peridotcove.nodes.peer_builds import UNCERTAIN_KINDS
 from tests.nodes.recording import (
     REVISION,
     describe_field,
@@ -161,6 +162,18 @@
                     self.assertEqual(protocol >= cls.SINCE, code in known)
                     self.assertLessEqual(cls.SINCE, PROTOCOL)
 
+    def test_messages_that_only_some_builds_of_a_protocol_know(self):
+        codes_by_protocol = {}
+        for record in RECORDS:
+            codes = {recorded["code"] for recorded in record["messages"]}
+            codes_by_protocol.setdefault(record["protocol"], []).append(codes)
+        uncertain = {
+            code
+            for groups in codes_by_protocol.values()
+            for code in set.union(*groups) - set.intersection(*groups)
+        }
+        self.assertEqual(uncertain, {kind.CODE for kind in UNCERTAIN_KINDS})
+
     def test_changes_are_found(self):
         """Only an added field with a default is no fault."""
 
