Messages: fields at the end with their default aren't sent; times on releases

Cause: each new field of a message costs bytes in all messages, also in those that don't use it. Change: `encode` omits the fields at the end that have their default. `decode` filled missing ones with defaults before, so builds of before read such frames. `ReleaseLease` gets four times of the answer, for the engine's owner; a node of before ignores them. Conclusion: a release without times is no larger than before.

--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -2,8 +2,8 @@
 
 A frame is one CBOR array: ``[VERSION, code, revision, fields...]``, where revision is
 that of the sender's configuration. Fields are in the order of the class. Additional
-fields at the end are ignored, so that two versions of the program can run in the fleet
-at once.
+fields at the end are ignored, and missing ones there have their default, so that two
+versions of the program can run in the fleet at once.
 """
 
 import attrs
@@ -38,11 +38,18 @@
         cls.FIELD_NAMES = tuple(spec.name for spec in specs)
         cls.FIELD_TYPES = tuple(spec.type for spec in specs)
         cls.REQUIRED_FIELD_COUNT = sum(spec.default is attrs.NOTHING for spec in specs)
+        cls.DEFAULTS = tuple(_get_default(spec) for spec in specs)
         return messages.register(code)(cls)
 
     return register_class
 
 
+def _get_default(spec):
+    if isinstance(spec.default, attrs.Factory):
+        return spec.default.factory()
+    return spec.default
+
+
 @message(1)
 @frozen
 class Hello:
@@ -170,11 +177,17 @@
         to the engine ended early, ``"unreachable"`` or ``"cancelled"``.
     cached_blocks : int
         Prefix blocks that the engine reported as reused; -1 if it reported none.
+    first_ms, event_ms, slowness, slowness_age_ms : int
+        Times of the answer; see `peridotcove.engine_time.answer_times.AnswerTimes`.
     """
 
     request_id: bytes
     outcome: str
     cached_blocks: int = -1
+    first_ms: int = 0
+    event_ms: int = 0
+    slowness: int = 0
+    slowness_age_ms: int = 0
 
 
 @message(6)
@@ -288,7 +301,7 @@
 
 
 def encode(item, revision):
-    """Return the frame of a message.
+    """Return the frame of a message; fields at its end with their default are omitted.
 
     Parameters
     ----------
@@ -298,6 +311,10 @@
         Configuration revision of the sender.
     """
     values = [getattr(item, name) for name in item.FIELD_NAMES]
+    while len(values) > item.REQUIRED_FIELD_COUNT and (
+        values[-1] == item.DEFAULTS[len(values) - 1]
+    ):
+        values.pop()
     return cbor2.dumps([VERSION, item.CODE, revision, *values])
 
 
