Owners learn how fast engines read, and how slow they are at the moment

Cause: one constant said how fast any engine reads prompts, and nothing read what servers say of the slowness of their machines. Engines that are slow, for good or for a moment, got as much work as the others, and backlogs drained too early in the owner's estimate. Change: entry nodes time the first event and the pauses of each answer and report them with the release, together with the slowness of the machine and its age. The owner fits a read rate per engine (peers' median as start, bounded, reset on restart), corrects backlogs that answers show to be wrong, and fades a figure of slowness to the mean within a second. A good figure attracts nothing. Engines within 5% of the middle one count as equal. Log lines of grants and refusals have the backlog and the expected time; `peridotcove_first_event_ratio` compares it with the seen one. The sum of an owner's loads is kept between decisions, since it was computed thrice in each. Engines as fast as the constant get the same requests as before (EvenEnginesTest).

--- a/peridotcove/cold_engines.py
+++ b/peridotcove/cold_engines.py
@@ -112,6 +112,17 @@
             if spell.tokens < 1 and spell.end_ms > self._clock.now()
         )
 
+    def is_cold(self, engine):
+        """Return whether an engine is cold.
+
+        Parameters
+        ----------
+        engine : str
+            Name of the engine.
+        """
+        spell = self._spell_by_engine.get(engine)
+        return spell is not None and spell.end_ms > self._clock.now()
+
     def record_grant(self, engine):
         """Record that a request was granted an engine.
 
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -5,8 +5,10 @@
 from peridotcove.cache_index import CHARS_PER_TOKEN, CacheIndex
 from peridotcove.cold_engines import ColdEngines
 from peridotcove.customer_slots import CustomerSlots
-from peridotcove.engine_loads import PREFILL_TOKENS_PER_MS, EngineLoads
+from peridotcove.engine_loads import EngineLoads
 from peridotcove.engine_selection import EngineSelector
+from peridotcove.engine_time.answer_times import NO_TIMES
+from peridotcove.engine_time.engine_times import EngineTimes
 from peridotcove.fair_queue import FairQueue, QueuedRequest
 from peridotcove.lease_table import Lease, LeaseTable
 from peridotcove.models import Customer, LeaseGrant, LeaseRefusal, LifecycleStatus
@@ -61,9 +63,20 @@
         is granted.
     weights : SelectionWeights or None
         Weights of the selection of an engine; defaults when None.
+    on_first_event : callable
+        Called with the expected and the seen time in ms to the first event of an
+        answer.
     """
 
-    def __init__(self, shard, configuration, clock, entries=(), weights=None):
+    def __init__(
+        self,
+        shard,
+        configuration,
+        clock,
+        entries=(),
+        weights=None,
+        on_first_event=lambda expected_ms, seen_ms: None,
+    ):
         self.shard = shard
         self._clock = clock
         self.start_recovery(entries)
@@ -86,6 +99,8 @@
         self._lists_until_ms = clock.now() + FIRST_LISTS_MS
         self._loads = EngineLoads(configuration.bounds.load_bound)
         self._cold = ColdEngines(clock)
+        self._times = EngineTimes(clock)
+        self._on_first_event = on_first_event
         self.set_configuration(configuration)
 
     def start_recovery(self, entries):
@@ -131,6 +146,8 @@
         }
         self._prefix_index.set_engines(engines)
         self._part_index.set_engines(engines)
+        self._times.set_engines(engines)
+        self._apply_times(one.name for one in engines)
         configuration = self._configuration
         self._cold.set_engines(
             engines, configuration.model_by_name, configuration.bounds
@@ -300,7 +317,45 @@
             item = self._queue.remove(request_id)
         self._slots.change_usage(self._customer(item.request.customer), waiting=-1)
 
-    def release(self, request_id, outcome, cached_blocks=-1):
+    def _apply_times(self, names):
+        """Apply the times of engines to their loads."""
+        times = self._times
+        for name in names:
+            load = self._loads.engine_load_by_name[name]
+            load.tokens_per_ms = times.get_usual_rate(name)
+            load.time_factor = times.get_time_factor(name)
+            load.slowness = times.get_slowness(name)
+
+    def _fade_slowness(self):
+        """Apply the age of what is known of the engines that are slow at present."""
+        for name in self._times.expire():
+            load = self._loads.engine_load_by_name[name]
+            if load.slowness != 1.0:
+                load.slowness = self._times.get_slowness(name)
+
+    def describe_times(self):
+        """Return what is known of the times of each engine, for operators."""
+        return self._times.describe()
+
+    def _record_times(self, lease, times):
+        """Record the times of an answer that was complete."""
+        engine, estimate = lease.engine, lease.estimate
+        if times is NO_TIMES or engine not in self._loads.engine_load_by_name:
+            return
+        # An engine that has just started is slow for a time that says nothing of later.
+        if self._cold.is_cold(engine):
+            return
+        if estimate is not None and times.first_ms and self._times.is_known(engine):
+            self._on_first_event(estimate.expected_ms, times.first_ms)
+        is_new_for_all, correction_ms = self._times.record(engine, estimate, times)
+        self._apply_times(
+            self._loads.engine_load_by_name if is_new_for_all else (engine,)
+        )
+        if correction_ms:
+            load = self._loads.engine_load_by_name[engine]
+            load.correct_prefill(correction_ms, self._clock.wall())
+
+    def release(self, request_id, outcome, cached_blocks=-1, times=NO_TIMES):
         """Release a lease, or cancel a request that still waits.
 
         Parameters
@@ -311,6 +366,8 @@
             ``"done"``, ``"failed"`` or ``"cancelled"``.
         cached_blocks : int
             Prefix blocks that the engine reported as reused; -1 if not reported.
+        times : AnswerTimes
+            Times of the answer.
         """
         if request_id in self._queue or request_id in self._deferred_by_id:
             self._remove_waiting(request_id)
@@ -322,6 +379,8 @@
             self._prefix_index.record_reuse(
                 lease.engine, lease.cached_blocks, cached_blocks
             )
+        if outcome == "done":
+            self._record_times(lease, times)
         self._remove_lease(lease)
         return self._grant_waiting()
 
@@ -411,6 +470,7 @@
         wall = self._clock.wall()
         for load in self._loads.engine_load_by_name.values():
             load.expire_report(wall)
+        self._fade_slowness()
         refusals = []
         now = self._clock.now()
         expired = self._queue.expire(now)
@@ -492,7 +552,7 @@
         request = item.request
         if deferred is None and request.part_ends and self._awaits_lists():
             # Waits no longer than an engine takes to compute the whole prompt.
-            prompt_ms = request.part_ends[-1] / PREFILL_TOKENS_PER_MS
+            prompt_ms = request.part_ends[-1] / self._times.tokens_per_ms
             self._deferred_by_id[request.request_id] = _DeferredRequest(
                 item, "", self._clock.now() + prompt_ms
             )
@@ -522,25 +582,37 @@
         name = choice.engine
         cached = int(lookup.blocks_by_engine.get(name, 0))
         source = self._find_source(lookup, name, cached)
+        load = self._loads.engine_load_by_name[name]
+        backlog_ms, tokens = 0.0, 0.0
         if request.part_ends:
             missing = (lookup.blocks - cached) * self._block_tokens
-            share = FETCH_COST_SHARE if source else 1.0
-            load = self._loads.engine_load_by_name[name]
-            load.add_prefill(missing * share, self._clock.wall())
+            tokens = missing * (FETCH_COST_SHARE if source else 1.0)
+            backlog_ms = load.prefill_backlog_ms(self._clock.wall())
+            load.add_prefill(tokens, self._clock.wall())
+        estimate = self._times.record_grant(name, tokens, backlog_ms)
         index.record(lookup, name, self._clock.wall())
         self._cold.record_grant(name)
         request_id = request.request_id
-        self._add_lease(
-            Lease(request_id, request.entry, request.customer, name, now, cached)
+        entry, customer = request.entry, request.customer
+        # How long a transfer between engines takes says nothing of how fast they read.
+        known = None if source else estimate
+        self._add_lease(Lease(request_id, entry, customer, name, now, cached, known))
+        return LeaseGrant(
+            request_id,
+            name,
+            cached,
+            source,
+            load.total,
+            self.waiting,
+            int(lookup.blocks),
+            backlog_ms,
+            estimate.expected_ms,
         )
-        load = self._loads.engine_load_by_name[name].total
-        blocks = int(lookup.blocks)
-        return LeaseGrant(request_id, name, cached, source, load, self.waiting, blocks)
 
     def _backlogs(self):
         """Return the blocks that each open engine still has to prefill."""
         wall_ms = self._clock.wall()
-        per_block_ms = self._block_tokens / PREFILL_TOKENS_PER_MS
+        per_block_ms = self._block_tokens / self._times.tokens_per_ms
         return [
             load.prefill_backlog_ms(wall_ms) / per_block_ms
             for load in self._loads.open_engines
@@ -567,7 +639,14 @@
                 item, choice.preferred_engine, now + choice.defer_ms
             )
             self._deferred_by_id[item.request.request_id] = deferred
-        return deferred is not None and now < deferred.until_ms
+        if deferred is None or now >= deferred.until_ms:
+            return False
+        if deferred.preferred_engine not in ("", choice.preferred_engine):
+            # Another engine has become the best one meanwhile.
+            self._deferred_by_id[item.request.request_id] = evolve(
+                deferred, preferred_engine=choice.preferred_engine
+            )
+        return True
 
     def _add_lease(self, lease):
         self._leases.add(lease)
--- a/peridotcove/engine_loads.py
+++ b/peridotcove/engine_loads.py
@@ -7,13 +7,12 @@
 import math
 from collections import deque
 
+from peridotcove.engine_time.read_rates import START_TOKENS_PER_MS
 from peridotcove.models import LifecycleStatus
 
 REPORT_TTL_MS = 10_000
 REPORT_TIME_SLACK_MS = 250
 LEASE_HISTORY_MS = 6_000
-# Prefill rate of an engine, by the data sheets of the engines in use.
-PREFILL_TOKENS_PER_MS = 50.0
 # Upper limit of the estimated prefill backlog of an engine.
 MAX_BACKLOG_MS = 5_000.0
 ROUNDING_TOLERANCE = 1e-9
@@ -28,6 +27,8 @@
         The engine, as configured.
     leases : int
         Leases granted on it.
+    on_change : callable
+        Called when the number of its requests has changed.
 
     Attributes
     ----------
@@ -41,16 +42,25 @@
         Whether it accepts new work.
     total : int
         Requests in progress, as far as known.
+    tokens_per_ms : float
+        Prompt tokens that it reads in a ms at present.
+    time_factor : float
+        How long work usually takes, relative to the middle one of the engines.
+    slowness : float
+        Factor by which work takes longer at present than usually.
     """
 
-    def __init__(self, engine, leases=0):
+    def __init__(self, engine, leases=0, on_change=lambda: None):
         self.set_engine(engine)
+        self._on_change = on_change
         self.total = leases
         self._leases = leases
         self._unleased_load = 0
         self._unleased_until_ms = 0
         self._history = deque()
         self._prefill_until_ms = 0.0
+        self.tokens_per_ms = START_TOKENS_PER_MS
+        self.time_factor = self.slowness = 1.0
 
     def set_engine(self, engine):
         """Set the engine's configuration.
@@ -79,7 +89,22 @@
         # The backlog is capped, so that a wall clock that is set back can't make the
         # engine look busy for long.
         begin_ms = wall_ms + self.prefill_backlog_ms(wall_ms)
-        self._prefill_until_ms = begin_ms + tokens / PREFILL_TOKENS_PER_MS
+        self._prefill_until_ms = begin_ms + tokens / self.tokens_per_ms
+
+    def correct_prefill(self, late_ms, wall_ms):
+        """Correct the engine's backlog by what an answer has shown.
+
+        Parameters
+        ----------
+        late_ms : float
+            Time in ms by which the engine is behind; negative if it is ahead.
+        wall_ms : int
+            Wall time in ms.
+        """
+        backlog_ms = self.prefill_backlog_ms(wall_ms)
+        # The answer tells nothing of an engine that has read all its prompts.
+        if backlog_ms:
+            self._prefill_until_ms = wall_ms + backlog_ms + late_ms
 
     def prefill_backlog_ms(self, wall_ms):
         """Return the time in ms until the engine has read the prompts assigned to it.
@@ -90,7 +115,9 @@
             Wall time in ms.
         """
         left_ms = self._prefill_until_ms - wall_ms
-        return min(max(0.0, left_ms), MAX_BACKLOG_MS)
+        if left_ms <= 0.0:
+            return 0.0
+        return left_ms if left_ms < MAX_BACKLOG_MS else MAX_BACKLOG_MS
 
     def has_free_slot(self, capacity_share):
         """Return whether the engine has a free slot.
@@ -116,6 +143,7 @@
         history.append((wall_ms, self._leases))
         self._leases += delta
         self.total += delta
+        self._on_change()
         while history[0][0] < wall_ms - LEASE_HISTORY_MS:
             history.popleft()
 
@@ -143,6 +171,7 @@
     def _set_unleased_load(self, unleased_load):
         self.total += unleased_load - self._unleased_load
         self._unleased_load = unleased_load
+        self._on_change()
 
     def _max_leases_around(self, at_ms):
         # The history holds each count of leases with the time until which it was valid.
@@ -201,6 +230,8 @@
         self.capacity_share = 1.0
         self._other_total = 0.0
         self._other_weight = 0.0
+        # Sum of the engines' requests, or None once one of them has changed.
+        self._total = None
 
     def set_engines(self, engines, leases_by_engine):
         """Set the engines of the shard.
@@ -217,13 +248,15 @@
         for engine in engines:
             load = known.get(engine.name)
             if load is None:
-                load = EngineLoad(engine, leases_by_engine[engine.name])
+                leases = leases_by_engine[engine.name]
+                load = EngineLoad(engine, leases, self._forget_total)
             else:
                 load.set_engine(engine)
             self.engine_load_by_name[engine.name] = load
         self.open_engines = [
             load for load in self.engine_load_by_name.values() if load.is_open
         ]
+        self._total = None
         self.weight = sum(load.weight for load in self.open_engines)
         self.capacity = sum(load.capacity for load in self.open_engines)
 
@@ -242,10 +275,12 @@
 
     def total(self):
         """Return the number of requests in progress on the open engines."""
-        total = 0
-        for load in self.open_engines:
-            total += load.total
-        return total
+        if self._total is None:
+            self._total = sum([load.total for load in self.open_engines])
+        return self._total
+
+    def _forget_total(self):
+        self._total = None
 
     def change_leases(self, engine, delta, wall_ms):
         """Change the number of leases on an engine.
@@ -292,9 +327,12 @@
         if not self.open_engines:
             return False
         per_weight = self.load_bound_per_weight(self.mean_load())
-        for load in self.open_engines:
-            matches = engine is None or load.name == engine
-            below = matches and load.total < per_weight * load.weight
+        loads = self.open_engines
+        if engine is not None:
+            load = self.engine_load_by_name.get(engine)
+            loads = [load] if load is not None and load.is_open else []
+        for load in loads:
+            below = load.total < per_weight * load.weight
             if below and load.has_free_slot(self.capacity_share):
                 return True
         return False
--- a/peridotcove/engine_selection.py
+++ b/peridotcove/engine_selection.py
@@ -3,7 +3,8 @@
 The cost of an engine is the number of prompt blocks that it would have to compute, plus
 terms for its load, its availability zone and its rendezvous rank. If the engine with
 the lowest cost is at its load bound, the request may wait for it for a short time,
-limited by the blocks that this saves.
+limited by the blocks that this saves. Blocks and load count for more on an engine on
+which work takes longer than on its peers.
 """
 
 from attrs import frozen
@@ -13,6 +14,10 @@
 # Exceeds any difference in cached blocks, so that an engine that failed comes last.
 EXCLUDED_COST = float("inf")
 AVOIDED_ENGINE_BLOCKS = 1e6
+# Time to the first event beside the prompt's, in blocks.
+START_BLOCKS = 24.0
+# Blocks that an engine reads in the time for which its slowness is known.
+MAX_SLOW_BLOCKS = 200.0
 
 
 @frozen
@@ -99,10 +104,7 @@
             Blocks that each open engine still has to prefill; ignored when empty.
         """
         mean = loads.mean_load()
-        costs = self._costs(request, lookup, loads.open_engines, mean)
-        if backlogs:
-            pairs = zip(costs, backlogs, strict=True)
-            costs = [cost + backlog for cost, backlog in pairs]
+        costs = self._costs(request, lookup, loads.open_engines, mean, backlogs)
         lowest_cost = min(costs)
         preferred = loads.open_engines[costs.index(lowest_cost)].name
         engine = ""
@@ -121,7 +123,7 @@
         wait_ms = int((selected_cost - lowest_cost) * weights.wait_ms_per_block)
         return EngineChoice(engine, preferred, min(wait_ms, weights.max_wait_ms))
 
-    def _costs(self, request, lookup, open_loads, mean):
+    def _costs(self, request, lookup, open_loads, mean, backlogs):
         weights = self.weights
         per_load = weights.load / mean
         zone_cost = weights.zone
@@ -131,9 +133,18 @@
         get = known.get
         rendezvous_engine = self._rendezvous_engine(request, lookup, open_loads)
         costs = []
-        for load in open_loads:
+        if not backlogs:
+            backlogs = [0.0] * len(open_loads)
+        for load, backlog in zip(open_loads, backlogs, strict=True):
             name = load.name
             cost = per_load * load.total / load.weight - get(name, 0)
+            if load.time_factor != 1.0:
+                cost = load.time_factor * (cost + lookup.blocks) - lookup.blocks
+            if load.slowness != 1.0:
+                # The engine is slow for a short time only, however long the work takes.
+                blocks = START_BLOCKS + backlog + lookup.blocks - get(name, 0)
+                cost += (load.slowness - 1.0) * min(blocks, MAX_SLOW_BLOCKS)
+            cost += backlog
             if load.zone != zone:
                 cost += zone_cost
             if name == rendezvous_engine:
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -17,6 +17,7 @@
 from peridotcove.crash_suspects import CUT, CUT_BEFORE_ANSWER
 from peridotcove.endpoints.streaming_client import Transfer
 from peridotcove.engine_notices import NO_NOTICE
+from peridotcove.engine_time.answer_times import NO_TIMES, AnswerTimer
 from peridotcove.event_splitter import EventSplitter
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
 from peridotcove.forwarding_types import (
@@ -255,6 +256,8 @@
     origin: StreamOrigin | None = None
     # Other models that may have begun a stream that the caller takes up.
     other_models: list = field(factory=list)
+    # Times of the answer of this try; None before its request is sent.
+    timer: AnswerTimer | None = None
 
     def find_stream(self):
         """Set what is known of the stream that the request begins or takes up."""
@@ -335,6 +338,7 @@
     async def attempt(self, number):
         """Run one try and return its `ForwardedResponse`."""
         forwarder, forward = self.forwarder, self.forward
+        self.timer = None
         left_ms = forward.end_ms - forwarder.clock.now()
         if left_ms < MIN_TIME_LEFT_MS:
             raise RequestRefused("deadline", "too little time is left to run", 503, 0)
@@ -361,7 +365,15 @@
             raise
         finally:
             forwarder.metrics.attempts.labels(outcome).inc()
-            forwarder.leases.release(request.request_id, outcome)
+            forwarder.leases.release(
+                request.request_id, outcome, times=self._read_times()
+            )
+
+    def _read_times(self):
+        """Return the `AnswerTimes` of this try; those through a peer tell little."""
+        if self.timer is None or self.transfer.relay is not None:
+            return NO_TIMES
+        return self.timer.read()
 
     async def _request_lease(self, request):
         """Return the grant of a lease.
@@ -587,6 +599,7 @@
         asked_ms = self.forwarder.clock.now()
         transfer.before_send = lambda: self._check_before_send(engine, asked_ms)
         self.transfer = self.sink.transfer = transfer
+        self.timer = AnswerTimer(self.forwarder.clock)
 
     def _check_before_send(self, engine, granted_ms):
         """Raise a `RequestRefused` if an engine may not get the request any more."""
@@ -598,6 +611,7 @@
         if engine.cold_ms and delay_ms > MAX_SEND_DELAY_MS:
             text = f"the lease on cold engine {engine.name} is {delay_ms} ms old"
             raise RequestRefused("stale-lease", text, 503, RETRY_AFTER_MS)
+        self.timer.record_send()
 
     def _get_priority(self):
         customer = self.forward.customer
@@ -617,6 +631,7 @@
             else:
                 self.forwarder.answer_memory.update(self, len(self.body))
             return False
+        count_before = self.splitter.count
         try:
             complete_events = self.splitter.feed(data)
             self._check_for_head(complete_events)
@@ -624,6 +639,7 @@
             self.head = ResponseHead(head.status, fault=str(error))
             self.transfer.cancel()
             return False
+        self.timer.record_events(self.splitter.count - count_before)
         self._count_partial()
         if self.splitter.ended:
             self.transfer.cancel()
@@ -667,6 +683,7 @@
             self.head = dialect.read_head(
                 self.forward, transfer.status, transfer.headers
             )
+            self.timer.record_slowness(self.head.slowness)
             self._handle_notice(self.head.notice)
             unframed = transfer.framing == "connection"
             self.splitter.end_prefix = HTTP_PREFIX if unframed else b""
@@ -764,6 +781,8 @@
                 raise EndpointFailed("cut", text, Verdict.MAY_HAVE_RUN)
             self.forward.head = head
             return forwarded
+        if not self.forward.route.streaming:
+            self.timer.record_end()
         remainder = self.splitter.flush()
         self._check_event_end(head, remainder)
         if remainder:
--- a/peridotcove/forwarding_types.py
+++ b/peridotcove/forwarding_types.py
@@ -21,6 +21,9 @@
         Why the response can't belong to this request; empty if it can.
     notice : Notice
         What the engine says of itself.
+    slowness : int
+        How long work takes on the engine's machine now, in percent of the usual time; 0
+        if the engine doesn't say.
     """
 
     status: int
@@ -28,6 +31,7 @@
     not_run: bool = False
     fault: str = ""
     notice: Notice = NO_NOTICE
+    slowness: int = 0
 
     @property
     def success(self):
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -5,8 +5,10 @@
 
 import asyncio
 
+import attrs
 from attrs import frozen
 
+from peridotcove.engine_time.answer_times import NO_TIMES
 from peridotcove.exceptions import LinkDown, RequestRefused
 from peridotcove.logs import get_logger
 from peridotcove.models import LeaseGrant
@@ -222,7 +224,7 @@
     def _node_names(self):
         return {item.name for item in self._fleet.nodes}
 
-    def release(self, request_id, outcome, cached_blocks=-1):
+    def release(self, request_id, outcome, cached_blocks=-1, times=NO_TIMES):
         """Release a lease.
 
         Parameters
@@ -233,11 +235,15 @@
             ``"done"``, ``"failed"`` or ``"cancelled"``.
         cached_blocks : int
             Prefix blocks that the engine reported as reused; -1 if not reported.
+        times : AnswerTimes
+            Times of the answer.
         """
         lease = self.lease_by_id.pop(request_id, None)
         if lease is None:
             return
-        message = ReleaseLease(request_id, outcome, cached_blocks)
+        message = ReleaseLease(
+            request_id, outcome, cached_blocks, *attrs.astuple(times)
+        )
         for owner in {lease.owner, *self._informed_by_shard.get(lease.shard, ())}:
             self._send_or_log(owner, message)
 
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -5,6 +5,7 @@
 from attrs import define, evolve
 
 from peridotcove.dispatch import Dispatcher
+from peridotcove.engine_time.answer_times import AnswerTimes
 from peridotcove.exceptions import LinkDown, ProtocolError
 from peridotcove.lease_client import (
     LEASE_ANNOUNCE_INTERVAL_MS,
@@ -84,6 +85,9 @@
         Event log of this node.
     is_current : callable
         Whether this node would have heard of engines that joined a moment ago.
+    on_first_event : callable
+        Called with the expected and the seen time in ms to the first event of an
+        answer.
 
     Attributes
     ----------
@@ -99,12 +103,22 @@
         Set when a request starts to wait.
     """
 
-    def __init__(self, node, fleet, network, clock, timeline, is_current=lambda: True):
+    def __init__(
+        self,
+        node,
+        fleet,
+        network,
+        clock,
+        timeline,
+        is_current=lambda: True,
+        on_first_event=lambda expected_ms, seen_ms: None,
+    ):
         self._node = node
         self._fleet = fleet
         self._network = network
         self._clock = clock
         self._timeline = timeline
+        self._on_first_event = on_first_event
         self._tracked_by_id = {}
         self._outlier_detector = OutlierDetector(clock)
         self.suspect_sync = SuspectSync(node, fleet, network, clock, timeline)
@@ -291,11 +305,17 @@
             self._outlier_detector.record_outcome(
                 tracked.engine, message.outcome, engines
             )
+        times = AnswerTimes(
+            message.first_ms,
+            message.event_ms,
+            message.slowness,
+            message.slowness_age_ms,
+        )
         dispatchers = self.dispatcher_by_shard
         chosen = [dispatchers[shard]] if shard in dispatchers else dispatchers.values()
         for dispatcher in list(chosen):
             decisions = dispatcher.release(
-                message.request_id, message.outcome, message.cached_blocks
+                message.request_id, message.outcome, message.cached_blocks, times
             )
             self._send_decisions(decisions)
 
@@ -338,6 +358,7 @@
                 self._fleet.configuration,
                 self._clock,
                 self._other_nodes(),
+                on_first_event=self._on_first_event,
             )
             self.dispatcher_by_shard[shard] = dispatcher
         return dispatcher
@@ -540,6 +561,8 @@
         "source": decision.source,
         "load": decision.load,
         "waiting": decision.waiting,
+        "backlog_ms": round(decision.backlog_ms),
+        "expected_ms": round(decision.expected_ms),
     }
 
 
--- a/peridotcove/lease_table.py
+++ b/peridotcove/lease_table.py
@@ -19,6 +19,8 @@
         Monotonic time in ms at which it was granted or first reported.
     cached_blocks : int
         Prefix blocks expected in the engine's cache.
+    estimate : FirstEventEstimate or None
+        Expected time to the first event; None if this owner did not make one.
     """
 
     request_id: bytes
@@ -27,6 +29,7 @@
     engine: str
     since_ms: int
     cached_blocks: int = 0
+    estimate: object = None
 
 
 class LeaseTable:
--- a/peridotcove/metrics.py
+++ b/peridotcove/metrics.py
@@ -4,6 +4,8 @@
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
 
+RATIO_BUCKETS = (0.25, 0.5, 0.75, 0.9, 1.1, 1.33, 2, 4)
+
 
 class Metrics:
     """All metrics of one node, in their own registry."""
@@ -44,6 +46,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.first_event_ratio = Histogram(
+            "peridotcove_first_event_ratio",
+            "Time to an engine's first event, seen by expected, at the owner.",
+            buckets=RATIO_BUCKETS,
+            registry=self.registry,
+        )
         self.attempts = self._add_counter(
             "peridotcove_attempts", "Requests sent to engines, by outcome.", "outcome"
         )
@@ -99,6 +107,16 @@
             "peridotcove_draining", "1 while the node leaves."
         )
 
+    def record_first_event(self, expected_ms, seen_ms):
+        """Record the expected and the seen time to a first event.
+
+        Parameters
+        ----------
+        expected_ms, seen_ms : float
+            Times in ms; the expected one is at least 1 ms.
+        """
+        self.first_event_ratio.observe(seen_ms / max(1.0, expected_ms))
+
     def _add_counter(self, name, text, *labels):
         return Counter(name, text, labels, registry=self.registry)
 
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -531,6 +531,9 @@
         Number of requests on the engine and in the owner's queue at the grant.
     blocks : int
         Number of blocks of the whole prompt.
+    backlog_ms, expected_ms : float
+        Time in ms until the engine has read the prompts before this one, and until the
+        first event is expected; -1 if they weren't estimated.
     """
 
     request_id: bytes
@@ -540,6 +543,8 @@
     load: int = 0
     waiting: int = 0
     blocks: int = 0
+    backlog_ms: float = -1
+    expected_ms: float = -1
 
 
 @frozen
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -167,7 +167,13 @@
     def _wire_leases(self):
         fleet, links, clock = self.fleet, self.links, self.clock
         self.lease_server = LeaseServer(
-            self.name, fleet, links, clock, self.timeline, self.control.is_current
+            self.name,
+            fleet,
+            links,
+            clock,
+            self.timeline,
+            self.control.is_current,
+            self.metrics.record_first_event,
         )
         self.lease_client = LeaseClient(
             self.name,
--- a/peridotcove/platform/dialect.py
+++ b/peridotcove/platform/dialect.py
@@ -51,6 +51,11 @@
 RETRY_AFTER_HEADER = "Retry-After"
 # Number of requests that a server can turn away in a second without falling over.
 BRITTLE_HEADER = "Server-Brittle"
+# Requests running and waiting, slots, and of some servers how long work takes now.
+LOAD_HEADER = "X-Server-Load"
+LOAD_FIGURES = 4
+MAX_LOAD_CHARS = 64
+MAX_SLOWNESS = 1_000
 FULL_STATUS = 503
 MISDIRECTED_STATUS = 421
 EXPECTED_ID_HEADER = "X-Expect-Instance"
@@ -170,7 +175,8 @@
         fault = _find_fault(forward, status, headers)
         # An answer with a fault may be that of another server.
         notice = NO_NOTICE if fault else self.read_notice(status, headers)
-        return ResponseHead(status, kept, not_run, fault, notice)
+        slowness = 0 if fault else read_slowness(headers)
+        return ResponseHead(status, kept, not_run, fault, notice, slowness)
 
     def read_notice(self, status, headers):
         """Return the `Notice` of a server's answer; see `read_notice`.
@@ -211,6 +217,26 @@
     return notice
 
 
+def read_slowness(headers):
+    """Return how long work takes on a server's machine, in percent of the usual time.
+
+    Returns 0 if the server doesn't say it or if the figure can't be true. A figure that
+    is too large to matter is lowered.
+
+    Parameters
+    ----------
+    headers : tornado.httputil.HTTPHeaders
+        Header fields that the server sent.
+    """
+    figures = headers.get(LOAD_HEADER, "")[:MAX_LOAD_CHARS].split(",")
+    if len(figures) < LOAD_FIGURES:
+        return 0
+    figure = figures[LOAD_FIGURES - 1].strip()
+    if not (figure.isascii() and figure.isdigit()):
+        return 0
+    return min(int(figure), MAX_SLOWNESS)
+
+
 def _encode_text(text):
     """Return text whose characters are the bytes of its UTF-8 form."""
     return text.encode("utf-8", "surrogatepass").decode("latin-1")
--- /dev/null
+++ b/tests/engine_time/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `peridotcove.engine_time`."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -12,8 +12,8 @@
 from peridotcove.cache_events import CacheEvent
 from peridotcove.clock import FakeClock
 from peridotcove.dispatch import FIRST_LISTS_MS, Dispatcher
-from peridotcove.engine_loads import PREFILL_TOKENS_PER_MS
 from peridotcove.engine_selection import PART_WEIGHTS
+from peridotcove.engine_time.read_rates import START_TOKENS_PER_MS
 from peridotcove.models import (
     Bounds,
     Configuration,
@@ -417,7 +417,7 @@
     """
 
     SHARED = PromptPartDispatchTest.SHARED
-    PROMPT_MS = 8_960 / PREFILL_TOKENS_PER_MS
+    PROMPT_MS = 8_960 / START_TOKENS_PER_MS
 
     def setUp(self):
         self.engines = {
