Owners decide on admission by deadline, objective and urgency

Cause: whether a request had to wait too long was estimated from the share of its customer among all, whether others had work or not, and without regard to urgency. Requests were refused although there was room, urgent ones as often as others, and what waited for slots was served late as a whole. A prompt was granted an engine that could not begin it before the caller had gone. Callers were told to come back at any time, and were refused again. Change: the expected wait counts the turns until a request is dequeued, by class and weight, and the share that goes to more urgent ones; one turn in eight stays for the others. A request waits as long as its deadline allows. While a customer's class is refused some, only those of it wait that can meet their objective. Requests that no engine can begin in time are refused at once, those that wait and can't be served any more within 100 ms. Refused callers get times to come back that are spread by the rate at which room becomes free, the urgent first. No slots are held back from customers above their share where one becomes free each 20 ms. `AskLease` has the time left to the objective; an owner of before ignores it, and without it the limit is the deadline. `peridotcove_refused_again` counts prompts that were refused, came back and were refused again.

--- a/peridotcove/customer_slots.py
+++ b/peridotcove/customer_slots.py
@@ -11,6 +11,8 @@
 RESERVED_SHARE = 0.2
 RELEASE_WINDOW_MS = 5_000
 MIN_RELEASES = 8
+# Mean time between releases up to which no slots are held back.
+MAX_INTERVAL_MS = 20
 MAX_RELEASES = 256
 # Waiting requests per slot above which new ones are refused.
 MAX_WAITING_PER_SLOT = 4
@@ -111,31 +113,56 @@
             return False
         if self.capacity - load > RESERVED_SHARE * self.capacity:
             return True
-        return leases < self.fair_share(customer)
+        return leases < self.fair_share(customer) or self._frees_slots_soon()
 
-    def estimate_wait_ms(self, customer):
-        """Return the expected wait in ms of a request that joins the queue now.
+    def _frees_slots_soon(self):
+        """Return whether a customer below its share gets a slot soon without a reserve.
+
+        It comes first in the queue then, so that it needs few releases.
+        """
+        interval_ms = self.find_interval_ms()
+        return interval_ms is not None and interval_ms <= MAX_INTERVAL_MS
+
+    def find_interval_ms(self):
+        """Return the mean time in ms between two recent releases.
+
+        Returns
+        -------
+        float or None
+            None if there were too few for an estimate.
+        """
+        now = self._clock.now()
+        releases = self._releases
+        while releases and releases[0] <= now - RELEASE_WINDOW_MS:
+            releases.popleft()
+        if len(releases) < MIN_RELEASES:
+            return None
+        return max(1, now - releases[0]) / len(releases)
+
+    def estimate_wait_ms(self, customer, turns):
+        """Return the expected wait in ms of a request in the queue.
 
         Parameters
         ----------
         customer : Customer
             Customer of the request; the request is already counted as waiting.
+        turns : float
+            Requests that are dequeued until the request has been.
 
         Returns
         -------
         float or None
             None if there were too few recent releases for an estimate.
         """
-        now = self._clock.now()
-        recent = [at_ms for at_ms in self._releases if at_ms > now - RELEASE_WINDOW_MS]
-        if len(recent) < MIN_RELEASES:
+        interval_ms = self.find_interval_ms()
+        if interval_ms is None:
             return None
-        span_ms = max(1, now - recent[0])
         usage = self._usage_by_customer[customer.name]
-        share = customer.weight / self._weight
         if usage.leases >= customer.concurrency:
-            share = usage.leases / max(1, self._leases)
-        return usage.waiting * span_ms / (len(recent) * share)
+            # Only releases of the customer itself make room for it.
+            own_share = usage.leases / max(1, self._leases)
+            turns = max(turns, usage.waiting / own_share)
+        return turns * interval_ms
 
     def is_queue_full(self):
         """Return whether more requests wait than the shard can serve soon."""
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -7,9 +7,16 @@
 from peridotcove.customer_slots import CustomerSlots
 from peridotcove.engine_loads import EngineLoads
 from peridotcove.engine_selection import EngineSelector
+from peridotcove.engine_time.admission import QUEUE_WAIT_SHARE, Admission
 from peridotcove.engine_time.answer_times import NO_TIMES
 from peridotcove.engine_time.engine_times import EngineTimes
-from peridotcove.fair_queue import FairQueue, QueuedRequest
+from peridotcove.engine_time.grant_history import GrantHistory
+from peridotcove.engine_time.return_schedule import ReturnSchedule
+from peridotcove.fair_queue import (
+    TURNS_PER_LOWER_PRIORITY,
+    FairQueue,
+    QueuedRequest,
+)
 from peridotcove.lease_table import Lease, LeaseTable
 from peridotcove.models import Customer, LeaseGrant, LeaseRefusal, LifecycleStatus
 from peridotcove.prompt_part_index import PromptPartIndex
@@ -21,6 +28,13 @@
 RETRY_AFTER_MS = 1_000
 HASH_RANGE = 1 << 64
 MAX_DEFERRED_REQUESTS = 32
+# Time between two checks whether waiting requests can still be served in time, and how
+# far beyond their time they have to be: it may get better.
+HOPELESS_CHECK_INTERVAL_MS = 100
+HOPELESS_FACTOR = 1.5
+# Waiting requests of a customer from which on later ones of others count: with fewer,
+# it has not sent more than its share for long.
+MIN_PLACE = 8
 # Time after its start in which a dispatcher expects the first lists of the caches.
 FIRST_LISTS_MS = 1_000
 # An engine that leaves takes no new work but can still serve its cache to others.
@@ -66,6 +80,8 @@
     on_first_event : callable
         Called with the expected and the seen time in ms to the first event of an
         answer.
+    on_refused_again : callable
+        Called when a request is refused that had been refused before.
     """
 
     def __init__(
@@ -76,6 +92,7 @@
         entries=(),
         weights=None,
         on_first_event=lambda expected_ms, seen_ms: None,
+        on_refused_again=lambda: None,
     ):
         self.shard = shard
         self._clock = clock
@@ -100,7 +117,12 @@
         self._loads = EngineLoads(configuration.bounds.load_bound)
         self._cold = ColdEngines(clock)
         self._times = EngineTimes(clock)
+        self._admission = Admission(clock)
+        self._checked_ms = clock.now()
+        self._grants = GrantHistory(clock)
+        self._returns = ReturnSchedule(clock)
         self._on_first_event = on_first_event
+        self._on_refused_again = on_refused_again
         self.set_configuration(configuration)
 
     def start_recovery(self, entries):
@@ -297,18 +319,53 @@
         return all(load.name in request.excluded for load in self._loads.open_engines)
 
     def _refuse_if_overloaded(self, request, customer, wait_ms):
-        expected_wait_ms = self._slots.estimate_wait_ms(customer)
-        if expected_wait_ms is None or expected_wait_ms <= wait_ms:
+        expected_wait_ms = self._estimate_wait_ms(request, customer)
+        if expected_wait_ms is None:
             if not self._slots.is_queue_full():
                 return []
-            expected_wait_ms = wait_ms
-        jitter = 0.5 + hash_name(request.request_id.hex()) / HASH_RANGE
+            expected_wait_ms = 2 * wait_ms
+        own_ms = self._times.fixed_ms
+        limit_ms = self._admission.find_limit_ms(request, wait_ms, own_ms)
+        if expected_wait_ms <= limit_ms:
+            return []
         self._remove_waiting(request.request_id)
-        return [
-            LeaseRefusal(
-                request.request_id, "overloaded", int(expected_wait_ms * jitter)
-            )
-        ]
+        return [self._refuse_overloaded(request, expected_wait_ms - limit_ms)]
+
+    def _estimate_wait_ms(self, request, customer, place=None):
+        """Return how long a queued request waits, or None if that is not known."""
+        queue, priority = self._queue, request.priority
+        if place is None:
+            place = queue.count_customer(request.customer, priority)
+        turns = queue.count_until(request.customer, priority, place)
+        # More urgent requests come first, also those of the next moments, but leave a
+        # share of all turns.
+        share = max(1 - self._grants.share_above(priority), 1e-3)
+        turns = min(
+            (turns + queue.count_above(priority)) / share,
+            turns * TURNS_PER_LOWER_PRIORITY,
+        )
+        wait_ms = self._slots.estimate_wait_ms(customer, turns)
+        is_overloaded = self._admission.is_overloaded(request)
+        if wait_ms is None or not (is_overloaded or place >= MIN_PLACE):
+            return wait_ms
+        # Requests of customers below their share come first, also later ones.
+        interval_ms = self._grants.find_interval_ms(priority, request.customer)
+        if not is_overloaded:
+            fair_share = self._slots.fair_share(customer) / self._slots.capacity
+            fair_ms = self._slots.find_interval_ms() / (share * fair_share)
+            interval_ms = min(interval_ms, fair_ms)
+        return max(wait_ms, place * interval_ms)
+
+    def _refuse_overloaded(self, request, room_ms):
+        """Return a refusal whose caller may come back when there is room for it."""
+        if self._admission.record_refusal(request):
+            self._on_refused_again()
+        fraction = hash_name(request.request_id.hex()) / HASH_RANGE
+        interval_ms = self._slots.find_interval_ms() or RETRY_AFTER_MS / 10
+        retry_after_ms = self._returns.add(
+            request.priority, room_ms, interval_ms, fraction
+        )
+        return LeaseRefusal(request.request_id, "overloaded", int(retry_after_ms) + 1)
 
     def _remove_waiting(self, request_id):
         if request_id in self._deferred_by_id:
@@ -483,8 +540,26 @@
             refusals.append(
                 LeaseRefusal(request.request_id, "deadline", RETRY_AFTER_MS)
             )
+        refusals += self._refuse_hopeless(now)
         return refusals + self._grant_waiting()
 
+    def _refuse_hopeless(self, now):
+        """Refuse the waiting requests whose turn would come after their time."""
+        if now < self._checked_ms + HOPELESS_CHECK_INTERVAL_MS or not len(self._queue):
+            return []
+        self._checked_ms = now
+        refusals = []
+        for customer_name, items in self._queue.list_by_customer():
+            customer = self._customer(customer_name)
+            for place, item in enumerate(reversed(items)):
+                request, left_ms = item.request, item.expires_ms - now
+                wait_ms = self._estimate_wait_ms(request, customer, len(items) - place)
+                if wait_ms is None or wait_ms <= HOPELESS_FACTOR * left_ms:
+                    break
+                self._remove_waiting(request.request_id)
+                refusals.append(self._refuse_overloaded(request, wait_ms - left_ms))
+        return refusals
+
     def close(self):
         """Refuse all waiting requests, since another node owns the shard now."""
         refusals = []
@@ -569,6 +644,14 @@
             lookup = index.look_up(request.prefixes, request.blocks)
             backlogs = ()
         choice = self._selector.select(request, lookup, self._loads, backlogs)
+        late_by_engine = self._find_late_engines(item, lookup, choice.engine)
+        if late_by_engine:
+            others = evolve(request, excluded=(*request.excluded, *late_by_engine))
+            if not self._excludes_all(others):
+                choice = self._selector.select(others, lookup, self._loads, backlogs)
+            if choice.engine in ("", *late_by_engine):
+                self._deferred_by_id.pop(request.request_id, None)
+                return self._refuse_overloaded(request, min(late_by_engine.values()))
         if not choice.engine and request.excluded and deferred is None:
             # Only engines that the request must not use have room.
             self._deferred_by_id[request.request_id] = _DeferredRequest(
@@ -592,6 +675,7 @@
         estimate = self._times.record_grant(name, tokens, backlog_ms)
         index.record(lookup, name, self._clock.wall())
         self._cold.record_grant(name)
+        self._grants.record(request)
         request_id = request.request_id
         entry, customer = request.entry, request.customer
         # How long a transfer between engines takes says nothing of how fast they read.
@@ -609,6 +693,39 @@
             estimate.expected_ms,
         )
 
+    def _find_late_engines(self, item, lookup, engine):
+        """Return by how much engines would miss the limit of a request, by name.
+
+        Empty if the chosen engine keeps it, or if too little is known of that one.
+        """
+        request = item.request
+        is_known = engine and request.part_ends and self._times.is_known(engine)
+        if not is_known:
+            return {}
+        limit_ms = request.deadline_ms / QUEUE_WAIT_SHARE
+        limit_ms -= self._clock.now() - item.arrived_ms
+        if self._find_excess_ms(request, lookup, engine, limit_ms) <= 0:
+            return {}
+        late_by_engine = {}
+        for load in self._loads.open_engines:
+            name = load.name
+            if name not in request.excluded and self._times.is_known(name):
+                excess_ms = self._find_excess_ms(request, lookup, name, limit_ms)
+                if excess_ms > 0:
+                    late_by_engine[name] = excess_ms
+        return late_by_engine
+
+    def _find_excess_ms(self, request, lookup, engine, limit_ms):
+        """Return by how much an engine is expected to miss a limit, in ms."""
+        blocks = lookup.blocks - lookup.blocks_by_engine.get(engine, 0)
+        load = self._loads.engine_load_by_name[engine]
+        backlog_ms = load.prefill_backlog_ms(self._clock.wall())
+        own_ms = self._times.estimate_first_event(
+            engine, blocks * self._block_tokens, 0.0
+        )
+        limit_ms = self._admission.find_backlog_limit_ms(request, limit_ms, own_ms)
+        return backlog_ms - limit_ms
+
     def _backlogs(self):
         """Return the blocks that each open engine still has to prefill."""
         wall_ms = self._clock.wall()
--- a/peridotcove/engine_time/engine_times.py
+++ b/peridotcove/engine_time/engine_times.py
@@ -73,6 +73,11 @@
         """Rate of the middle one of the engines, in prompt tokens per ms."""
         return self._rates.tokens_per_ms
 
+    @property
+    def fixed_ms(self):
+        """Time in ms to the first event beside the prompt's, of the middle engine."""
+        return self._rates.fixed_ms * self._usual_factor
+
     def set_engines(self, engines):
         """Set the engines of the shard.
 
--- a/peridotcove/fair_queue.py
+++ b/peridotcove/fair_queue.py
@@ -44,6 +44,7 @@
     def __init__(self):
         self.queue_by_customer = {}
         self.weight = 0.0
+        self.count = 0
         self._heap = []
         self._finish_by_customer = {}
         self._virtual_time = 0.0
@@ -56,6 +57,7 @@
             self.weight += weight
             self._schedule(customer, self._finish_by_customer.get(customer, 0.0))
         customer_queue.ids.append(request_id)
+        self.count += 1
 
     def _schedule(self, customer, start):
         self._sequence += 1
@@ -84,6 +86,7 @@
         self._virtual_time = start
         finish = start + 1.0 / customer_queue.weight
         request_id = customer_queue.ids.popleft()
+        self.count -= 1
         self._finish_by_customer[customer] = finish
         if customer_queue.ids:
             self._schedule(customer, finish)
@@ -96,6 +99,7 @@
     def remove(self, customer, request_id):
         customer_queue = self.queue_by_customer[customer]
         customer_queue.ids.remove(request_id)
+        self.count -= 1
         if not customer_queue.ids:
             self._remove_customer(customer)
             self._heap = [item for item in self._heap if item[2] != customer]
@@ -211,6 +215,69 @@
         """Return the waiting requests in arbitrary order."""
         return list(self._waiting_by_id.values())
 
+    def count_above(self, priority):
+        """Return the number of waiting requests that are more urgent.
+
+        Parameters
+        ----------
+        priority : int
+            Priority class.
+        """
+        return sum(
+            priority_class.count
+            for level, priority_class in self._class_by_priority.items()
+            if level < priority
+        )
+
+    def count_until(self, customer, priority, place):
+        """Return how many requests of a class are dequeued up to one of a customer.
+
+        Parameters
+        ----------
+        customer : str
+            Name of the customer.
+        priority : int
+            Priority class of the request.
+        place : int
+            Place of the request among those of its customer in the class, from 1.
+        """
+        customer_queues = self._class_by_priority[priority].queue_by_customer
+        turns = place / customer_queues[customer].weight
+        return sum(
+            min(len(other.ids), turns * other.weight)
+            for other in customer_queues.values()
+        )
+
+    def list_by_customer(self):
+        """Return the waiting requests of each customer in each class.
+
+        Returns
+        -------
+        list of tuple
+            Names of customers, and lists of `QueuedRequest` in their order.
+        """
+        waiting = self._waiting_by_id
+        return [
+            (customer, [waiting[request_id] for request_id in customer_queue.ids])
+            for priority in sorted(self._class_by_priority)
+            for customer, customer_queue in self._class_by_priority[
+                priority
+            ].queue_by_customer.items()
+        ]
+
+    def count_customer(self, customer, priority):
+        """Return the number of waiting requests of a customer in a class.
+
+        Parameters
+        ----------
+        customer : str
+            Name of the customer.
+        priority : int
+            Priority class.
+        """
+        customer_queues = self._class_by_priority[priority].queue_by_customer
+        return len(customer_queues[customer].ids)
+
     def share(self, customer, weight, priority):
         """Return a customer's count of waiting requests and share of slots, 0 to 1.
 
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -17,6 +17,7 @@
 from peridotcove.crash_suspects import CUT, CUT_BEFORE_ANSWER
 from peridotcove.endpoints.streaming_client import Transfer
 from peridotcove.engine_notices import NO_NOTICE
+from peridotcove.engine_time.admission import QUEUE_WAIT_SHARE
 from peridotcove.engine_time.answer_times import NO_TIMES, AnswerTimer
 from peridotcove.event_splitter import EventSplitter
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
@@ -48,8 +49,6 @@
 # Share of the remaining time that a repeatable request waits for the first byte of an
 # answer before it is retried at another engine.
 FIRST_BYTE_SHARE = 0.4
-# Share of the remaining time that a request may wait in the queue for a lease.
-QUEUE_WAIT_SHARE = 0.5
 # Time in which an engine answers a question about itself; it may need a free slot.
 LIFE_CHECK_TIMEOUT_MS = 500
 MAX_ANSWER_BYTES = 16 << 20
@@ -212,6 +211,7 @@
         """
         model = pick_model(forward.route, self.rng)
         state = _RequestState(self, forward, sink, model, self.budgets.get(model))
+        state.began_ms = self.clock.now()
         if forward.route.streaming:
             state.find_stream()
         policy = RetryPolicy(
@@ -258,6 +258,8 @@
     other_models: list = field(factory=list)
     # Times of the answer of this try; None before its request is sent.
     timer: AnswerTimer | None = None
+    # Time in ms at which the first try began.
+    began_ms: int = 0
 
     def find_stream(self):
         """Set what is known of the stream that the request begins or takes up."""
@@ -471,8 +473,14 @@
             is_resumed=bool(forward.resume_after),
             software_versions=self._allowed_versions(),
             may_be_elsewhere=self.origin is None and len(forward.route.targets) > 1,
+            goal_ms=self._find_goal_ms(),
         )
 
+    def _find_goal_ms(self):
+        """Return the time left until the objective has passed, or 0."""
+        elapsed_ms = self.forwarder.clock.now() - self.began_ms
+        return max(0, self.forward.route.goal_ms - elapsed_ms)
+
     def _allowed_versions(self):
         return () if self.origin is None else (self.origin.software_version,)
 
--- a/peridotcove/lease_client.py
+++ b/peridotcove/lease_client.py
@@ -355,6 +355,7 @@
         request.is_resumed,
         list(request.software_versions),
         request.may_be_elsewhere,
+        request.goal_ms,
     )
 
 
--- a/peridotcove/lease_server.py
+++ b/peridotcove/lease_server.py
@@ -88,6 +88,8 @@
     on_first_event : callable
         Called with the expected and the seen time in ms to the first event of an
         answer.
+    on_refused_again : callable
+        Called when a request is refused that had been refused before.
 
     Attributes
     ----------
@@ -112,6 +114,7 @@
         timeline,
         is_current=lambda: True,
         on_first_event=lambda expected_ms, seen_ms: None,
+        on_refused_again=lambda: None,
     ):
         self._node = node
         self._fleet = fleet
@@ -119,6 +122,7 @@
         self._clock = clock
         self._timeline = timeline
         self._on_first_event = on_first_event
+        self._on_refused_again = on_refused_again
         self._tracked_by_id = {}
         self._outlier_detector = OutlierDetector(clock)
         self.suspect_sync = SuspectSync(node, fleet, network, clock, timeline)
@@ -290,6 +294,7 @@
             is_resumed=message.is_resumed,
             software_versions=tuple(message.software_versions),
             may_be_elsewhere=message.may_be_elsewhere,
+            goal_ms=message.goal_ms,
         )
 
     def _handle_release(self, message):
@@ -359,6 +364,7 @@
                 self._clock,
                 self._other_nodes(),
                 on_first_event=self._on_first_event,
+                on_refused_again=self._on_refused_again,
             )
             self.dispatcher_by_shard[shard] = dispatcher
         return dispatcher
--- a/peridotcove/metrics.py
+++ b/peridotcove/metrics.py
@@ -52,6 +52,10 @@
             buckets=RATIO_BUCKETS,
             registry=self.registry,
         )
+        self.refused_again = self._add_counter(
+            "peridotcove_refused_again",
+            "Requests refused for lack of engines that had been refused before.",
+        )
         self.attempts = self._add_counter(
             "peridotcove_attempts", "Requests sent to engines, by outcome.", "outcome"
         )
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -490,6 +490,9 @@
     software_versions : tuple of str
         Software versions of the engines that may be used; any if empty. If a stream is
         taken up without them, its owner uses the one that began it.
+    goal_ms : int
+        Time in ms left until the objective for the first event has passed; 0 if it has
+        or if there is none.
     """
 
     request_id: bytes
@@ -511,6 +514,7 @@
     is_resumed: bool = False
     software_versions: tuple = ()
     may_be_elsewhere: bool = False
+    goal_ms: int = 0
 
 
 @frozen
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -174,6 +174,7 @@
             self.timeline,
             self.control.is_current,
             self.metrics.record_first_event,
+            self.metrics.refused_again.inc,
         )
         self.lease_client = LeaseClient(
             self.name,
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -121,6 +121,8 @@
         Software versions of the engines that may be used; any if empty.
     may_be_elsewhere : bool
         Whether the stream may have begun at another model, if it is not known where.
+    goal_ms : int
+        Time in ms left until the objective for the first event has passed; 0 for none.
     """
 
     request_id: bytes
@@ -140,6 +142,7 @@
     is_resumed: bool = False
     software_versions: list = field(factory=list)
     may_be_elsewhere: bool = False
+    goal_ms: int = 0
 
 
 @message(3)
--- a/tests/engine_time/played_load.py
+++ b/tests/engine_time/played_load.py
@@ -97,6 +97,7 @@
 
     kind: Kind
     asked_ms: float
+    customer: str = "c"
     first_ms: float | None = None
     refusals: list = field(factory=list)
 
@@ -123,10 +124,22 @@
         Whether each request goes where its first event comes first in truth.
     capacity : int
         Requests that an engine runs at once.
+    weights : sequence of float
+        Shares of the load that customers send; one customer when empty.
+    returns : int
+        How often a refused caller comes back when it is told to.
     """
 
     def __init__(
-        self, engine_by_name, kinds, seed, learns=True, knows_all=False, capacity=64
+        self,
+        engine_by_name,
+        kinds,
+        seed,
+        learns=True,
+        knows_all=False,
+        capacity=64,
+        weights=(1.0,),
+        returns=0,
     ):
         self.clock = FakeClock()
         self.engines = engine_by_name
@@ -135,8 +148,12 @@
         self.knows_all = knows_all
         self.results = []
         self.dispatcher = None
+        self.customers = [f"c{number}" for number in range(len(weights))]
+        self._weights = weights
+        self._returns = returns
         self._capacity = capacity
         self._rng = random.Random(f"load {seed}")
+        self._customer_rng = random.Random(f"customers {seed}")
         self._events = []
         self._count = 0
         self._open_by_id = {}
@@ -156,7 +173,9 @@
                 name: evolve(engine, shares_cache=True)
                 for name, engine in engines.items()
             },
-            customer_by_name={"c": Customer("c", concurrency=100_000)},
+            customer_by_name={
+                name: Customer(name, concurrency=100_000) for name in self.customers
+            },
         )
 
     def replace_owner(self):
@@ -178,7 +197,8 @@
         for kind in self.kinds:
             at_ms = self._rng.expovariate(kind.per_s) * 1000
             while at_ms < end_ms:
-                self.at(at_ms, self.ask, Result(kind, at_ms))
+                (customer,) = self._customer_rng.choices(self.customers, self._weights)
+                self.at(at_ms, self.ask, Result(kind, at_ms, customer))
                 at_ms += self._rng.expovariate(kind.per_s) * 1000
         for at_ms in range(0, end_ms, TICK_MS):
             self.at(at_ms, self._tick)
@@ -198,7 +218,7 @@
             self.results.append(result)
         self._count += 1
         request_id = self._count.to_bytes(8, "big")
-        parts = [(f"own {self._count}", kind.tokens)]
+        parts = [(f"own {self._count}", kind.tokens)] if kind.tokens else []
         if kind.shared_tokens:
             parts.insert(0, (f"shared by {kind.name}", kind.shared_tokens))
         keys, ends = hash_prompt_parts("m", parts)
@@ -213,13 +233,14 @@
         return LeaseRequest(
             request_id,
             "n1",
-            "c",
+            result.customer,
             "m",
             keys,
             part_ends=ends,
             zone="z",
             deadline_ms=max(1, left_ms // 2),
             priority=kind.priority,
+            goal_ms=max(0, int(result.asked_ms + kind.goal_ms - self.clock.now())),
         )
 
     def _handle(self, decisions):
@@ -229,17 +250,21 @@
                 self._start(decision, result, keys, ends)
             else:
                 result.refusals.append((self.clock.now(), decision))
-                self.handle_refusal(result, decision)
+                self._come_back(result, decision.retry_after_ms)
 
-    def handle_refusal(self, result, refusal):
-        """Handle a refusal; the caller doesn't come back."""
+    def _come_back(self, result, retry_after_ms):
+        """Ask again for a caller that waits up to a third of the time that it has."""
+        left_ms = result.asked_ms + result.kind.limit_ms - self.clock.now()
+        if len(result.refusals) <= self._returns and left_ms > 0:
+            wait_ms = min(retry_after_ms, left_ms / 3)
+            self.at(self.clock.now() + wait_ms, self.ask, result)
 
     def _count_tokens(self, engine, keys, ends):
         begin = 0
         for key, end in zip(keys, ends, strict=True):
             if key in engine.read_parts:
                 begin = end
-        return ends[-1] - begin
+        return ends[-1] - begin if ends else 0
 
     def _start(self, grant, result, keys, ends):
         now_ms = self.clock.now()
--- a/tests/engine_time/test_overload.py
+++ b/tests/engine_time/test_overload.py
@@ -100,6 +100,49 @@
                 self.assertLessEqual(share_late(end), share_late(by_count) / 2)
 
 
+class DeadlineTest(unittest.TestCase):
+    """Prompts that take half again as long to read as there is time."""
+
+    LOAD, LIMIT_MS = 1.5, 3_114
+
+    def setUp(self):
+        self.results_by_seed = {}
+        for seed in SEEDS:
+            kinds = make_kinds(self.LOAD)
+            for kind in kinds:
+                kind.limit_ms = self.LIMIT_MS
+            one = Play(make_engines(seed), kinds, seed, returns=1)
+            results = one.run(END_MS)
+            self.results_by_seed[seed] = [
+                item for item in results if item.asked_ms >= WARM_UP_MS
+            ]
+
+    def test_room_goes_to_requests_that_meet_their_deadline(self):
+        for seed, results in self.results_by_seed.items():
+            with self.subTest(seed=seed):
+                tokens = sum(item.kind.tokens for item in results)
+                answered = sum(
+                    item.kind.tokens
+                    for item in results
+                    if item.first_ms is not None and item.first_ms <= self.LIMIT_MS
+                )
+                self.assertGreaterEqual(answered / tokens, 0.8 / self.LOAD)
+
+    def test_what_cannot_be_is_refused_at_once(self):
+        for seed, results in self.results_by_seed.items():
+            with self.subTest(seed=seed):
+                refused = [item for item in results if item.refusals]
+                held_ms = [item.refusals[0][0] - item.asked_ms for item in refused]
+                self.assertGreater(len(refused), 100)
+                self.assertLessEqual(sum(held_ms) / len(held_ms), 415 / 8)
+                late = [
+                    item
+                    for item in results
+                    if item.first_ms is not None and item.first_ms > self.LIMIT_MS
+                ]
+                self.assertLessEqual(len(late), 0.05 * len(results))
+
+
 class EvenEnginesTest(unittest.TestCase):
     """Engines that read as fast as is assumed of unknown ones."""
 
