--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -78,3 +78,24 @@
         self.assertTrue(all(item.expires_ms <= now for item in expired))
         self.assertTrue(all(item.expires_ms > now for item in queue.items()))
         self.assertEqual(len(expired) + len(queue), len(items))
+
+    def test_turns_until_a_request_are_counted(self):
+        queue = FairQueue()
+        for number, name in enumerate("aaaabbc"):
+            push(queue, number, name, weight=2.0 if name == "b" else 1.0)
+        push(queue, 7, "a", priority=0)
+        self.assertEqual(queue.count_customer("a", 1), 4)
+        self.assertEqual([queue.count_above(level) for level in (0, 1)], [0, 1])
+        # Of others no more are dequeued than wait, nor than by their weight.
+        counts = [queue.count_until("a", 1, place) for place in (1, 2, 4)]
+        self.assertEqual(counts, [1 + 2 + 1, 2 + 2 + 1, 4 + 2 + 1])
+        self.assertEqual(queue.count_until("b", 1, 1), 0.5 + 1 + 0.5)
+
+    def test_requests_are_listed_by_customer_in_their_order(self):
+        queue = FairQueue()
+        ids = [push(queue, n, name) for n, name in enumerate("abab")]
+        listed = {
+            name: [item.request.request_id for item in items]
+            for name, items in queue.list_by_customer()
+        }
+        self.assertEqual(listed, {"a": ids[::2], "b": ids[1::2]})
