--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -5,9 +5,18 @@
 from peridotcove.cache_index import CHARS_PER_TOKEN, CacheIndex
 from peridotcove.cold_engines import ColdEngines
 from peridotcove.customer_slots import CustomerSlots
-from peridotcove.engine_loads import PREFILL_TOKENS_PER_MS, EngineLoads
+from peridotcove.engine_loads import EngineLoads
 from peridotcove.engine_selection import LIMITED_REQUEST_EXTRA, EngineSelector
-from peridotcove.fair_queue import FairQueue, QueuedRequest
+from peridotcove.engine_time.admission import QUEUE_WAIT_SHARE, Admission
+from peridotcove.engine_time.answer_times import NO_TIMES
+from peridotcove.engine_time.engine_times import EngineTimes
+from peridotcove.engine_time.grant_history import GrantHistory
+from peridotcove.engine_time.return_schedule import ReturnSchedule
+from peridotcove.fair_queue import (
+    TURNS_PER_LOWER_PRIORITY,
+    FairQueue,
+    QueuedRequest,
+)
 from peridotcove.lease_table import Lease, LeaseTable
 from peridotcove.models import Customer, LeaseGrant, LeaseRefusal, LifecycleStatus
 from peridotcove.prompt_part_index import PromptPartIndex
@@ -21,6 +30,13 @@
 RETRY_AFTER_MS = 1_000
 HASH_RANGE = 1 << 64
 MAX_DEFERRED_REQUESTS = 32
+# Time between two checks whether waiting requests can still be served in time, and how
+# far beyond their time they have to be: it may get better.
+HOPELESS_CHECK_INTERVAL_MS = 100
+HOPELESS_FACTOR = 1.5
+# Waiting requests of a customer from which on later ones of others count: with fewer,
+# it has not sent more than its share for long.
+MIN_PLACE = 8
 # Time after its start in which a dispatcher expects the first lists of the caches.
 FIRST_LISTS_MS = 1_000
 # An engine that leaves takes no new work but can still serve its cache to others.
@@ -63,9 +79,23 @@
         is granted.
     weights : SelectionWeights or None
         Weights of the selection of an engine; defaults when None.
+    on_first_event : callable
+        Called with the expected and the seen time in ms to the first event of an
+        answer.
+    on_refused_again : callable
+        Called when a request is refused that had been refused before.
     """
 
-    def __init__(self, shard, configuration, clock, entries=(), weights=None):
+    def __init__(
+        self,
+        shard,
+        configuration,
+        clock,
+        entries=(),
+        weights=None,
+        on_first_event=lambda expected_ms, seen_ms: None,
+        on_refused_again=lambda: None,
+    ):
         self.shard = shard
         self._clock = clock
         self.start_recovery(entries)
@@ -90,6 +120,13 @@
         self._cold = ColdEngines(clock)
         self._outside_by_regions = {}
         self.zones = ZonePlanner(clock)
+        self._times = EngineTimes(clock)
+        self._admission = Admission(clock)
+        self._checked_ms = clock.now()
+        self._grants = GrantHistory(clock)
+        self._returns = ReturnSchedule(clock)
+        self._on_first_event = on_first_event
+        self._on_refused_again = on_refused_again
         self.set_configuration(configuration)
 
     def start_recovery(self, entries):
@@ -136,6 +173,8 @@
         }
         self._prefix_index.set_engines(engines)
         self._part_index.set_engines(engines)
+        self._times.set_engines(engines)
+        self._apply_times(one.name for one in engines)
         configuration = self._configuration
         self._cold.set_engines(
             engines, configuration.model_by_name, configuration.bounds
@@ -327,18 +366,53 @@
         return all(load.name in unusable for load in self._loads.open_engines)
 
     def _refuse_if_overloaded(self, request, customer, wait_ms):
-        expected_wait_ms = self._slots.estimate_wait_ms(customer)
-        if expected_wait_ms is None or expected_wait_ms <= wait_ms:
+        expected_wait_ms = self._estimate_wait_ms(request, customer)
+        if expected_wait_ms is None:
             if not self._slots.is_queue_full():
                 return []
-            expected_wait_ms = wait_ms
-        jitter = 0.5 + hash_name(request.request_id.hex()) / HASH_RANGE
+            expected_wait_ms = 2 * wait_ms
+        own_ms = self._times.fixed_ms
+        limit_ms = self._admission.find_limit_ms(request, wait_ms, own_ms)
+        if expected_wait_ms <= limit_ms:
+            return []
         self._remove_waiting(request.request_id)
-        return [
-            LeaseRefusal(
-                request.request_id, "overloaded", int(expected_wait_ms * jitter)
-            )
-        ]
+        return [self._refuse_overloaded(request, expected_wait_ms - limit_ms)]
+
+    def _estimate_wait_ms(self, request, customer, place=None):
+        """Return how long a queued request waits, or None if that is not known."""
+        queue, priority = self._queue, request.priority
+        if place is None:
+            place = queue.count_customer(request.customer, priority)
+        turns = queue.count_until(request.customer, priority, place)
+        # More urgent requests come first, also those of the next moments, but leave a
+        # share of all turns.
+        share = max(1 - self._grants.share_above(priority), 1e-3)
+        turns = min(
+            (turns + queue.count_above(priority)) / share,
+            turns * TURNS_PER_LOWER_PRIORITY,
+        )
+        wait_ms = self._slots.estimate_wait_ms(customer, turns)
+        is_overloaded = self._admission.is_overloaded(request)
+        if wait_ms is None or not (is_overloaded or place >= MIN_PLACE):
+            return wait_ms
+        # Requests of customers below their share come first, also later ones.
+        interval_ms = self._grants.find_interval_ms(priority, request.customer)
+        if not is_overloaded:
+            fair_share = self._slots.fair_share(customer) / self._slots.capacity
+            fair_ms = self._slots.find_interval_ms() / (share * fair_share)
+            interval_ms = min(interval_ms, fair_ms)
+        return max(wait_ms, place * interval_ms)
+
+    def _refuse_overloaded(self, request, room_ms):
+        """Return a refusal whose caller may come back when there is room for it."""
+        if self._admission.record_refusal(request):
+            self._on_refused_again()
+        fraction = hash_name(request.request_id.hex()) / HASH_RANGE
+        interval_ms = self._slots.find_interval_ms() or RETRY_AFTER_MS / 10
+        retry_after_ms = self._returns.add(
+            request.priority, room_ms, interval_ms, fraction
+        )
+        return LeaseRefusal(request.request_id, "overloaded", int(retry_after_ms) + 1)
 
     def _remove_waiting(self, request_id):
         if request_id in self._deferred_by_id:
@@ -347,7 +421,45 @@
             item = self._queue.remove(request_id)
         self._slots.change_usage(self._customer(item.request.customer), waiting=-1)
 
-    def release(self, request_id, outcome, cached_blocks=-1):
+    def _apply_times(self, names):
+        """Apply the times of engines to their loads."""
+        times = self._times
+        for name in names:
+            load = self._loads.engine_load_by_name[name]
+            load.tokens_per_ms = times.get_usual_rate(name)
+            load.time_factor = times.get_time_factor(name)
+            load.slowness = times.get_slowness(name)
+
+    def _fade_slowness(self):
+        """Apply the age of what is known of the engines that are slow at present."""
+        for name in self._times.expire():
+            load = self._loads.engine_load_by_name[name]
+            if load.slowness != 1.0:
+                load.slowness = self._times.get_slowness(name)
+
+    def describe_times(self):
+        """Return what is known of the times of each engine, for operators."""
+        return self._times.describe()
+
+    def _record_times(self, lease, times):
+        """Record the times of an answer that was complete."""
+        engine, estimate = lease.engine, lease.estimate
+        if times is NO_TIMES or engine not in self._loads.engine_load_by_name:
+            return
+        # An engine that has just started is slow for a time that says nothing of later.
+        if self._cold.is_cold(engine):
+            return
+        if estimate is not None and times.first_ms and self._times.is_known(engine):
+            self._on_first_event(estimate.expected_ms, times.first_ms)
+        is_new_for_all, correction_ms = self._times.record(engine, estimate, times)
+        self._apply_times(
+            self._loads.engine_load_by_name if is_new_for_all else (engine,)
+        )
+        if correction_ms:
+            load = self._loads.engine_load_by_name[engine]
+            load.correct_prefill(correction_ms, self._clock.wall())
+
+    def release(self, request_id, outcome, cached_blocks=-1, times=NO_TIMES):
         """Release a lease, or cancel a request that still waits.
 
         Parameters
@@ -358,6 +470,8 @@
             ``"done"``, ``"failed"`` or ``"cancelled"``.
         cached_blocks : int
             Prefix blocks that the engine reported as reused; -1 if not reported.
+        times : AnswerTimes
+            Times of the answer.
         """
         if request_id in self._queue or request_id in self._deferred_by_id:
             self._remove_waiting(request_id)
@@ -369,6 +483,8 @@
             self._prefix_index.record_reuse(
                 lease.engine, lease.cached_blocks, cached_blocks
             )
+        if outcome == "done":
+            self._record_times(lease, times)
         self._remove_lease(lease)
         return self._grant_waiting()
 
@@ -460,6 +576,7 @@
             load.expire_report(wall)
         cold = self._cold.find_cold()
         self.zones.update(self._loads, wall, cold, not self.is_recovering)
+        self._fade_slowness()
         refusals = []
         now = self._clock.now()
         expired = self._queue.expire(now)
@@ -472,8 +589,26 @@
             refusals.append(
                 LeaseRefusal(request.request_id, "deadline", RETRY_AFTER_MS)
             )
+        refusals += self._refuse_hopeless(now)
         return refusals + self._grant_waiting()
 
+    def _refuse_hopeless(self, now):
+        """Refuse the waiting requests whose turn would come after their time."""
+        if now < self._checked_ms + HOPELESS_CHECK_INTERVAL_MS or not len(self._queue):
+            return []
+        self._checked_ms = now
+        refusals = []
+        for customer_name, items in self._queue.list_by_customer():
+            customer = self._customer(customer_name)
+            for place, item in enumerate(reversed(items)):
+                request, left_ms = item.request, item.expires_ms - now
+                wait_ms = self._estimate_wait_ms(request, customer, len(items) - place)
+                if wait_ms is None or wait_ms <= HOPELESS_FACTOR * left_ms:
+                    break
+                self._remove_waiting(request.request_id)
+                refusals.append(self._refuse_overloaded(request, wait_ms - left_ms))
+        return refusals
+
     def close(self):
         """Refuse all waiting requests, since another node owns the shard now."""
         refusals = []
@@ -546,7 +681,7 @@
         request = item.request
         if deferred is None and request.part_ends and self._awaits_lists():
             # Waits no longer than an engine takes to compute the whole prompt.
-            prompt_ms = request.part_ends[-1] / PREFILL_TOKENS_PER_MS
+            prompt_ms = request.part_ends[-1] / self._times.tokens_per_ms
             self._deferred_by_id[request.request_id] = _DeferredRequest(
                 item, "", self._clock.now() + prompt_ms
             )
@@ -563,9 +698,16 @@
             index = self._prefix_index
             lookup = index.look_up(request.prefixes, request.blocks)
             backlogs = ()
-        block_ms = self._block_tokens / PREFILL_TOKENS_PER_MS
+        block_ms = self._block_tokens / self._times.tokens_per_ms
         plan = self.zones.plan(request, lookup, self._loads, block_ms)
         choice = self._selector.select(request, lookup, self._loads, backlogs, plan)
+        late_by_engine = self._find_late_engines(item, request, lookup, choice.engine)
+        if late_by_engine:
+            request = evolve(request, excluded=(*request.excluded, *late_by_engine))
+            if self._excludes_all(request):
+                self._deferred_by_id.pop(request.request_id, None)
+                return self._refuse_overloaded(request, min(late_by_engine.values()))
+            choice = self._selector.select(request, lookup, self._loads, backlogs, plan)
         if not choice.engine and request.excluded and deferred is None:
             # Only engines that the request must not use have room.
             self._deferred_by_id[request.request_id] = _DeferredRequest(
@@ -575,25 +717,44 @@
         if not choice.engine or self._should_defer(item, deferred, choice):
             return None
         self._deferred_by_id.pop(request.request_id, None)
-        now = self._clock.now()
-        name = choice.engine
-        load = self._loads.engine_load_by_name[name]
+        load = self._loads.engine_load_by_name[choice.engine]
         self.zones.record_grant(request, lookup, load, plan, self._loads)
+        return self._grant(request, lookup, index, load)
+
+    def _grant(self, request, lookup, index, load):
+        """Return the grant of a lease on an engine, and record all that it changes."""
+        name = load.name
+        now, wall = self._clock.now(), self._clock.wall()
         cached = int(lookup.blocks_by_engine.get(name, 0))
         source = self._find_source(request, lookup, name, cached)
+        backlog_ms, tokens = 0.0, 0.0
         if request.part_ends:
             missing = (lookup.blocks - cached) * self._block_tokens
-            share = FETCH_COST_SHARE if source else 1.0
-            load.add_prefill(missing * share, self._clock.wall())
-        index.record(lookup, name, self._clock.wall())
+            tokens = missing * (FETCH_COST_SHARE if source else 1.0)
+            backlog_ms = load.prefill_backlog_ms(wall)
+            load.add_prefill(tokens, wall)
+        estimate = self._times.record_grant(name, tokens, backlog_ms)
+        index.record(lookup, name, wall)
         self._cold.record_grant(name)
+        self._grants.record(request)
         request_id = request.request_id
-        self._add_lease(
-            Lease(request_id, request.entry, request.customer, name, now, cached)
-        )
-        blocks = int(lookup.blocks)
+        entry, customer = request.entry, request.customer
+        if source:
+            # How long a transfer between engines takes says nothing of how fast they
+            # read.
+            estimate.forget_previous()
+        known = None if source else estimate
+        self._add_lease(Lease(request_id, entry, customer, name, now, cached, known))
         return LeaseGrant(
-            request_id, name, cached, source, load.total, self.waiting, blocks
+            request_id,
+            name,
+            cached,
+            source,
+            load.total,
+            self.waiting,
+            int(lookup.blocks),
+            backlog_ms,
+            estimate.expected_ms,
         )
 
     def _find_other_versions(self, request):
@@ -611,10 +772,42 @@
             not in request.software_versions
         ]
 
+    def _find_late_engines(self, item, request, lookup, engine):
+        """Return by how much engines would miss the limit of a request, by name.
+
+        Empty if the chosen engine keeps it, or if too little is known of that one.
+        """
+        is_known = engine and request.part_ends and self._times.is_known(engine)
+        if not is_known:
+            return {}
+        limit_ms = request.deadline_ms / QUEUE_WAIT_SHARE
+        limit_ms -= self._clock.now() - item.arrived_ms
+        if self._find_excess_ms(request, lookup, engine, limit_ms) <= 0:
+            return {}
+        late_by_engine = {}
+        for load in self._loads.open_engines:
+            name = load.name
+            if name not in request.excluded and self._times.is_known(name):
+                excess_ms = self._find_excess_ms(request, lookup, name, limit_ms)
+                if excess_ms > 0:
+                    late_by_engine[name] = excess_ms
+        return late_by_engine
+
+    def _find_excess_ms(self, request, lookup, engine, limit_ms):
+        """Return by how much an engine is expected to miss a limit, in ms."""
+        blocks = lookup.blocks - lookup.blocks_by_engine.get(engine, 0)
+        load = self._loads.engine_load_by_name[engine]
+        backlog_ms = load.prefill_backlog_ms(self._clock.wall())
+        own_ms = self._times.estimate_first_event(
+            engine, blocks * self._block_tokens, 0.0
+        )
+        limit_ms = self._admission.find_backlog_limit_ms(request, limit_ms, own_ms)
+        return backlog_ms - limit_ms
+
     def _backlogs(self):
         """Return the blocks that each open engine still has to prefill."""
         wall_ms = self._clock.wall()
-        per_block_ms = self._block_tokens / PREFILL_TOKENS_PER_MS
+        per_block_ms = self._block_tokens / self._times.tokens_per_ms
         return [
             load.prefill_backlog_ms(wall_ms) / per_block_ms
             for load in self._loads.open_engines
@@ -657,7 +850,14 @@
                 item, choice.preferred_engine, now + choice.defer_ms
             )
             self._deferred_by_id[item.request.request_id] = deferred
-        return deferred is not None and now < deferred.until_ms
+        if deferred is None or now >= deferred.until_ms:
+            return False
+        if deferred.preferred_engine not in ("", choice.preferred_engine):
+            # Another engine has become the best one meanwhile.
+            self._deferred_by_id[item.request.request_id] = evolve(
+                deferred, preferred_engine=choice.preferred_engine
+            )
+        return True
 
     def _add_lease(self, lease):
         self._leases.add(lease)
@@ -667,6 +867,8 @@
 
     def _remove_lease(self, lease):
         self._leases.remove(lease)
+        if lease.estimate is not None:
+            lease.estimate.forget_previous()
         self._slots.change_usage(self._customer(lease.customer), leases=-1)
         self._loads.change_leases(lease.engine, -1, self._clock.wall())
         self.zones.change_leases(lease.entry, -1)
--- a/peridotcove/engine_selection.py
+++ b/peridotcove/engine_selection.py
@@ -3,7 +3,8 @@
 The cost of an engine is the number of prompt blocks that it would have to compute, plus
 terms for its load, its availability zone and its rendezvous rank. If the engine with
 the lowest cost is at its load bound, the request may wait for it for a short time,
-limited by the blocks that this saves.
+limited by the blocks that this saves. Blocks and load count for more on an engine on
+which work takes longer than on its peers.
 """
 
 from attrs import frozen
@@ -17,6 +18,10 @@
 # The engines that it may not use count for the mean; while only few requests run, an
 # engine would be at its bound with one.
 LIMITED_REQUEST_EXTRA = 2
+# Time to the first event beside the prompt's, in blocks.
+START_BLOCKS = 24.0
+# Blocks that an engine reads in the time for which its slowness is known.
+MAX_SLOW_BLOCKS = 200.0
 
 
 @frozen
@@ -114,11 +119,8 @@
         mean = loads.mean_load()
         ranked = self._find_ranked(request, lookup, loads, plan)
         base_costs = self._costs(
-            request, lookup, loads.open_engines, mean, plan, ranked
+            request, lookup, loads.open_engines, mean, plan, ranked, backlogs
         )
-        if backlogs:
-            pairs = zip(base_costs, backlogs, strict=True)
-            base_costs = [cost + backlog for cost, backlog in pairs]
         bound = loads.load_bound_per_weight(mean)
         costs = base_costs
         if plan is not None:
@@ -177,7 +179,7 @@
                     costs[position] += per_load * missing_level
         return costs
 
-    def _costs(self, request, lookup, open_loads, mean, plan, ranked):
+    def _costs(self, request, lookup, open_loads, mean, plan, ranked, backlogs):
         weights = self.weights
         per_load = weights.load / mean
         zone_cost = weights.zone if plan is None else 0.0
@@ -186,9 +188,18 @@
         known = lookup.blocks_by_engine
         get = known.get
         costs = []
-        for load in open_loads:
+        if not backlogs:
+            backlogs = [0.0] * len(open_loads)
+        for load, backlog in zip(open_loads, backlogs, strict=True):
             name = load.name
             cost = per_load * load.total / load.weight - get(name, 0)
+            if load.time_factor != 1.0:
+                cost = load.time_factor * (cost + lookup.blocks) - lookup.blocks
+            if load.slowness != 1.0:
+                # The engine is slow for a short time only, however long the work takes.
+                blocks = START_BLOCKS + backlog + lookup.blocks - get(name, 0)
+                cost += (load.slowness - 1.0) * min(blocks, MAX_SLOW_BLOCKS)
+            cost += backlog
             if load.zone != zone:
                 cost += zone_cost
             if name == ranked:
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -17,6 +17,8 @@
 from peridotcove.crash_suspects import CUT, CUT_BEFORE_ANSWER
 from peridotcove.endpoints.streaming_client import Transfer
 from peridotcove.engine_notices import NO_NOTICE
+from peridotcove.engine_time.admission import QUEUE_WAIT_SHARE
+from peridotcove.engine_time.answer_times import NO_TIMES, AnswerTimer
 from peridotcove.event_splitter import EventSplitter
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
 from peridotcove.forwarding_types import (
@@ -58,8 +60,6 @@
 # Share of the remaining time that a repeatable request waits for the first byte of an
 # answer before it is retried at another engine.
 FIRST_BYTE_SHARE = 0.4
-# Share of the remaining time that a request may wait in the queue for a lease.
-QUEUE_WAIT_SHARE = 0.5
 # Time in which an engine answers a question about itself; it may need a free slot.
 LIFE_CHECK_TIMEOUT_MS = 500
 MAX_ANSWER_BYTES = 16 << 20
@@ -247,6 +247,7 @@
         else:
             model = pick_model(forward.route, self.rng)
         state = _RequestState(self, forward, sink, model, self.budgets.get(model))
+        state.began_ms = self.clock.now()
         if forward.route.streaming:
             state.find_stream()
         policy = RetryPolicy(
@@ -294,6 +295,10 @@
     # Whether an owner has granted an engine outside of the allowed regions: it knows
     # another configuration, or its software knows no regions.
     lists_outside: bool = False
+    # Times of the answer of this try; None before its request is sent.
+    timer: AnswerTimer | None = None
+    # Time in ms at which the first try began.
+    began_ms: int = 0
 
     def find_stream(self):
         """Set what is known of the stream that the request begins or takes up."""
@@ -382,6 +387,7 @@
     async def attempt(self, number):
         """Run one try and return its `ForwardedResponse`."""
         forwarder, forward = self.forwarder, self.forward
+        self.timer = None
         left_ms = forward.end_ms - forwarder.clock.now()
         if left_ms < MIN_TIME_LEFT_MS:
             raise RequestRefused("deadline", "too little time is left to run", 503, 0)
@@ -408,7 +414,15 @@
             raise
         finally:
             forwarder.metrics.attempts.labels(outcome).inc()
-            forwarder.leases.release(request.request_id, outcome)
+            forwarder.leases.release(
+                request.request_id, outcome, times=self._read_times()
+            )
+
+    def _read_times(self):
+        """Return the `AnswerTimes` of this try; those through a peer tell little."""
+        if self.timer is None or self.transfer.relay is not None:
+            return NO_TIMES
+        return self.timer.read()
 
     async def _request_lease(self, request):
         """Return the grant of a lease.
@@ -529,6 +543,7 @@
             software_versions=self._allowed_versions(),
             may_be_elsewhere=self.origin is None and len(forward.route.targets) > 1,
             regions=limit.list_regions(),
+            goal_ms=self._find_goal_ms(),
         )
 
     def _find_outside(self, limit):
@@ -549,6 +564,11 @@
             self.lists_outside = True
             raise
 
+    def _find_goal_ms(self):
+        """Return the time left until the objective has passed, or 0."""
+        elapsed_ms = self.forwarder.clock.now() - self.began_ms
+        return max(0, self.forward.route.goal_ms - elapsed_ms)
+
     def _allowed_versions(self):
         return () if self.origin is None else (self.origin.software_version,)
 
@@ -680,6 +700,7 @@
         transfer.before_send = lambda: self._check_before_send(engine, asked_ms)
         transfer.may_relay = self._may_relay
         self.transfer = self.sink.transfer = transfer
+        self.timer = AnswerTimer(self.forwarder.clock)
 
     def _check_before_send(self, engine, granted_ms):
         """Raise a `RequestRefused` if an engine may not get the request any more."""
@@ -689,11 +710,24 @@
             self._check_relay(relay)
         self._check_region(engine)
         self.forwarder.check_available(engine)
-        delay_ms = self.forwarder.clock.now() - granted_ms
+        self._check_cold_lease(engine, granted_ms)
+        self.timer.record_send()
+
+    def _check_cold_lease(self, engine, granted_ms):
+        """Raise a `RequestRefused` if a cold engine's rate no longer has the request.
+
+        Parameters
+        ----------
+        engine : Engine
+            The engine as it was at the grant.
+        granted_ms : int
+            Monotonic time in ms of the grant.
+        """
         engine_by_name = self.forwarder.fleet.configuration.engine_by_name
         if not engine_by_name.get(engine.name, engine).cold_ms:
             return
         has_turned_cold = not engine.cold_ms
+        delay_ms = self.forwarder.clock.now() - granted_ms
         if has_turned_cold or delay_ms > MAX_SEND_DELAY_MS:
             text = f"the lease on cold engine {engine.name} is {delay_ms} ms old"
             raise RequestRefused("stale-lease", text, 503, RETRY_AFTER_MS)
@@ -736,6 +770,7 @@
             else:
                 self.forwarder.answer_memory.update(self, len(self.body))
             return False
+        count_before = self.splitter.count
         try:
             complete_events = self.splitter.feed(data)
             self._check_for_head(complete_events)
@@ -743,6 +778,7 @@
             self.head = ResponseHead(head.status, fault=str(error))
             self.transfer.cancel()
             return False
+        self.timer.record_events(self.splitter.count - count_before)
         self._count_partial()
         if self.splitter.ended:
             self.transfer.cancel()
@@ -786,6 +822,7 @@
             self.head = dialect.read_head(
                 self.forward, transfer.status, transfer.headers
             )
+            self.timer.record_slowness(self.head.slowness)
             self._handle_notice(self.head.notice)
             unframed = transfer.framing == "connection"
             self.splitter.end_prefix = HTTP_PREFIX if unframed else b""
@@ -883,6 +920,8 @@
                 raise EndpointFailed("cut", text, Verdict.MAY_HAVE_RUN)
             self.forward.head = head
             return forwarded
+        if not self.forward.route.streaming:
+            self.timer.record_end()
         remainder = self.splitter.flush()
         self._check_event_end(head, remainder)
         if remainder:
--- a/peridotcove/models.py
+++ b/peridotcove/models.py
@@ -512,6 +512,9 @@
         taken up without them, its owner uses the one that began it.
     regions : tuple of str
         Regions whose engines may be used, sorted; all if empty.
+    goal_ms : int
+        Time in ms left until the objective for the first event has passed; 0 if it has
+        or if there is none.
     """
 
     request_id: bytes
@@ -534,6 +537,7 @@
     software_versions: tuple = ()
     may_be_elsewhere: bool = False
     regions: tuple = ()
+    goal_ms: int = 0
 
 
 @frozen
@@ -554,6 +558,9 @@
         Number of requests on the engine and in the owner's queue at the grant.
     blocks : int
         Number of blocks of the whole prompt.
+    backlog_ms, expected_ms : float
+        Time in ms until the engine has read the prompts before this one, and until the
+        first event is expected; -1 if they weren't estimated.
     """
 
     request_id: bytes
@@ -563,6 +570,8 @@
     load: int = 0
     waiting: int = 0
     blocks: int = 0
+    backlog_ms: float = -1
+    expected_ms: float = -1
 
 
 @frozen
--- a/peridotcove/nodes/messages.py
+++ b/peridotcove/nodes/messages.py
@@ -48,17 +48,18 @@
         cls.FIELD_NAMES = tuple(spec.name for spec in specs)
         cls.FIELD_TYPES = tuple(spec.type for spec in specs)
         cls.REQUIRED_FIELD_COUNT = sum(spec.default is attrs.NOTHING for spec in specs)
-        cls.DEFAULTS = tuple(
-            spec.default.factory()
-            if isinstance(spec.default, attrs.Factory)
-            else spec.default
-            for spec in specs
-        )
+        cls.DEFAULTS = tuple(_get_default(spec) for spec in specs)
         return messages.register(code)(cls)
 
     return register_class
 
 
+def _get_default(spec):
+    if isinstance(spec.default, attrs.Factory):
+        return spec.default.factory()
+    return spec.default
+
+
 @message(1)
 @frozen
 class Hello:
@@ -140,6 +141,8 @@
         Whether the stream may have begun at another model, if it is not known where.
     regions : list
         Regions whose engines may be used; all if empty.
+    goal_ms : int
+        Time in ms left until the objective for the first event has passed; 0 for none.
     """
 
     request_id: bytes
@@ -160,6 +163,7 @@
     software_versions: list = field(factory=list)
     may_be_elsewhere: bool = False
     regions: list = field(factory=list)
+    goal_ms: int = 0
 
 
 @message(3)
@@ -197,11 +201,17 @@
         to the engine ended early, ``"unreachable"`` or ``"cancelled"``.
     cached_blocks : int
         Prefix blocks that the engine reported as reused; -1 if it reported none.
+    first_ms, event_ms, slowness, slowness_age_ms : int
+        Times of the answer; see `peridotcove.engine_time.answer_times.AnswerTimes`.
     """
 
     request_id: bytes
     outcome: str
     cached_blocks: int = -1
+    first_ms: int = 0
+    event_ms: int = 0
+    slowness: int = 0
+    slowness_age_ms: int = 0
 
 
 @message(6)
@@ -315,7 +325,7 @@
 
 
 def encode(item, revision):
-    """Return the frame of a message.
+    """Return the frame of a message; fields at its end with their default are omitted.
 
     Parameters
     ----------
@@ -325,10 +335,10 @@
         Configuration revision of the sender.
     """
     values = [getattr(item, name) for name in item.FIELD_NAMES]
-    while len(values) > item.REQUIRED_FIELD_COUNT:
-        if values[-1] != item.DEFAULTS[len(values) - 1]:
-            break
-        del values[-1]
+    while len(values) > item.REQUIRED_FIELD_COUNT and (
+        values[-1] == item.DEFAULTS[len(values) - 1]
+    ):
+        values.pop()
     return cbor2.dumps([VERSION, item.CODE, revision, *values])
 
 
