A limit that is tightened during the connect binds the fetch source too

Cause: a longer search of the histories found a request that named a fetch source in a region that a new configuration had just taken from its route: the header was written before the connection was there, and only engine and relay were looked at again. Change: the source is looked at again before the send; then the request is retried as not run. Conclusion: mended.

--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -570,12 +570,12 @@
         self._check_version(engine)
         forwarder.check_available(engine)
         left_ms = max(1, forward.end_ms - forwarder.clock.now())
-        self._start_transfer(engine, left_ms)
-        resume_after = self.splitter.last_id if self.sink.started else ""
         source = engine_by_name.get(grant.source)
         limit = self._find_region_limit()
         if source is not None and not forwarder.may_fetch_from(source, limit):
             source = None
+        self._start_transfer(engine, source, left_ms)
+        resume_after = self.splitter.last_id if self.sink.started else ""
         attempt = Attempt(engine, source, left_ms, resume_after, self._get_priority())
         headers = HTTPHeaders()
         for name, value in forwarder.dialect.write_headers(forward, attempt):
@@ -663,7 +663,7 @@
             "partial_bytes": self.splitter.partial_bytes,
         }
 
-    def _start_transfer(self, engine, left_ms):
+    def _start_transfer(self, engine, source, left_ms):
         route = self.forward.route
         first_ms = left_ms
         if (
@@ -677,16 +677,18 @@
         transfer = Transfer(first_ms, left_ms, left_ms, self._handle_data)
         transfer.connect_ms = min(CONNECT_TIMEOUT_MS, left_ms)
         asked_ms = self.forwarder.clock.now()
-        transfer.before_send = lambda: self._check_before_send(engine, asked_ms)
+        transfer.before_send = lambda: self._check_before_send(engine, source, asked_ms)
         transfer.may_relay = self._may_relay
         self.transfer = self.sink.transfer = transfer
 
-    def _check_before_send(self, engine, granted_ms):
+    def _check_before_send(self, engine, source, granted_ms):
         """Raise a `RequestRefused` if an engine may not get the request any more."""
         relay = self.transfer.relay
         if relay is not None:
             self._record("request-relayed", {}, peer=relay.peer, detail=engine.name)
-            self._check_relay(relay)
+            self._check_passed_zone(relay.zone, f"node {relay.peer}")
+        if source is not None:
+            self._check_passed_zone(source.zone, f"fetch source {source.name}")
         self._check_region(engine)
         self.forwarder.check_available(engine)
         delay_ms = self.forwarder.clock.now() - granted_ms
@@ -700,22 +702,24 @@
 
     def _may_relay(self, instance):
         """Return whether the body may be sent to a node."""
-        return may_pass_through(
-            self.forwarder.fleet.configuration,
-            instance.zone,
-            self._find_region_limit(),
-        )
+        return self._allows_zone(instance.zone)
+
+    def _allows_zone(self, zone):
+        configuration = self.forwarder.fleet.configuration
+        return may_pass_through(configuration, zone, self._find_region_limit())
 
-    def _check_relay(self, relay):
-        """Raise a `RequestRefused` if the body may not be sent through a node any more.
+    def _check_passed_zone(self, zone, name):
+        """Raise a `RequestRefused` if a zone has left the allowed regions meanwhile.
 
         Parameters
         ----------
-        relay : RelayedConnection
-            Connection through the node.
+        zone : str
+            Zone of a node that relays the request, or of an engine that it names.
+        name : str
+            What is in the zone, for the message.
         """
-        if not self._may_relay(relay):
-            text = f"node {relay.peer} is outside of the allowed regions"
+        if not self._allows_zone(zone):
+            text = f"{name} is outside of the allowed regions"
             raise RequestRefused(OTHER_REGION, text, 503, RETRY_AFTER_MS)
 
     def _get_priority(self):
