A cold time that has ended does not begin again with the next revision

Cause: read-through: an engine that had grown into its load was forgotten, so its unchanged entry made it cold again with the next revision; the growth would have overflowed at a node that is no owner, after 512 s. Change: reports that were counted are remembered while the entry says that the engine is cold; growth is bounded, and warm engines use no tokens.

--- a/peridotcove/cold_engines.py
+++ b/peridotcove/cold_engines.py
@@ -9,7 +9,7 @@
 would get all new requests at once.
 """
 
-from attrs import define
+from attrs import define, field
 
 from peridotcove.clock import MS_PER_S
 
@@ -21,23 +21,28 @@
 MAX_SEND_DELAY_MS = int(BUNCHING_SHARE * MS_PER_S)
 # Time after the end of the cold time in which the rate of an engine doubles.
 RAMP_DOUBLING_MS = 500
+# By then the rate of any engine has grown beyond what it can take.
+MAX_DOUBLINGS = 32
 # Owners that may grant beside the first one.
 MAX_OTHER_OWNERS = 2
 
 
 @define
 class _ColdSpell:
-    """The time for which one start of an engine is cold, and its tokens."""
+    """The time for which an engine is cold, its reports of it, and its tokens."""
 
     incarnation: int
-    report: int
     end_ms: int
     refilled_ms: int
-    tokens: float = 0.0
+    tokens: float
+    reports: set = field(factory=set)
+    # Whether the rate has grown to what the engine bears when it is warm.
+    is_warm: bool = False
 
     def ramp_factor(self, now):
         """Return by how much the rate has grown since the end of the cold time."""
-        return 2.0 ** (max(0, now - self.end_ms) / RAMP_DOUBLING_MS)
+        doublings = max(0, now - self.end_ms) / RAMP_DOUBLING_MS
+        return 2.0 ** min(doublings, MAX_DOUBLINGS)
 
 
 class ColdEngines:
@@ -76,6 +81,7 @@
         bounds : Bounds
             Bounds of the configuration.
         """
+        self._refill()
         engines = list(engines)
         spells, rates = {}, {}
         for engine in engines:
@@ -98,25 +104,27 @@
     def _find_spell(self, engine, rate):
         """Return the spell of an engine, or None if it is warm."""
         now = self._clock.now()
-        spell = self._spell_by_engine.get(engine.name)
-        if spell is not None and spell.incarnation != engine.incarnation:
-            tokens, end_ms, spell = spell.tokens, now, None
-        elif spell is not None:
-            tokens, end_ms = spell.tokens, spell.end_ms
-        else:
-            # Requests that were granted while it was warm are still on their way.
-            is_known = (
-                self._incarnation_by_engine.get(engine.name) == engine.incarnation
-            )
-            tokens, end_ms = -BUNCHING_SHARE * rate if is_known else 0.0, now
+        known = spell = self._spell_by_engine.get(engine.name)
+        if known is not None and known.incarnation != engine.incarnation:
+            spell = None
         if not engine.cold_ms:
-            if spell is not None:
-                spell.end_ms = min(spell.end_ms, now)
+            if spell is None or spell.is_warm:
+                return None
+            spell.end_ms = min(spell.end_ms, now)
             return spell
-        if spell is not None and spell.report == engine.cold_report:
+        if spell is not None and engine.cold_report in spell.reports:
             return spell
-        end_ms = max(end_ms, now + min(engine.cold_ms, MAX_COLD_MS))
-        return _ColdSpell(engine.incarnation, engine.cold_report, end_ms, now, tokens)
+        end_ms = now + min(engine.cold_ms, MAX_COLD_MS)
+        if spell is None or spell.end_ms <= now:
+            tokens = 0.0 if known is None else min(0.0, known.tokens)
+            if self._incarnation_by_engine.get(engine.name) == engine.incarnation:
+                # Requests that were granted while it was warm are still on their way.
+                tokens = -BUNCHING_SHARE * rate
+            reports = set() if spell is None else spell.reports
+            spell = _ColdSpell(engine.incarnation, end_ms, now, tokens, reports)
+        spell.reports.add(engine.cold_report)
+        spell.end_ms = max(spell.end_ms, end_ms)
+        return spell
 
     def set_role(self, is_alone, is_owner):
         """Set which part of the rates this node may use.
@@ -150,7 +158,9 @@
         return tuple(
             name
             for name, spell in self._spell_by_engine.items()
-            if spell.tokens < 1 and (spell.end_ms > now or self.share)
+            if spell.tokens < 1
+            and not spell.is_warm
+            and (spell.end_ms > now or self.share)
         )
 
     def record_grant(self, engine):
@@ -162,7 +172,7 @@
             Name of the engine.
         """
         spell = self._spell_by_engine.get(engine)
-        if spell is not None:
+        if spell is not None and not spell.is_warm:
             spell.tokens -= 1
 
     def estimate_wait_ms(self, engines, waiting):
@@ -194,12 +204,13 @@
 
     def _refill(self):
         now = self._clock.now()
-        for name, spell in list(self._spell_by_engine.items()):
+        for name, spell in self._spell_by_engine.items():
+            if spell.is_warm:
+                continue
             factor = spell.ramp_factor(now)
             rate = self.share * self._rate_by_engine[name] * factor
             if factor > 1 and rate >= self._full_rate_by_engine[name]:
-                del self._spell_by_engine[name]
-                continue
+                spell.is_warm = True
             gained = rate * (now - spell.refilled_ms) / MS_PER_S
             capacity = self._capacity
             if factor > 1:
--- a/tests/test_cold_engines.py
+++ b/tests/test_cold_engines.py
@@ -85,6 +85,8 @@
     def test_a_node_that_is_no_owner_grants_nothing(self):
         cold = make_cold(self.clock, is_alone=False, is_owner=False)
         self.assertEqual(self.grant_all(cold, 3_000), [])
+        self.clock.advance(1_000 * COLD_MS)
+        self.assertEqual(cold.find_blocked(), ())
 
     # It got all at once at the end of its cold time: more than it could take.
     def test_an_engine_grows_into_its_load_after_its_time(self):
@@ -140,6 +142,19 @@
             cold.record_grant("e")
         self.assertEqual(cold.find_blocked(), ())
 
+    # Every later revision made the engine cold again, if its entry stayed as it was.
+    def test_a_report_of_before_does_not_begin_again(self):
+        cold = make_cold(self.clock)
+        noticed = evolve(COLD, cold_report=7)
+        cold.set_engines([noticed], MODELS, BOUNDS)
+        self.clock.advance(COLD_MS + RAMPED_MS)
+        self.assertEqual(cold.find_blocked(), ())
+        for engine in (COLD, noticed, COLD):
+            cold.set_engines([engine], MODELS, BOUNDS)
+            for _ in range(100):
+                cold.record_grant("e")
+            self.assertEqual(cold.find_blocked(), ())
+
     def test_a_new_start_or_report_begins_again(self):
         for change in ({"incarnation": 2}, {"cold_report": 2}):
             with self.subTest(change=change):
