--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -392,7 +392,12 @@
 
     def describe_times(self):
         """Return what is known of the times of each engine, for operators."""
-        return self._times.describe()
+        wall_ms = self._clock.wall()
+        loads = self._loads.engine_load_by_name
+        return {
+            name: times | {"backlog_ms": loads[name].prefill_backlog_ms(wall_ms)}
+            for name, times in self._times.describe().items()
+        }
 
     def _record_times(self, lease, times):
         """Record the times of an answer that was complete."""
--- a/peridotcove/metrics.py
+++ b/peridotcove/metrics.py
@@ -85,6 +85,21 @@
         self.engine_load = self._add_gauge(
             "peridotcove_engine_load", "Leases on an engine, at its owner.", "engine"
         )
+        self.engine_backlog = self._add_gauge(
+            "peridotcove_engine_backlog_seconds",
+            "Time that an engine needs for the prompts it was given, at its owner.",
+            "engine",
+        )
+        self.engine_read_rate = self._add_gauge(
+            "peridotcove_engine_read_rate",
+            "Prompt tokens that an engine reads in a second, at its owner.",
+            "engine",
+        )
+        self.engine_slowness = self._add_gauge(
+            "peridotcove_engine_slowness",
+            "How long work takes on an engine's machine now, as a multiple of usual.",
+            "engine",
+        )
         self.skew = self._add_gauge(
             "peridotcove_shard_skew", "Highest load over mean, at the owner.", "shard"
         )
--- a/peridotcove/operators/node_status.py
+++ b/peridotcove/operators/node_status.py
@@ -1,5 +1,6 @@
 """Status of the node that the operators' port reports."""
 
+from peridotcove.clock import MS_PER_S
 from peridotcove.revision_numbers import get_count, get_epoch
 from peridotcove.zone_evacuations import find_evacuated_zones, find_unserved_models
 
@@ -76,6 +77,12 @@
             load_by_engine = dispatcher.load_by_engine()
             for engine, load in load_by_engine.items():
                 metrics.engine_load.labels(engine).set(load)
+            for engine, times in dispatcher.describe_times().items():
+                backlog_s = times["backlog_ms"] / MS_PER_S
+                metrics.engine_backlog.labels(engine).set(backlog_s)
+                read_rate = times["tokens_per_ms"] * MS_PER_S
+                metrics.engine_read_rate.labels(engine).set(read_rate)
+                metrics.engine_slowness.labels(engine).set(times["slowness"])
             mean = sum(load_by_engine.values()) / max(1, len(load_by_engine))
             highest = max(load_by_engine.values(), default=0)
             metrics.skew.labels(name).set(highest / mean if mean else 1)
