Estimates of answers without times aren't kept; waits without open engines are estimated

Cause: each estimate kept the one before it on the same engine until its answer's times came, and answers of older nodes, of failures and cancellations have none. The estimate of a customer with many waiting requests divided by the capacity, which is 0 when all engines are gone. A stream that had begun could be refused for its objective when it went on at another engine. Change: the link is cut when the lease ends; the share of a customer is that of its weight; streams that have begun are limited by their deadline only.

--- a/peridotcove/customer_slots.py
+++ b/peridotcove/customer_slots.py
@@ -88,6 +88,16 @@
     def fair_share(self, customer):
         """Return a customer's fair share of the slots among the active customers.
 
+        Parameters
+        ----------
+        customer : Customer
+            The customer.
+        """
+        return self.capacity * self.fair_fraction(customer)
+
+    def fair_fraction(self, customer):
+        """Return a customer's weight as a fraction of that of the active customers.
+
         Parameters
         ----------
         customer : Customer
@@ -96,7 +106,7 @@
         weight = self._weight
         if customer.name not in self._usage_by_customer:
             weight += customer.weight
-        return self.capacity * customer.weight / weight
+        return customer.weight / weight
 
     def may_lease(self, customer, load):
         """Return whether a customer may use another slot.
--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -351,7 +351,7 @@
         # Requests of customers below their share come first, also later ones.
         interval_ms = self._grants.find_interval_ms(priority, request.customer)
         if not is_overloaded:
-            fair_share = self._slots.fair_share(customer) / self._slots.capacity
+            fair_share = self._slots.fair_fraction(customer)
             fair_ms = self._slots.find_interval_ms() / (share * fair_share)
             interval_ms = min(interval_ms, fair_ms)
         return max(wait_ms, place * interval_ms)
@@ -777,5 +777,8 @@
 
     def _remove_lease(self, lease):
         self._leases.remove(lease)
+        if lease.estimate is not None:
+            # Each estimate would keep all earlier ones of its engine.
+            lease.estimate.previous = None
         self._slots.change_usage(self._customer(lease.customer), leases=-1)
         self._loads.change_leases(lease.engine, -1, self._clock.wall())
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -477,7 +477,12 @@
         )
 
     def _find_goal_ms(self):
-        """Return the time left until the objective has passed, or 0."""
+        """Return the time left until the objective has passed, or 0.
+
+        It is 0 also for a stream that has begun: it ends at its deadline only.
+        """
+        if self.sink.started or self.forward.resume_after:
+            return 0
         elapsed_ms = self.forwarder.clock.now() - self.began_ms
         return max(0, self.forward.route.goal_ms - elapsed_ms)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -409,6 +409,43 @@
         self.assertIn(decision.engine, others)
 
 
+class OverloadTest(unittest.TestCase):
+    """Owners under more requests than their engines can serve."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+        engines = make_engines((1.0,), capacity=10)
+        self.engines = engines
+        self.dispatcher = make_dispatcher(engines, self.clock)
+        for number in range(40):
+            self.dispatcher.request_lease(make_request(number, "unknown"))
+        for number in range(10):
+            self.clock.advance(20)
+            self.dispatcher.release(make_request(number).request_id, "done")
+
+    def test_requests_that_wait_for_engines_that_are_gone_end_in_time(self):
+        gone = [
+            evolve(one, status=LifecycleStatus.LEAVING) for one in self.engines.values()
+        ]
+        self.dispatcher.set_engines(gone)
+        waiting, refusals = self.dispatcher.waiting, []
+        self.assertGreater(waiting, 10)
+        while self.clock.now() < 12_000:
+            self.clock.advance(100)
+            refusals += self.dispatcher.tick()
+        self.assertEqual((len(refusals), self.dispatcher.waiting), (waiting, 0))
+
+    def test_estimates_of_answers_without_times_are_not_kept(self):
+        dispatcher = make_dispatcher(make_engines((1.0,)), self.clock)
+        estimates = []
+        for number in range(50):
+            dispatcher.request_lease(make_request(number))
+            lease = dispatcher._leases.get(make_request(number).request_id)
+            estimates.append(lease.estimate)
+            dispatcher.release(lease.request_id, "cancelled")
+        self.assertEqual([one.previous for one in estimates], [None] * 50)
+
+
 class UnknownCachesTest(unittest.TestCase):
     """A new owner waits for the lists of the caches rather than compute prompts again.
 
