--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -380,6 +380,7 @@
         for name in names:
             load = self._loads.engine_load_by_name[name]
             load.tokens_per_ms = times.get_usual_rate(name)
+            load.fixed_ms = times.get_usual_fixed_ms(name)
             load.time_factor = times.get_time_factor(name)
             load.slowness = times.get_slowness(name)
 
@@ -677,7 +678,8 @@
             tokens = missing * (FETCH_COST_SHARE if source else 1.0)
             backlog_ms = load.prefill_backlog_ms(self._clock.wall())
             load.add_prefill(tokens, self._clock.wall())
-        estimate = self._times.record_grant(name, tokens, backlog_ms)
+        expected_ms = backlog_ms + load.expect_first_event_ms(tokens)
+        estimate = self._times.record_grant(name, tokens, backlog_ms, expected_ms)
         index.record(lookup, name, self._clock.wall())
         self._cold.record_grant(name)
         self._grants.record(request)
@@ -695,7 +697,7 @@
             self.waiting,
             int(lookup.blocks),
             backlog_ms,
-            estimate.expected_ms,
+            expected_ms,
         )
 
     def _find_late_engines(self, item, lookup, engine):
@@ -725,9 +727,7 @@
         blocks = lookup.blocks - lookup.blocks_by_engine.get(engine, 0)
         load = self._loads.engine_load_by_name[engine]
         backlog_ms = load.prefill_backlog_ms(self._clock.wall())
-        own_ms = self._times.estimate_first_event(
-            engine, blocks * self._block_tokens, 0.0
-        )
+        own_ms = load.expect_first_event_ms(blocks * self._block_tokens)
         limit_ms = self._admission.find_backlog_limit_ms(request, limit_ms, own_ms)
         return backlog_ms - limit_ms
 
--- a/peridotcove/engine_loads.py
+++ b/peridotcove/engine_loads.py
@@ -7,7 +7,7 @@
 import math
 from collections import deque
 
-from peridotcove.engine_time.read_rates import START_TOKENS_PER_MS
+from peridotcove.engine_time.read_rates import START_FIXED_MS, START_TOKENS_PER_MS
 from peridotcove.models import LifecycleStatus
 
 REPORT_TTL_MS = 10_000
@@ -44,6 +44,8 @@
         Requests in progress, as far as known.
     tokens_per_ms : float
         Prompt tokens that it reads in a ms at present.
+    fixed_ms : float
+        Time in ms to the first event beside the prompt's.
     time_factor : float
         How long work usually takes, relative to the middle one of the engines.
     slowness : float
@@ -60,6 +62,7 @@
         self._history = deque()
         self._prefill_until_ms = 0.0
         self.tokens_per_ms = START_TOKENS_PER_MS
+        self.fixed_ms = START_FIXED_MS
         self.time_factor = self.slowness = 1.0
 
     def set_engine(self, engine):
@@ -91,6 +94,16 @@
         begin_ms = wall_ms + self.prefill_backlog_ms(wall_ms)
         self._prefill_until_ms = begin_ms + tokens / self.tokens_per_ms
 
+    def expect_first_event_ms(self, tokens):
+        """Return the time in ms to a first event, without the backlog.
+
+        Parameters
+        ----------
+        tokens : float
+            Tokens of the prompt that are not in the engine's cache.
+        """
+        return self.fixed_ms + tokens / self.tokens_per_ms
+
     def correct_prefill(self, late_ms, wall_ms):
         """Correct the engine's backlog by what an answer has shown.
 
--- a/peridotcove/engine_time/engine_times.py
+++ b/peridotcove/engine_time/engine_times.py
@@ -219,22 +219,17 @@
         """
         return self._rates.is_known(engine)
 
-    def estimate_first_event(self, engine, tokens, backlog_ms):
-        """Return the expected time in ms from a grant now to the first event.
+    def get_usual_fixed_ms(self, engine):
+        """Return the time in ms to its first event beside the prompt's, on its machine.
 
         Parameters
         ----------
         engine : str
             Name of an engine of the shard.
-        tokens : float
-            Tokens of the prompt that the engine has to read.
-        backlog_ms : float
-            Time in ms that it needs for the prompts before.
         """
-        own_ms = self._rates.get_fixed_ms(engine) + tokens / self.get_rate(engine)
-        return backlog_ms + own_ms * self._usual_factor
+        return self._rates.get_fixed_ms(engine) * self._usual_factor
 
-    def record_grant(self, engine, tokens, backlog_ms):
+    def record_grant(self, engine, tokens, backlog_ms, expected_ms):
         """Record that a request was granted an engine; return its estimate.
 
         Parameters
@@ -245,6 +240,8 @@
             Tokens of the prompt that the engine has to read.
         backlog_ms : float
             Time in ms that it needs for the prompts before.
+        expected_ms : float
+            Time in ms from the grant to the first event.
 
         Returns
         -------
@@ -255,7 +252,7 @@
             self._clock.now(),
             tokens,
             backlog_ms,
-            self.estimate_first_event(engine, tokens, backlog_ms),
+            expected_ms,
             self._last_by_engine.get(engine),
             self._correction_by_engine.get(engine, 0.0),
         )
--- a/tests/engine_time/test_slowness.py
+++ b/tests/engine_time/test_slowness.py
@@ -51,8 +51,13 @@
         self.times = EngineTimes(self.clock)
         self.times.set_engines([Engine(name, "", "z", "m") for name in NAMES])
 
+    def grant(self, name, tokens=0.0, backlog_ms=0.0):
+        expected_ms = backlog_ms + self.times.get_usual_fixed_ms(name)
+        expected_ms += tokens / self.times.get_usual_rate(name)
+        return self.times.record_grant(name, tokens, backlog_ms, expected_ms)
+
     def record(self, name, first_ms, slowness, age_ms=0, tokens=0.0):
-        estimate = self.times.record_grant(name, tokens, 0.0)
+        estimate = self.grant(name, tokens)
         times = AnswerTimes(first_ms, 0, slowness, age_ms)
         return self.times.record(name, estimate, times)
 
@@ -87,7 +92,7 @@
             AnswerTimes(30, 0, 250, -1),
         ):
             with self.subTest(times=times):
-                estimate = self.times.record_grant("a", 100.0, 0.0)
+                estimate = self.grant("a", 100.0)
                 self.times.record("a", estimate, times)
                 self.assertEqual(self.times.get_slowness("a"), 1.0)
 
@@ -97,7 +102,7 @@
     def test_a_delay_is_corrected_once(self):
         for _ in range(20):
             self.record("a", 40, 0)
-        grants = [self.times.record_grant("a", 1_000.0, 20.0 * i) for i in range(3)]
+        grants = [self.grant("a", 1_000.0, 20.0 * i) for i in range(3)]
         corrections = []
         for estimate in grants:
             times = AnswerTimes(round(estimate.expected_ms) + 300)
