--- a/peridotcove/dispatch.py
+++ b/peridotcove/dispatch.py
@@ -398,7 +398,7 @@
         # Requests of customers below their share come first, also later ones.
         interval_ms = self._grants.find_interval_ms(priority, request.customer)
         if not is_overloaded:
-            fair_share = self._slots.fair_share(customer) / self._slots.capacity
+            fair_share = self._slots.fair_fraction(customer)
             fair_ms = self._slots.find_interval_ms() / (share * fair_share)
             interval_ms = min(interval_ms, fair_ms)
         return max(wait_ms, place * interval_ms)
@@ -427,6 +427,7 @@
         for name in names:
             load = self._loads.engine_load_by_name[name]
             load.tokens_per_ms = times.get_usual_rate(name)
+            load.fixed_ms = times.get_usual_fixed_ms(name)
             load.time_factor = times.get_time_factor(name)
             load.slowness = times.get_slowness(name)
 
@@ -439,7 +440,12 @@
 
     def describe_times(self):
         """Return what is known of the times of each engine, for operators."""
-        return self._times.describe()
+        wall_ms = self._clock.wall()
+        loads = self._loads.engine_load_by_name
+        return {
+            name: times | {"backlog_ms": loads[name].prefill_backlog_ms(wall_ms)}
+            for name, times in self._times.describe().items()
+        }
 
     def _record_times(self, lease, times):
         """Record the times of an answer that was complete."""
@@ -704,10 +710,13 @@
         late_by_engine = self._find_late_engines(item, request, lookup, choice.engine)
         if late_by_engine:
             request = evolve(request, excluded=(*request.excluded, *late_by_engine))
-            if self._excludes_all(request):
+            if not self._excludes_all(request):
+                choice = self._selector.select(
+                    request, lookup, self._loads, backlogs, plan
+                )
+            if choice.engine in ("", *late_by_engine):
                 self._deferred_by_id.pop(request.request_id, None)
                 return self._refuse_overloaded(request, min(late_by_engine.values()))
-            choice = self._selector.select(request, lookup, self._loads, backlogs, plan)
         if not choice.engine and request.excluded and deferred is None:
             # Only engines that the request must not use have room.
             self._deferred_by_id[request.request_id] = _DeferredRequest(
@@ -733,7 +742,8 @@
             tokens = missing * (FETCH_COST_SHARE if source else 1.0)
             backlog_ms = load.prefill_backlog_ms(wall)
             load.add_prefill(tokens, wall)
-        estimate = self._times.record_grant(name, tokens, backlog_ms)
+        expected_ms = backlog_ms + load.expect_first_event_ms(tokens)
+        estimate = self._times.record_grant(name, tokens, backlog_ms, expected_ms)
         index.record(lookup, name, wall)
         self._cold.record_grant(name)
         self._grants.record(request)
@@ -754,7 +764,7 @@
             self.waiting,
             int(lookup.blocks),
             backlog_ms,
-            estimate.expected_ms,
+            expected_ms,
         )
 
     def _find_other_versions(self, request):
@@ -798,9 +808,7 @@
         blocks = lookup.blocks - lookup.blocks_by_engine.get(engine, 0)
         load = self._loads.engine_load_by_name[engine]
         backlog_ms = load.prefill_backlog_ms(self._clock.wall())
-        own_ms = self._times.estimate_first_event(
-            engine, blocks * self._block_tokens, 0.0
-        )
+        own_ms = load.expect_first_event_ms(blocks * self._block_tokens)
         limit_ms = self._admission.find_backlog_limit_ms(request, limit_ms, own_ms)
         return backlog_ms - limit_ms
 
