Tests: clients that nobody controls, against nodes in processes of their own

Change: crowds and bounds, before any change of the product. The settings of the test state the limits (152 MB, the weakest machines; 100 MB and 400 descriptors where the crowd asks for it); checked are that the process lives, its peak memory (VmHWM) and its open descriptors, and an ordinary request while the crowd is still there. The native interface has no setting for the machine's limits yet, so its test gets one with the fix; crowd and bound are these. Not tried: a crowd through a relay.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -35,7 +35,12 @@
 cold_slack = {cold_slack}
 [provider]
 addr = "{store}"
+[limits]
+ram_mb = {ram_mb}
+max_fds = {max_fds}
 """
+# Limits of a machine that come into play only in tests that state others.
+MACHINE_LIMITS = {"ram_mb": 4_096, "max_fds": 20_000}
 
 
 class NodeProcess:
@@ -55,7 +60,7 @@
         Folder for settings and logs.
     bounds : dict
         ``grace_s``, ``ratio``, ``extra``, ``cold_excess`` and ``cold_slack`` of the
-        settings.
+        settings, and ``ram_mb`` and ``max_fds`` if they matter.
 
     Attributes
     ----------
@@ -72,7 +77,9 @@
         self.paused = False
         self._settings_file = folder / f"{label}.toml"
         self._log_file = folder / f"{label}.log"
-        self._template_fields = bounds | {"label": label, "host": host, "zone": zone}
+        self._template_fields = (
+            MACHINE_LIMITS | bounds | {"label": label, "host": host, "zone": zone}
+        )
         self._template_fields |= {
             "store": store,
             "front": FRONT_PORT,
