One count of what connections hold, from the machine's own limits

Cause: each body, answer and buffer was bounded by itself, their sum by nothing, connections by nothing but the system; limits of memory were constants. Large bodies stayed after their request in idle handles of the HTTP client and in gaps that the C library kept. Change: connection_memory/ divides the machine's memory and descriptors (ram_mb and max_fds of the platform, machine.memory_mb and machine.descriptors of the native settings) and counts what all connections hold: heads and bodies that arrive, bodies of running requests, answers that wait for their caller, unfinished answers (their limit is now half of that, was 64 MB), what relays can't pass on. When it is full, who holds most for longest without progress is refused with 503 (it has not run and never will) or closed. Least rate and patience for requests that arrive and answers that wait. Each port has a largest number of connections and accepts none that it has no room for; callers, operators, unknown peers and relays have their own. Bodies are held in one buffer, so that many small parts take little more than their size. Two tests of answers without end set their limit by the machine's memory now (below 1 MiB, as before) since the constant is gone. The native crowd test got the setting that states its limit. Not bounded in sum yet: whole answers of plain services and chats on the native interface. No figures of relay and start times yet.

--- a/peridotcove/answer_memory.py
+++ b/peridotcove/answer_memory.py
@@ -11,6 +11,8 @@
     ----------
     limit_bytes : int
         Largest sum of all held answers in bytes.
+    on_change : callable
+        Called with the sum when it has changed.
 
     Attributes
     ----------
@@ -18,8 +20,9 @@
         Sum of the held answers in bytes.
     """
 
-    def __init__(self, limit_bytes):
+    def __init__(self, limit_bytes, on_change=lambda total_bytes: None):
         self.total_bytes = 0
+        self._on_change = on_change
         self._limit_bytes = limit_bytes
         self._bytes_by_holder = {}
 
@@ -39,6 +42,7 @@
             largest = max(self._bytes_by_holder, key=self._bytes_by_holder.get)
             self.remove(largest)
             largest.give_up_answer()
+        self._on_change(self.total_bytes)
 
     def remove(self, holder):
         """Forget an answer that ended or was given up; an unknown one is ignored.
@@ -48,4 +52,7 @@
         holder : object
             Holds the answer.
         """
-        self.total_bytes -= self._bytes_by_holder.pop(holder, 0)
+        size = self._bytes_by_holder.pop(holder, 0)
+        if size:
+            self.total_bytes -= size
+            self._on_change(self.total_bytes)
--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -19,6 +19,7 @@
     write_error_response,
 )
 from peridotcove.clock import MS_PER_S
+from peridotcove.connection_memory.memory import FULL
 from peridotcove.exceptions import (
     EndpointFailed,
     RequestError,
@@ -29,6 +30,8 @@
 from peridotcove.verdict import Verdict
 
 REQUEST_ID_BYTES = 8
+# Wait that is asked for if there is no room for a body.
+NO_ROOM_RETRY_AFTER_MS = 1_000
 
 log = get_logger("callers")
 
@@ -57,6 +60,7 @@
         self._span = gateway.begin_request(self.request_id)
         self._body_buffer = RequestBodyBuffer(gateway.limits)
         self._body_timer = None
+        self._client = None
 
     def prepare(self):
         """Check the head of the request and start the timeout of its body."""
@@ -68,6 +72,11 @@
         self._body_timer = loop.call_later(
             body_s, self._refuse_and_finish, timeout_error
         )
+        fields = self.request.headers
+        length = fields.get("Content-Length", "0")
+        has_body = length != "0" or "Transfer-Encoding" in fields
+        self._client = self.request.connection.stream.connection
+        self._client.begin_request(has_body, self._refuse_body)
         try:
             self._body_buffer.check_head(self.request)
         except RequestRefused as error:
@@ -87,6 +96,13 @@
             self._body_buffer.append_chunk(chunk)
         except RequestRefused as error:
             self._refuse_and_finish(error)
+            return
+        self._client.set_body_bytes(self._body_buffer.held_bytes)
+
+    def _refuse_body(self, reason):
+        """Refuse the request before all of it has come."""
+        self._body_buffer = RequestBodyBuffer(self.gateway.limits)
+        self._refuse_and_finish(_make_refusal(reason))
 
     def read_body(self):
         """Set the request's body to the buffered one and stop its timeout.
@@ -94,10 +110,27 @@
         Raises
         ------
         RequestRefused
-            If the body is too large.
+            If the body is too large, or there is no room for it.
         """
         self._stop_body_timer()
         self.request.body = self._body_buffer.get_body()
+        self._body_buffer = None
+        if not self._client.begin_running():
+            raise _make_refusal(FULL)
+
+    def finish(self, chunk=None):
+        """Finish the response; the body of the request is not needed any more.
+
+        Parameters
+        ----------
+        chunk : object
+            Last part of the response; tornado's handler takes it.
+        """
+        self._body_buffer = None
+        self.request.body = b""
+        if self._client is not None:
+            self._client.begin_answer()
+        return super().finish(chunk)
 
     def on_finish(self):
         """Record the end of the request."""
@@ -196,8 +229,11 @@
 
     async def _send_streamed_response(self, chat):
         sink = self.sink = ResponseSink(
-            self._open_response, self.gateway.stream_buffer_bytes
+            self._open_response,
+            self.gateway.stream_buffer_bytes,
+            self._client.update,
         )
+        self._client.sink = sink
         self._chat = chat
         response, engine = await self.gateway.run_chat(chat, self.request_id, sink)
         if not sink.started:
@@ -300,6 +336,11 @@
         self._refuse_and_finish(error)
 
 
+def _make_refusal(reason):
+    text = f"this node has no room for the request ({reason})"
+    return RequestRefused("no-room", text, 503, NO_ROOM_RETRY_AFTER_MS)
+
+
 class _NullSink:
     """Takes the place of a sink during a request whose response is not streamed."""
 
--- a/peridotcove/callers/request_body.py
+++ b/peridotcove/callers/request_body.py
@@ -1,5 +1,7 @@
 """Buffers the body of a request and enforces limits on its head and body."""
 
+import io
+
 from peridotcove.exceptions import RequestRefused
 
 FIELD_OVERHEAD_BYTES = 4  # ": " and CRLF of a header field
@@ -26,7 +28,9 @@
 
     def __init__(self, limits):
         self._limits = limits
-        self._chunks = []
+        # Unlike a list of parts, it takes little more memory than the body if this
+        # comes in many small parts.
+        self._body = io.BytesIO()
         self.size = 0
 
     def check_head(self, request):
@@ -68,9 +72,9 @@
         """
         self.size += len(chunk)
         if self.size <= self._limits.body_bytes:
-            self._chunks.append(chunk)
+            self._body.write(chunk)
             return
-        self._chunks.clear()
+        self._body = io.BytesIO()
         if self.size > self._hard_limit_bytes():
             raise self._make_size_error()
 
@@ -84,7 +88,12 @@
         """
         if self.size > self._limits.body_bytes:
             raise self._make_size_error()
-        return b"".join(self._chunks)
+        return self._body.getvalue()
+
+    @property
+    def held_bytes(self):
+        """Bytes of the body that are held."""
+        return self._body.tell()
 
     def _hard_limit_bytes(self):
         return self._limits.body_bytes * HARD_LIMIT_FACTOR
--- a/peridotcove/callers/response_sink.py
+++ b/peridotcove/callers/response_sink.py
@@ -16,6 +16,8 @@
         the first bytes of the body have arrived.
     limit_bytes : int
         Bytes in the buffer at which the transfer is paused.
+    on_buffered : callable
+        Called when data was buffered.
 
     Attributes
     ----------
@@ -25,10 +27,11 @@
         The transfer that supplies the data.
     """
 
-    def __init__(self, open_response, limit_bytes):
+    def __init__(self, open_response, limit_bytes, on_buffered=lambda: None):
         self._open_response = open_response
         self._writer = None
         self._limit_bytes = limit_bytes
+        self._on_buffered = on_buffered
         self._buffer = bytearray()
         self._write_pending = False
         self._idle = asyncio.Event()
@@ -58,7 +61,8 @@
             return True
         if self._write_pending:
             self._buffer += data
-            return len(self._buffer) >= self._limit_bytes
+            self._on_buffered()
+            return self.closed or len(self._buffer) >= self._limit_bytes
         self._start_write(data)
         return self.closed
 
--- a/peridotcove/callers/server.py
+++ b/peridotcove/callers/server.py
@@ -3,7 +3,6 @@
 import ssl
 
 from attrs import define
-from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
 from peridotcove.callers.handlers import (
@@ -12,6 +11,7 @@
     ServiceHandler,
     UnknownHandler,
 )
+from peridotcove.connection_memory.server import BoundedServer
 from peridotcove.exceptions import RequestRefused
 
 CHUNK_BYTES = 65_536
@@ -215,7 +215,7 @@
         return await self._service_router.run(customer, request_id, request, name, path)
 
 
-def make_server(gateway, limits, tls):
+def make_server(gateway, limits, tls, group):
     """Return the HTTP server for callers, not yet listening.
 
     Parameters
@@ -226,6 +226,8 @@
         Limits of requests from callers.
     tls : TlsFiles or None
         Files of the TLS certificate and key; None for plain HTTP.
+    group : ConnectionGroup
+        Bounds the connections.
     """
     handler_arguments = {"gateway": gateway}
     routes = [
@@ -234,8 +236,9 @@
         (r"/services/([^/]+)(/.*|)", ServiceHandler, handler_arguments),
         (r".*", UnknownHandler, handler_arguments),
     ]
-    return HTTPServer(
+    return BoundedServer(
         Application(routes),
+        group,
         ssl_options=_make_ssl_context(tls),
         max_header_size=limits.header_bytes * MAX_HEAD_FACTOR,
         max_body_size=MAX_BODY_BYTES,
--- a/peridotcove/curl.py
+++ b/peridotcove/curl.py
@@ -16,6 +16,8 @@
 INVALID_REPLY = pycurl.E_FTP_WEIRD_SERVER_REPLY
 # Lines that end a head.
 EMPTY_LINES = (b"\r\n", b"\n")
+# Bodies from this size are released when their transfer has ended.
+LARGE_BODY_BYTES = 65_536
 # Largest body that is held in memory; several times the largest answer of any peer.
 MAX_BODY_BYTES = 16 << 20
 
@@ -117,7 +119,9 @@
         elif curl_error is None and not curl.info["head"].has_status:
             curl_error = INVALID_REPLY
             curl_message = "the response has no valid status"
+        request, buffer = curl.info["request"], curl.info["buffer"]
         super()._finish(curl, curl_error, curl_message)
+        _release_bodies(curl, request, buffer)
 
     def close(self):
         """Close all connections, and remove the timer that closing them may set."""
@@ -158,3 +162,20 @@
             active = None
         if active is None or active < len(self._curls) - len(self._free_list):
             self._finish_pending_requests()
+
+
+def _release_bodies(curl, request, buffer):
+    """Let go of large bodies, which a handle would keep until its next transfer."""
+    if request.body is not None and len(request.body) >= LARGE_BODY_BYTES:
+        curl.setopt(pycurl.READFUNCTION, _read_nothing)
+        curl.setopt(pycurl.SEEKFUNCTION, _refuse_seek)
+    if buffer.tell() >= LARGE_BODY_BYTES:
+        curl.setopt(pycurl.WRITEFUNCTION, len)
+
+
+def _read_nothing(size):
+    return b""
+
+
+def _refuse_seek(offset, origin):
+    return pycurl.SEEKFUNC_CANTSEEK
--- a/peridotcove/forwarding.py
+++ b/peridotcove/forwarding.py
@@ -11,7 +11,6 @@
 from tornado.httputil import HTTPHeaders
 
 from peridotcove.answer_copies import HTTP_PREFIX, find_copy
-from peridotcove.answer_memory import AnswerMemory
 from peridotcove.clock import MS_PER_S
 from peridotcove.cold_engines import MAX_SEND_DELAY_MS
 from peridotcove.crash_suspects import CUT, CUT_BEFORE_ANSWER
@@ -52,8 +51,6 @@
 # Time in which an engine answers a question about itself; it may need a free slot.
 LIFE_CHECK_TIMEOUT_MS = 500
 MAX_ANSWER_BYTES = 16 << 20
-# Sum of all unfinished answers, a fraction of the memory of the smallest instances.
-MAX_HELD_BYTES = 64 << 20
 # Change of the held part of an event from which the sum is updated; events are smaller.
 MIN_COUNTED_BYTES = 65_536
 EVENT_STREAM_TYPE = "text/event-stream"
@@ -128,6 +125,8 @@
         which it went, if an answer has one.
     stream_origins : StreamOriginSync
         Which software versions began streams.
+    answer_memory : AnswerMemory
+        Bounds the unfinished answers that are held.
     """
 
     def __init__(
@@ -147,6 +146,7 @@
         notices,
         on_notice,
         stream_origins,
+        answer_memory,
     ):
         self.node = node
         self.zone = zone
@@ -163,7 +163,7 @@
         self.notices = notices
         self.on_notice = on_notice
         self.stream_origins = stream_origins
-        self.answer_memory = AnswerMemory(MAX_HELD_BYTES)
+        self.answer_memory = answer_memory
 
     def check_available(self, engine):
         """Raise a `RequestRefused` if an engine may not get new requests.
@@ -756,7 +756,7 @@
             text = f"engine {engine.name} refused the request without running it"
             raise EndpointFailed("engine-busy", text, Verdict.NOT_RUN, 503)
         if not head.success:
-            forwarded = ForwardedResponse(head, bytes(self.body))
+            forwarded = ForwardedResponse(head, self._take_body())
             if head.status >= 500:
                 raise EngineErrorResponse(forwarded)
             if self.sink.started:
@@ -770,7 +770,13 @@
             self._write_to_caller(head, remainder)
         if self.forward.head is None:
             self.forward.head = head
-        return ForwardedResponse(self.forward.head, bytes(self.body))
+        return ForwardedResponse(self.forward.head, self._take_body())
+
+    def _take_body(self):
+        """Return the answer's body, of which this state keeps no copy."""
+        body = bytes(self.body)
+        self.body.clear()
+        return body
 
 
 def _is_event_stream(head):
--- a/peridotcove/metrics.py
+++ b/peridotcove/metrics.py
@@ -53,6 +53,18 @@
         self.in_progress = self._add_gauge(
             "peridotcove_requests_in_progress", "Requests in progress."
         )
+        self.connections_given_up = self._add_counter(
+            "peridotcove_connections_given_up",
+            "Connections that were refused or closed to bound what all hold.",
+            "port",
+            "reason",
+        )
+        self.held_bytes = self._add_gauge(
+            "peridotcove_held_bytes", "Bytes held for connections."
+        )
+        self.held_bytes_limit = self._add_gauge(
+            "peridotcove_held_bytes_limit", "Bytes that may be held for connections."
+        )
         self.revision = self._add_gauge(
             "peridotcove_configuration_revision",
             "Configuration revision in force, within its epoch.",
--- a/peridotcove/native_interface.py
+++ b/peridotcove/native_interface.py
@@ -160,7 +160,9 @@
             node.metrics,
             node.timeline,
         )
-        return make_caller_server(gateway, node.settings.limits, node.settings.tls)
+        return make_caller_server(
+            gateway, node.settings.limits, node.settings.tls, node.make_caller_group()
+        )
 
     def background_jobs(self):
         """Return coroutines that report usage, poll engines and watch the instances."""
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -2,7 +2,11 @@
 
 import logging
 import random
+import resource
 
+from peridotcove.connection_memory.capacity import plan_capacity
+from peridotcove.connection_memory.memory import ConnectionMemory
+from peridotcove.connection_memory.server import ConnectionGroup
 from peridotcove.control_plane import ControlPlane
 from peridotcove.departed_engines import DepartedEngines
 from peridotcove.drain import DrainController
@@ -87,6 +91,7 @@
         self._keeps_lapsed_engines = False
         self._withholds_engines = False
         self._handler_by_type = {}
+        self._wire_connection_memory()
         self._wire_control()
         self._wire_leaving()
         self._wire_links()
@@ -96,6 +101,27 @@
         self.interface.wire()
         self._wire_servers()
 
+    def _wire_connection_memory(self):
+        limits = self.settings.limits
+        open_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.capacity = plan_capacity(self.settings.machine, open_files)
+        self.connection_memory = ConnectionMemory(
+            self.clock, self.capacity, limits.least_bytes_per_s, limits.progress_ms
+        )
+
+    def make_caller_group(self):
+        """Return the group of the connections of callers."""
+        return self._make_group("callers", self.capacity.callers)
+
+    def _make_group(self, port, limit):
+        given_up = self.metrics.connections_given_up
+        return ConnectionGroup(
+            limit,
+            self.connection_memory,
+            self.clock,
+            lambda reason: given_up.labels(port, reason).inc(),
+        )
+
     def _wire_links(self):
         settings = self.settings
         identity = Identity(self.name, settings.zone, self.incarnation)
@@ -105,6 +131,7 @@
             secret,
             self.clock,
             on_traffic=self.count_control_bytes,
+            max_unknown_peers=self.capacity.unknown_peers,
         )
         self.links.on_message = self._handle_message
 
@@ -209,6 +236,8 @@
             lambda address: self.drain.ready and not paths.needs_relay(address),
             self.relay_client,
             self.request_counter,
+            self.capacity.relays,
+            self.connection_memory,
         )
         self.links.make_relay_protocol = self.relay_server.make_protocol
         self._handler_by_type |= {
@@ -259,7 +288,9 @@
                 self.timeline,
                 self.engine_notices,
                 self.fleet,
-            )
+                self.connection_memory,
+            ),
+            self._make_group("operators", self.capacity.operators),
         )
 
     def _handle_message(self, peer, message, revision):
--- a/peridotcove/node_lifecycle.py
+++ b/peridotcove/node_lifecycle.py
@@ -185,6 +185,7 @@
         The node.
     """
     control = node.control
+    node.connection_memory.tick()
     own = node.lease_server.load_by_shard()
     control.membership.set_own_shard_loads(own)
     node.fleet.set_shard_loads({**control.membership.shard_loads(), **own})
--- a/peridotcove/nodes/links.py
+++ b/peridotcove/nodes/links.py
@@ -17,7 +17,7 @@
 from peridotcove.nodes.handshake import accept, dial
 from peridotcove.nodes.messages import MAX_FRAME_BYTES, encode
 from peridotcove.nodes.network import Network
-from peridotcove.nodes.relay_protocol import NodePort
+from peridotcove.nodes.relay_protocol import NodePort, UnknownPeers
 from peridotcove.nodes.sockets import (
     SOCKET_ERRORS,
     make_client_factory,
@@ -31,6 +31,7 @@
 FIRST_CONNECT_TIMEOUT_MS = 250
 MAX_QUEUED_FRAMES = 1_024
 REDIAL_DELAY_MS = 100
+MAX_UNKNOWN_PEERS = 512
 MAX_DOUBLINGS = 8
 TCP_IP_HEADER_BYTES = 52
 FRAME_HEADER_BYTES = 8
@@ -74,6 +75,8 @@
     on_traffic : callable
         Called with ``"in"`` or ``"out"``, the name of the message class and its size on
         the wire in bytes.
+    max_unknown_peers : int
+        Largest number of accepted connections that have not said who they are.
 
     Attributes
     ----------
@@ -87,7 +90,12 @@
     """
 
     def __init__(
-        self, identity, secret, clock, on_traffic=lambda direction, kind, size: None
+        self,
+        identity,
+        secret,
+        clock,
+        on_traffic=lambda direction, kind, size: None,
+        max_unknown_peers=MAX_UNKNOWN_PEERS,
     ):
         super().__init__()
         self.identity = identity
@@ -99,6 +107,7 @@
         self._link_by_peer = {}
         self._server = None
         self._accepted = set()
+        self._unknown_peers = UnknownPeers(max_unknown_peers)
         self._tasks = set()
 
     async def listen(self, host, port, early_socket=None):
@@ -118,7 +127,12 @@
         )
 
         def make_port():
-            return NodePort(make_link, self.make_relay_protocol, OPEN_TIMEOUT_MS)
+            return NodePort(
+                make_link,
+                self.make_relay_protocol,
+                OPEN_TIMEOUT_MS,
+                self._unknown_peers,
+            )
 
         loop = asyncio.get_running_loop()
         address = (
@@ -265,6 +279,7 @@
             async with asyncio.timeout(OPEN_TIMEOUT_MS / 1000):
                 await socket.open()
                 hello = await accept(socket, self.identity, self._secret)
+            socket.is_known = True
             socket.set_frame_handler(
                 lambda frame: self._handle_frame(hello.node, socket, frame)
             )
--- a/peridotcove/nodes/relay_protocol.py
+++ b/peridotcove/nodes/relay_protocol.py
@@ -60,6 +60,43 @@
     transport.abort()
 
 
+class UnknownPeers:
+    """Connections whose other end has not said who it is; anyone can open these.
+
+    If there are too many, the oldest is closed.
+
+    Parameters
+    ----------
+    limit : int
+        Largest number of them.
+    """
+
+    def __init__(self, limit):
+        self._limit = limit
+        # A dict, because it keeps the order in which they came.
+        self._transports = {}
+
+    def add(self, transport):
+        """Add a new connection.
+
+        Parameters
+        ----------
+        transport : asyncio.Transport
+            Transport of the connection; its protocol has `is_known`.
+        """
+        if len(self._transports) >= self._limit:
+            self._transports = {
+                one: None
+                for one in self._transports
+                if not one.is_closing() and not one.get_protocol().is_known
+            }
+        if len(self._transports) >= self._limit:
+            oldest = next(iter(self._transports))
+            del self._transports[oldest]
+            oldest.abort()
+        self._transports[transport] = None
+
+
 class NodePort(asyncio.Protocol):
     """Passes a new connection on by its first byte: a link, or one to be relayed.
 
@@ -71,9 +108,14 @@
         Returns the protocol of a connection to be relayed; None if none is.
     timeout_ms : int
         Time in ms in which the first byte must come.
+    unknown_peers : UnknownPeers
+        Bounds the connections that are not known yet.
     """
 
-    def __init__(self, make_link, make_relay, timeout_ms):
+    is_known = False
+
+    def __init__(self, make_link, make_relay, timeout_ms, unknown_peers):
+        self._unknown_peers = unknown_peers
         self._make_link = make_link
         self._make_relay = make_relay
         self._timeout_ms = timeout_ms
@@ -91,6 +133,7 @@
         self._transport = transport
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._timeout_ms / MS_PER_S, transport.abort)
+        self._unknown_peers.add(transport)
 
     def connection_lost(self, exc):
         """Handle the end of the connection before its first byte.
--- a/peridotcove/nodes/relay_server.py
+++ b/peridotcove/nodes/relay_server.py
@@ -5,6 +5,7 @@
 from attrs import define
 
 from peridotcove.clock import MS_PER_S
+from peridotcove.connection_memory.memory import Holder
 from peridotcove.exceptions import LinkDown, RequestError
 from peridotcove.logs import get_logger
 from peridotcove.nodes.relay_messages import RelayEnded
@@ -22,8 +23,6 @@
 CONNECT_TIMEOUT_MS = 120
 # Time in which a connection follows its request, or a request its connection.
 PICK_UP_TIMEOUT_MS = 1_000
-# Bounds descriptors and memory: each relay has two connections and two buffers.
-MAX_RELAYS = 256
 # Connections whose request has not come; anyone can open these.
 MAX_UNCLAIMED = 64
 BUFFER_BYTES = 32_768
@@ -42,10 +41,41 @@
     engine_side: object = None
     # The answer to the peer, once it is known.
     answer: bytes = b""
+    holder: Holder | None = None
     expires: object = None
     is_open: bool = False
 
 
+class _RelayHolder(Holder):
+    """What a relay holds since one of its sides reads slowly."""
+
+    is_spared = False
+
+    def __init__(self, server, relay):
+        self._server = server
+        self._relay = relay
+        self.moved_bytes = 0
+
+    def measure(self):
+        """Return the bytes that are not sent yet."""
+        sides = (self._relay.peer_side, self._relay.engine_side)
+        return sum(one.transport.get_write_buffer_size() for one in sides if one)
+
+    def count_moved(self):
+        """Return the bytes that came, which come only as fast as others are sent."""
+        return self.moved_bytes
+
+    def give_up(self, reason):
+        """End the relay with a reset, so that nobody takes it for an orderly end."""
+        log.warning(
+            "relay of %s to %s given up (%s)",
+            self._relay.peer,
+            self._relay.address,
+            reason,
+        )
+        self._server.give_up(self._relay)
+
+
 class _Pipe(asyncio.Protocol):
     """One side of a relay; the bytes that it receives go to the other side."""
 
@@ -70,11 +100,13 @@
         """Stop reading from the other side while this one is slow."""
         if self.other is not None:
             self.other.transport.pause_reading()
+            self.server.count_held(self.relay)
 
     def resume_writing(self):
         """Go on reading from the other side."""
         if self.other is not None:
             self.other.transport.resume_reading()
+            self.relay.holder.moved_bytes += BUFFER_BYTES
 
     def connection_lost(self, exc):
         """End the other side in the same way."""
@@ -95,6 +127,11 @@
         self._preamble = b""
         self._expires = None
 
+    @property
+    def is_known(self):
+        """Whether a request of a known peer is for this connection."""
+        return self.relay is not None
+
     def connection_made(self, transport):
         """Handle a new connection, which must soon belong to a relay."""
         super().connection_made(transport)
@@ -152,11 +189,24 @@
         Is told whether this node reaches engines by itself.
     request_counter : RequestCounter
         Counts relays as requests in progress.
+    max_relays : int
+        Largest number of relays; each has two connections and two buffers.
+    memory : ConnectionMemory
+        Counts what relays hold.
     """
 
     def __init__(
-        self, network, check_address, may_relay, relay_client, request_counter
+        self,
+        network,
+        check_address,
+        may_relay,
+        relay_client,
+        request_counter,
+        max_relays,
+        memory,
     ):
+        self._max_relays = max_relays
+        self._memory = memory
         self._relay_client = relay_client
         self._network = network
         self._check_address = check_address
@@ -188,6 +238,7 @@
             log.warning("a relay for %s was ignored: its token is invalid", peer)
             return
         relay = _Relay(token, message.address, peer)
+        relay.holder = _RelayHolder(self, relay)
         self._relay_by_token[token] = relay
         self._request_counter.begin()
         loop = asyncio.get_running_loop()
@@ -251,7 +302,7 @@
 
     async def _connect(self, relay):
         try:
-            is_full = len(self._relay_by_token) > MAX_RELAYS
+            is_full = len(self._relay_by_token) > self._max_relays
             if is_full or not self._may_relay(relay.address):
                 relay.answer = RELAY_REFUSED
                 return
@@ -348,9 +399,32 @@
                 other.transport.abort()
         self._end(relay)
 
+    def count_held(self, relay):
+        """Count what a relay holds, since one of its sides reads slowly.
+
+        Parameters
+        ----------
+        relay : object
+            The relay.
+        """
+        self._memory.update(relay.holder)
+
+    def give_up(self, relay):
+        """End a relay whose bytes wait too long or take too much memory.
+
+        Parameters
+        ----------
+        relay : object
+            The relay.
+        """
+        if relay.peer_side is not None:
+            reset(relay.peer_side.transport)
+        self._end(relay)
+
     def _end(self, relay):
         if self._relay_by_token.pop(relay.token, None) is None:
             return
+        self._memory.forget(relay.holder)
         relay.expires.cancel()
         self._request_counter.end()
         for side in (relay.peer_side, relay.engine_side):
--- a/peridotcove/nodes/sockets.py
+++ b/peridotcove/nodes/sockets.py
@@ -36,9 +36,12 @@
     ----------
     on_frame : callable or None
         Called with each frame; until it is set, frames are buffered for `read`.
+    is_known : bool
+        Whether the peer has proven who it is.
     """
 
     def __init__(self, protocol, on_close=None):
+        self.is_known = False
         self.on_frame = None
         self.closed = False
         self._protocol = protocol
--- a/peridotcove/operators/node_status.py
+++ b/peridotcove/operators/node_status.py
@@ -23,9 +23,13 @@
         What engines said of themselves.
     fleet : FleetView
         The node's view of the fleet.
+    memory : ConnectionMemory
+        What connections hold.
     """
 
-    def __init__(self, drain, control, leases, metrics, timeline, notices, fleet):
+    def __init__(
+        self, drain, control, leases, metrics, timeline, notices, fleet, memory
+    ):
         self.metrics = metrics
         self.timeline = timeline
         self._drain = drain
@@ -33,6 +37,7 @@
         self._leases = leases
         self._notices = notices
         self._fleet = fleet
+        self._memory = memory
 
     def find_unready_reason(self):
         """Return why the node is not ready for callers; empty if it is ready."""
@@ -72,6 +77,8 @@
             self._leases.suspect_sync.suspects.quarantined_count
         )
         metrics.draining.set(int(not self._drain.ready))
+        metrics.held_bytes.set(self._memory.total_bytes)
+        metrics.held_bytes_limit.set(self._memory.limit_bytes)
         for name, dispatcher in self._leases.dispatcher_by_shard.items():
             load_by_engine = dispatcher.load_by_engine()
             for engine, load in load_by_engine.items():
--- a/peridotcove/operators/server.py
+++ b/peridotcove/operators/server.py
@@ -5,14 +5,16 @@
 
 import json
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
 
+from peridotcove.connection_memory.server import BoundedServer
 from peridotcove.registry import Registry
 
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 1_024
 MAX_SEQUENCE_DIGITS = 18
+# Idle timeout of a connection.
+IDLE_TIMEOUT_S = 75
 JSON_TYPE = "application/json; charset=UTF-8"
 
 # A page takes the node's status and the request, and returns status, content type and
@@ -61,18 +63,22 @@
     return _json_page(node_status.timeline.export(int(after)))
 
 
-def make_server(node_status):
+def make_server(node_status, group):
     """Return the operators' HTTP server, not yet listening.
 
     Parameters
     ----------
     node_status : NodeStatus
         Status that the pages show.
+    group : ConnectionGroup
+        Bounds the connections.
     """
-    return HTTPServer(
+    return BoundedServer(
         lambda request: _answer(node_status, request),
+        group,
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=MAX_BODY_BYTES,
+        idle_connection_timeout=IDLE_TIMEOUT_S,
     )
 
 
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -1,10 +1,10 @@
 """HTTP server for the platform's clients: decodes requests and encodes responses."""
 
 import asyncio
+import io
 import json
 import math
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
     HTTPMessageDelegate,
@@ -17,6 +17,8 @@
 from peridotcove.callers.body_writer import BodyWriter
 from peridotcove.callers.response_sink import ResponseSink
 from peridotcove.clock import MS_PER_S
+from peridotcove.connection_memory.memory import FULL
+from peridotcove.connection_memory.server import BoundedServer
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
 from peridotcove.forwarding_types import ForwardedRequest
 from peridotcove.logs import get_logger
@@ -41,6 +43,8 @@
 STREAM_BUFFER_BYTES = 131_072
 # Ids that are not hexadecimal are truncated to this length for the timeline.
 MAX_ID_BYTES = 32
+# Wait that is asked for if there is no room for a body.
+NO_ROOM_RETRY_AFTER_MS = 1_000
 # Statuses for faults of the request itself; clients do not retry these.
 REJECTION_STATUSES = (400, 401, 404)
 
@@ -129,7 +133,10 @@
         self._sent_close = False
         self._start_line = None
         self._headers = None
-        self._chunks = []
+        self._client = server_conn.stream.connection
+        # A buffer of its own holds a body that comes in many small parts in little
+        # more memory than its size, and gives it away without a copy.
+        self._body = None
         self._arrived_ms = gateway.clock.now()
         self._task = None
         self._sink = None
@@ -141,10 +148,27 @@
         self._start_line = start_line
         self._headers = headers
         self._arrived_ms = self._gateway.clock.now()
+        length = headers.get("Content-Length", "0")
+        has_body = length != "0" or "Transfer-Encoding" in headers
+        self._client.begin_request(has_body, self._refuse_body)
+        if has_body and not self._answered and not self._client.has_room_for(length):
+            self._client.give_up(FULL)
 
     def data_received(self, chunk):
         """Handle a part of the body."""
-        self._chunks.append(chunk)
+        if self._answered:
+            return
+        if self._body is None:
+            self._body = io.BytesIO()
+        self._body.write(chunk)
+        self._client.set_body_bytes(self._body.tell())
+
+    def _refuse_body(self, reason):
+        """Refuse the request before all of it has come, and close the connection."""
+        self._body = None
+        self._sent_close = True
+        text = f"this node has no room for the request ({reason})"
+        self._write_error(RequestRefused("no-room", text, 503, NO_ROOM_RETRY_AFTER_MS))
 
     def finish(self):
         """Run the request after all of it was received.
@@ -155,6 +179,9 @@
         if self._connection.stream.closed():
             self._ingress.handle_request_end(self, self._server_conn, False)
             return
+        if not self._client.begin_running():
+            self._refuse_body(FULL)
+            return
         self._connection.set_close_callback(self._cancel)
         self._gateway.begin()
         self._task = asyncio.create_task(self._run())
@@ -178,6 +205,10 @@
 
     def _handle_task_end(self, task):
         self._gateway.end()
+        if self._forwarded_request is not None:
+            # What is left of the transfer refers to the request for a while.
+            self._forwarded_request.body = b""
+            self._forwarded_request = None
         self._ingress.handle_request_end(self, self._server_conn, self._sent_close)
         if not task.cancelled() and task.exception() is not None:
             log.error("%s: %r", self._request_id_text(), task.exception())
@@ -198,7 +229,10 @@
             self._gateway.check_accepting()
             await self._gateway.wait_for_configuration()
             forwarded_request = self._forwarded_request = self._parse_request()
-            sink = self._sink = ResponseSink(self._open_body, STREAM_BUFFER_BYTES)
+            sink = self._sink = ResponseSink(
+                self._open_body, STREAM_BUFFER_BYTES, self._client.update
+            )
+            self._client.sink = sink
             forwarded = await self._gateway.run(forwarded_request, sink)
         except RequestError as error:
             self._write_error(error)
@@ -242,7 +276,7 @@
         """
         method, target, _ = self._start_line
         headers = self._headers
-        if method == "HEAD" and self._chunks:
+        if method == "HEAD" and self._body is not None:
             text = "a body of a HEAD request can't be passed on"
             raise RequestRefused("bad-method", text, 400)
         path = target.partition("?")[0]
@@ -250,6 +284,7 @@
         route, customer = self._gateway.admit(host, path, headers.get(API_KEY_HEADER))
         wait_ms = min(_parse_deadline(headers, route), route.timeout_ms)
         prefixes, part_ends, key = self._parse_prompt_parts()
+        body, self._body = self._body, None
         return ForwardedRequest(
             self._request_id_text(),
             self._request_id(),
@@ -258,7 +293,7 @@
             method,
             target,
             filter_headers(headers, INTERNAL_HEADERS),
-            b"".join(self._chunks),
+            b"" if body is None else body.getvalue(),
             self._arrived_ms + wait_ms,
             prefixes,
             part_ends,
@@ -299,7 +334,7 @@
             headers.add(name, value)
         if length is not None:
             headers["Content-Length"] = str(length)
-        if self._gateway.leaving:
+        if self._gateway.leaving or self._sent_close:
             headers["Connection"] = "close"
             self._sent_close = True
         reason = responses.get(status, "Unknown")
@@ -308,6 +343,11 @@
 
     def _write_response(self, status, fields, body):
         self._answered = True
+        # The body of the request is not needed while a slow client takes its answer.
+        self._body = None
+        if self._forwarded_request is not None:
+            self._forwarded_request.body = b""
+        self._client.begin_answer()
         try:
             self._write_head(status, fields, len(body))
             if body:
@@ -357,7 +397,7 @@
         raise RequestRefused("bad-deadline", text, 400) from None
 
 
-def make_server(ingress, limits):
+def make_server(ingress, limits, group):
     """Return the HTTP server for clients, not yet listening.
 
     Parameters
@@ -366,9 +406,12 @@
         Handles the connections.
     limits : Limits
         Limits of the size of requests.
+    group : ConnectionGroup
+        Bounds the connections.
     """
-    return HTTPServer(
+    return BoundedServer(
         ingress,
+        group,
         max_header_size=limits.header_bytes,
         max_body_size=limits.body_bytes,
         idle_connection_timeout=IDLE_TIMEOUT_S,
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from peridotcove.answer_memory import AnswerMemory
 from peridotcove.background import restarting
 from peridotcove.cache_watcher import MIN_OWNERSHIP_MS, CacheWatcher
 from peridotcove.callers.listening import listen
@@ -91,6 +92,9 @@
             node.engine_notices,
             node.engine_notice_sync.handle_answer,
             node.lease_server.stream_origins,
+            AnswerMemory(
+                node.capacity.answer_bytes, node.connection_memory.set_answer_bytes
+            ),
         )
         gateway = HostRouteGateway(
             node.fleet,
@@ -103,7 +107,7 @@
             node.timeline,
         )
         self.ingress = Ingress(gateway)
-        return make_server(self.ingress, node.settings.limits)
+        return make_server(self.ingress, node.settings.limits, node.make_caller_group())
 
     def background_jobs(self):
         """Start the metrics port; return the coroutine that polls the settings file."""
--- a/peridotcove/platform/settings.py
+++ b/peridotcove/platform/settings.py
@@ -8,7 +8,7 @@
 from peridotcove.clock import MS_PER_S
 from peridotcove.exceptions import InvalidSettings, SettingError
 from peridotcove.platform.translation import REGION
-from peridotcove.settings import Address, Limits, Settings
+from peridotcove.settings import Address, Limits, Machine, Settings
 
 # Port of the metrics server; the same as in deploy/system.toml.
 METRICS_PORT = 9464
@@ -181,6 +181,7 @@
         secret=FixedSecret(),
         platform=_make_store_settings(document, bounds),
         limits=Limits(header_bytes=65_536, body_bytes=1 << 24, drain_ms=drain_ms),
+        machine=_read_machine(document.table("limits")),
         label=document.get("node", str, "a name"),
         file=file,
         seeds=tuple(str(seed) for seed in seeds or ()),
@@ -189,6 +190,14 @@
     )
 
 
+def _read_machine(limits):
+    usual = Machine()
+    number = (int, float)
+    memory_mb = limits.get("ram_mb", number, "a number of MB", usual.memory_mb)
+    descriptors = limits.get("max_fds", int, "a number", usual.descriptors)
+    return Machine(int(memory_mb or 0), descriptors or 0)
+
+
 def _read_power(limits):
     number = (int, float)
     # 'cpu_share' is the share of each of the 'cores' that the node may use.
--- a/peridotcove/settings.py
+++ b/peridotcove/settings.py
@@ -101,6 +101,22 @@
     instances_url: str
 
 
+@frozen
+class Machine:
+    """What the machine lets the process use.
+
+    Attributes
+    ----------
+    memory_mb : int
+        Memory in MB.
+    descriptors : int
+        Open descriptors; if the system allows fewer, its limit counts.
+    """
+
+    memory_mb: int = number_field(64, 1 << 22, default=1_024)
+    descriptors: int = number_field(128, 1 << 20, default=4_096)
+
+
 @frozen
 class Limits:
     """Size and time limits for requests of callers and for the shutdown.
@@ -118,6 +134,11 @@
         Maximum time in ms for which a caller's send buffer may stay full.
     stream_buffer_bytes : int
         Maximum number of bytes buffered for a caller that reads slowly.
+    least_bytes_per_s : int
+        Least rate at which a caller has to send a request and to take an answer that
+        waits for it.
+    progress_ms : int
+        Time in ms without that rate after which its connection is closed.
     drain_ms : int
         Maximum duration in ms of a graceful shutdown.
     """
@@ -129,6 +150,8 @@
     gap_ms: int = number_field(10, 3_600_000, default=30_000)
     caller_stall_ms: int = number_field(1_000, 3_600_000, default=120_000)
     stream_buffer_bytes: int = number_field(4_096, 1 << 24, default=131_072)
+    least_bytes_per_s: int = number_field(1, 1 << 20, default=1_024)
+    progress_ms: int = number_field(1_000, 3_600_000, default=30_000)
     drain_ms: int = number_field(0, 86_400_000, default=60_000)
 
 
@@ -152,6 +175,8 @@
         URLs of the platform's services.
     limits : Limits
         Size and time limits for requests of callers and for the shutdown.
+    machine : Machine
+        What the machine lets the process use.
     tls : TlsFiles or None
         TLS certificate for callers; None for plain HTTP.
     log_level : str
@@ -171,6 +196,7 @@
     secret: Secret
     platform: Platform
     limits: Limits = Limits()
+    machine: Machine = Machine()
     tls: TlsFiles | None = None
     log_level: str = "INFO"
 
--- a/tests/callers/test_uncontrolled_clients.py
+++ b/tests/callers/test_uncontrolled_clients.py
@@ -29,7 +29,7 @@
     {"model": "m", "messages": [{"role": "user", "content": "Which?"}], "max_tokens": 4}
 ).encode()
 # Settings that state the limits of the machine.
-MACHINE_SETTINGS = {}
+MACHINE_SETTINGS = {"machine": {"memory_mb": RAM_MB}}
 
 
 def allocate_port():
--- /dev/null
+++ b/tests/connection_memory/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `peridotcove.connection_memory`."""
--- a/tests/operators/test_server.py
+++ b/tests/operators/test_server.py
@@ -6,7 +6,12 @@
 from tornado.httpclient import AsyncHTTPClient
 from tornado.testing import AsyncHTTPTestCase
 
+from peridotcove.clock import Clock
+from peridotcove.connection_memory.capacity import plan_capacity
+from peridotcove.connection_memory.memory import ConnectionMemory
+from peridotcove.connection_memory.server import ConnectionGroup
 from peridotcove.operators.server import make_server
+from peridotcove.settings import Machine
 
 
 class _Timeline:
@@ -45,7 +50,11 @@
         super().setUp()
 
     def get_http_server(self):
-        return make_server(self.status)
+        capacity = plan_capacity(Machine(), 1_024)
+        clock = Clock()
+        memory = ConnectionMemory(clock, capacity, 1, 1)
+        group = ConnectionGroup(capacity.operators, memory, clock, lambda reason: None)
+        return make_server(self.status, group)
 
     def get_app(self):
         """Not used: the server has no application."""
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -12,6 +12,7 @@
 from peridotcove.node import Node
 from peridotcove.node_lifecycle import close, drain, open_ports, start
 from peridotcove.revision_numbers import get_count, get_epoch
+from peridotcove.settings import Machine
 from tests.platform import fakes
 from tests.platform.clients import Client
 from tests.platform.fakes import (
@@ -31,6 +32,8 @@
 
 WAIT_S = 5
 REPEATS = 20
+# A node on it holds less than 1 MiB of unfinished answers.
+SMALL_MACHINE = Machine(memory_mb=40)
 INTERNAL_HEADERS = {"api-key", "x-hold", "kv-from", "x-pin-ms", "x-kv-backup"}
 
 
@@ -150,9 +153,9 @@
         ]
         self.store.put("op/config", fakes.make_document(*routes, **changes))
 
-    async def start(self, seeds=()):
+    async def start(self, seeds=(), **changes):
         settings = fakes.make_settings(
-            self.store, fakes.allocate_loopback_address(), seeds
+            self.store, fakes.allocate_loopback_address(), seeds, **changes
         )
         node = Node(settings, Clock())
         await open_ports(node)
@@ -714,8 +717,8 @@
             except ConnectionError:
                 return
 
-        with mock.patch("peridotcove.forwarding.MAX_HELD_BYTES", 1 << 20, create=True):
-            node = await self.start()
+        node = await self.start(machine=SMALL_MACHINE)
+        self.assertLess(node.capacity.answer_bytes, 1 << 20)
         await self.wait_in_force(node)
         self.set_answers(*[flood] * count)
         client = await self.connect(node)
@@ -735,7 +738,7 @@
 
     # The part of an event that had come was held without a common limit.
     async def test_events_without_end_share_a_bounded_memory(self):
-        count, limit = 16, 1 << 20
+        count = 16
 
         async def flood(seen, writer):
             writer.write(make_head(seen, 200, Transfer_Encoding="chunked"))
@@ -745,8 +748,8 @@
                 await writer.drain()
             await asyncio.sleep(WAIT_S)
 
-        with mock.patch("peridotcove.forwarding.MAX_HELD_BYTES", limit):
-            node = await self.start()
+        node = await self.start(machine=SMALL_MACHINE)
+        self.assertLess(node.capacity.answer_bytes, 1 << 20)
         await self.wait_in_force(node)
         self.set_answers(*[flood] * count)
         clients = [await self.connect(node) for _ in range(count)]
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -22,7 +22,7 @@
 PACKAGE = ROOT / "peridotcove"
 PAGES = (*sorted(DOCS.rglob("*.md")), ROOT / "README.md")
 LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
-NESTED_CLASSES = {"Address", "Limits", "Platform", "Secret", "TlsFiles"}
+NESTED_CLASSES = {"Address", "Limits", "Machine", "Platform", "Secret", "TlsFiles"}
 
 FENCE = re.compile(r"^```.*?^```", re.MULTILINE | re.DOTALL)
 INDENTED = re.compile(r"^    .*$", re.MULTILINE)
@@ -58,6 +58,8 @@
     "listen.control",
     "listen.front",
     "listen.ready",
+    "limits.max_fds",
+    "limits.ram_mb",
     "provider.addr",
 }
 
