A connection is closed for a newcomer only if one waits

Cause: the loop that accepts made room before it knew whether another connection waits, so each newcomer closed one idle connection more than needed, and a port held one less than its limit. No test held a server at its limit, none used TLS. Change: room is made once for each event, which says that a connection waits; the rest is accepted only into free room.

--- a/peridotcove/connection_memory/server.py
+++ b/peridotcove/connection_memory/server.py
@@ -101,9 +101,14 @@
         else:
             self._idle_connections.pop(connection, None)
 
+    @property
+    def has_room(self):
+        """Whether one more connection fits."""
+        return len(self._connections) < self._limit
+
     def make_room(self):
         """Return whether one more connection fits; close an idle one for it."""
-        if len(self._connections) < self._limit:
+        if self.has_room:
             return True
         connection = next(iter(self._idle_connections), None)
         if connection is not None:
@@ -112,7 +117,7 @@
             return True
         # The connection ends only after its refusal was written.
         self.memory.give_up_slowest()
-        return len(self._connections) < self._limit
+        return self.has_room
 
     def record_given_up(self, connection, reason):
         """Count a connection that is given up, and log some of them.
@@ -168,12 +173,13 @@
             self._loop.remove_handler(self._sock)
 
     def _accept(self, sock, events):
+        # Room is made only for a connection that is known to wait.
+        if not self._group.make_room():
+            self._pause()
+            self._group.call_when_room(self._resume)
+            return
         for _ in range(MAX_ACCEPTED):
-            if self._is_stopped:
-                return
-            if not self._group.make_room():
-                self._pause()
-                self._group.call_when_room(self._resume)
+            if self._is_stopped or not self._group.has_room:
                 return
             try:
                 accepted = sock.accept()
