Chunks of many bodies are decoded in turns with all other work

Cause: tornado decodes 256 chunks of a body in one go. With 40 bodies of 1-byte chunks each turn of the loop took so long that the node counted a pause and refused (traced: the ordinary request got 503 after 3.04 s and 200 after 1.24 s more; load 24 on 7 cores). A burst of up to 128 connections was accepted and read in one turn. Change: a body of many chunks waits for its turn after 64 of them; one body goes on in each turn of the loop. 16 connections are accepted in a turn. Nothing changes for bodies with a length. Unfinished heads still hold a turn for over a second (503 for 1.4 s of which 1.1 s are the node's own; not traced further). Conclusion: bodies of tiny chunks don't hold up the loop; heads without an end may, for a moment.

--- a/peridotcove/connection_memory/server.py
+++ b/peridotcove/connection_memory/server.py
@@ -11,10 +11,12 @@
     ClientStream,
     ClientTlsStream,
 )
+from peridotcove.connection_memory.turns import Turns
 from peridotcove.logs import get_logger
 
-# Connections that are accepted in one turn of the loop.
-MAX_ACCEPTED = 128
+# Connections that are accepted in one turn of the loop; what they send at once is read
+# in the next.
+MAX_ACCEPTED = 16
 # Wait after the system had no descriptor left.
 RETRY_MS = 100
 # At most one line of the log in this time names a client that was given up.
@@ -40,6 +42,7 @@
 
     def __init__(self, limit, memory, clock, on_given_up):
         self.memory = memory
+        self.turns = Turns()
         self._limit = limit
         self._clock = clock
         self._on_given_up = on_given_up
--- a/peridotcove/connection_memory/streams.py
+++ b/peridotcove/connection_memory/streams.py
@@ -4,6 +4,8 @@
 
 from peridotcove.connection_memory.memory import FULL, Holder
 
+# Chunks of a body that are decoded in one go; each takes time however small it is.
+CHUNKS_PER_TURN = 64
 # Smaller amounts are not counted; the memory of a connection includes them.
 MIN_COUNTED_BYTES = 4_096
 
@@ -52,6 +54,10 @@
         """Report that the connection holds more."""
         self._memory.update(self)
 
+    async def wait_for_turn(self):
+        """Let other connections and all other work go first."""
+        await self._group.turns.wait()
+
     def begin_wait(self):
         """Wait for the next request."""
         self._end_body()
@@ -176,6 +182,7 @@
         return len(self._write_buffer)
 
     received_bytes = 0
+    _chunks_left = CHUNKS_PER_TURN
 
     def count_moved(self):
         """Return the bytes that were received, or sent after they had to wait."""
@@ -196,6 +203,26 @@
                 self.connection.update()
         return count
 
+    def read_until(self, delimiter, max_bytes=None):
+        """Read a line; tornado calls it for the head of each chunk of a body.
+
+        Parameters
+        ----------
+        delimiter : bytes
+            End of the line.
+        max_bytes : int or None
+            Largest size of the line.
+        """
+        self._chunks_left -= 1
+        if self._chunks_left > 0:
+            return super().read_until(delimiter, max_bytes)
+        self._chunks_left = CHUNKS_PER_TURN
+        return self._read_in_turn(delimiter, max_bytes)
+
+    async def _read_in_turn(self, delimiter, max_bytes):
+        await self.connection.wait_for_turn()
+        return await super().read_until(delimiter, max_bytes)
+
     def write(self, data):
         """Write data; what the client doesn't take at once is counted.
 
