Long heads are searched for their end without a regular expression

Cause: tornado's expression takes over a millisecond for a head of 60 KB without an end, twice for each read. 900 of them in one turn of the loop made the node count a pause and refuse (traced: 503 for some 3 s). Change: the expression is used only if there is an empty line. Tests of heads byte by byte, with both line ends and too large. Conclusion: heads without an end don't hold up the loop.

--- a/peridotcove/connection_memory/streams.py
+++ b/peridotcove/connection_memory/streams.py
@@ -223,6 +223,23 @@
         await self.connection.wait_for_turn()
         return await super().read_until(delimiter, max_bytes)
 
+    def _find_read_pos(self):
+        """Return how much of what was received the read in progress takes, or None.
+
+        tornado looks for the end of a head with a regular expression, which takes over
+        a millisecond for a long head without one, and again for each of its parts.
+        """
+        buffer = self._read_buffer
+        if (
+            self._read_regex is not None
+            and buffer.find(b"\n\r\n") < 0
+            and buffer.find(b"\n\n") < 0
+        ):
+            if self._read_max_bytes is not None:
+                self._check_max_bytes(self._read_regex, self._read_buffer_size)
+            return None
+        return super()._find_read_pos()
+
     def write(self, data):
         """Write data; what the client doesn't take at once is counted.
 
--- a/tests/connection_memory/test_server.py
+++ b/tests/connection_memory/test_server.py
@@ -1,7 +1,9 @@
 """Tests of `peridotcove.connection_memory.server`, over sockets on loopback."""
 
 import asyncio
+import contextlib
 import pathlib
+import socket
 import ssl
 import tempfile
 import unittest
@@ -133,6 +135,35 @@
         await self.fetch(*await self.connect())
 
 
+class HeadTest(ServerCase):
+    """Heads are read as by tornado, however they come and end."""
+
+    async def test_ends_of_heads(self):
+        for line_end in (b"\r\n", b"\n"):
+            head = GET.replace(b"\r\n", line_end)
+            with self.subTest(line_end):
+                reader, writer = await self.connect()
+                writer.get_extra_info("socket").setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+                )
+                for byte in head:
+                    writer.write(bytes([byte]))
+                    await asyncio.sleep(0)
+                async with asyncio.timeout(WAIT_S):
+                    answer = await reader.readuntil(b"\r\n\r\nok")
+                self.assertIn(b" 200 ", answer)
+
+    async def test_a_head_that_is_too_large_closes_the_connection(self):
+        for end in (b"", b"\r\n\r\n"):
+            with self.subTest(end):
+                reader, writer = await self.connect()
+                writer.write(b"GET / HTTP/1.1\r\nX: " + b"x" * 80_000 + end)
+                with contextlib.suppress(ConnectionError):
+                    async with asyncio.timeout(WAIT_S):
+                        self.assertEqual(await reader.read(), b"")
+        self.assertEqual(self.running, 0)
+
+
 class TlsTest(ServerCase):
     """Connections with TLS are bounded in the same way."""
 
