What a slow client takes is progress also while the system's buffer is full

Cause: by reading: the system asks for more bytes only once a third of its buffer, up to some MB, is free. A client that reads 20 KB a second would make no visible progress for over the patience of 30 s, though the docs promise 1 KiB/s; a relay whose entry's caller reads slowly likewise. And a stream that has closed has no buffer, so that measuring it before its connection was forgotten raised an error. Change: what the system has queued and the client has not taken is asked for (TIOCOUTQ), only for connections with bytes that wait, each second or when the memory is full. Relays are given up only for room; their entry judges the caller. A closed stream holds nothing.

--- a/peridotcove/connection_memory/memory.py
+++ b/peridotcove/connection_memory/memory.py
@@ -28,6 +28,8 @@
         Bytes that are counted.
     is_receiving : bool
         Whether a request is arriving, so that the connection has to progress.
+    may_rest : bool
+        Whether it is given up only if the memory is full, however long it rests.
     progress_ms : int
         Time in ms at which its progress was last seen.
     seen_bytes : int
@@ -36,6 +38,7 @@
 
     held_bytes = 0
     is_receiving = False
+    may_rest = False
     progress_ms = 0
     seen_bytes = 0
 
@@ -234,7 +237,7 @@
                 continue
             if not holder.held_bytes and not holder.is_receiving:
                 self.forget(holder)
-            elif now - holder.progress_ms > self._patience_ms:
+            elif now - holder.progress_ms > self._patience_ms and not holder.may_rest:
                 self._give_up(holder, SLOW)
 
     def _find_progress(self):
--- a/peridotcove/connection_memory/streams.py
+++ b/peridotcove/connection_memory/streams.py
@@ -1,11 +1,17 @@
 """Streams of clients that report what they hold, and the client connection itself."""
 
+import fcntl
+import sys
+import termios
+
 from tornado.iostream import IOStream, SSLIOStream
 
 from peridotcove.connection_memory.memory import FULL, Holder
 
 # Chunks of a body that are decoded in one go; each takes time however small it is.
 CHUNKS_PER_TURN = 64
+# Size of a C integer.
+INT_BYTES = 4
 # Smaller amounts are not counted; the memory of a connection includes them.
 MIN_COUNTED_BYTES = 4_096
 
@@ -178,15 +184,28 @@
 
     @property
     def unsent_bytes(self):
-        """Bytes that the client has not taken yet."""
-        return len(self._write_buffer)
+        """Bytes that the client has not taken yet; none after the stream has closed."""
+        return len(self._write_buffer) if self._write_buffer else 0
 
     received_bytes = 0
     _chunks_left = CHUNKS_PER_TURN
 
     def count_moved(self):
-        """Return the bytes that were received, or sent after they had to wait."""
-        return self.received_bytes + self._total_write_done_index
+        """Return the bytes that were received, or taken by the client."""
+        moved_bytes = self.received_bytes + self._total_write_done_index
+        return moved_bytes - self._count_queued() if self._write_buffer else moved_bytes
+
+    def _count_queued(self):
+        """Return the bytes in the system's buffer that the client has not taken.
+
+        The system asks for more only once a third of a buffer of up to some MB is free,
+        which a slow client takes long for.
+        """
+        try:
+            data = fcntl.ioctl(self.socket, termios.TIOCOUTQ, bytes(INT_BYTES))
+        except OSError:
+            return 0
+        return int.from_bytes(data, sys.byteorder)
 
     def read_from_fd(self, buf):
         """Read from the socket; tornado calls it.
--- a/peridotcove/nodes/relay_server.py
+++ b/peridotcove/nodes/relay_server.py
@@ -50,6 +50,8 @@
     """What a relay holds since one of its sides reads slowly."""
 
     is_spared = False
+    # The entry knows the caller, and judges whether it is too slow.
+    may_rest = True
 
     def __init__(self, server, relay):
         self._server = server
--- a/tests/connection_memory/test_memory.py
+++ b/tests/connection_memory/test_memory.py
@@ -198,6 +198,20 @@
         self.pass_time(10 * PATIENCE_MS)
         self.assertEqual(holder.reasons, [])
 
+    def test_who_may_rest_is_given_up_only_for_room(self):
+        holder = FakeHolder(10, is_receiving=False)
+        holder.may_rest = True
+        self.memory.update(holder)
+        self.pass_time(10 * PATIENCE_MS)
+        self.assertEqual(holder.reasons, [])
+        self.hold(LIMIT_BYTES)
+        self.assertEqual(len(holder.reasons), 0)
+        holder.size = 600
+        self.memory.update(holder)
+        self.clock.advance(1_000)
+        self.hold(500)
+        self.assertEqual(holder.reasons, [FULL])
+
     def test_a_pause_of_the_process_counts_against_nobody(self):
         holder = self.hold(10)
         self.clock.advance(10 * PATIENCE_MS)
