Nothing is left of a closed connection or of a body refused at its end

A body refused at its end (chunked, so of unknown length) was left there in the same way and its connection stayed open after Connection: close. A native request that was refused at its head went on to a buffer that was gone. Change: the server passes the end of connections on; the ingress forgets the last request of each. A request refused at its end closes its connection. The native handler stops at a refusal. Conclusion: mended.

--- a/peridotcove/callers/handlers.py
+++ b/peridotcove/callers/handlers.py
@@ -77,6 +77,8 @@
         has_body = length != "0" or "Transfer-Encoding" in fields
         self._client = self.request.connection.stream.connection
         self._client.begin_request(has_body, self._refuse_body)
+        if self._finished:
+            return
         try:
             self._body_buffer.check_head(self.request)
         except RequestRefused as error:
--- a/peridotcove/connection_memory/server.py
+++ b/peridotcove/connection_memory/server.py
@@ -1,6 +1,7 @@
 """HTTP server whose connections are bounded in number and in memory."""
 
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.ioloop import IOLoop
 from tornado.netutil import ssl_wrap_socket
 
@@ -279,3 +280,5 @@
         """
         server_conn.stream.connection.end()
         super().on_close(server_conn)
+        if isinstance(self.request_callback, HTTPServerConnectionDelegate):
+            self.request_callback.on_close(server_conn)
--- a/peridotcove/platform/ingress.py
+++ b/peridotcove/platform/ingress.py
@@ -63,6 +63,7 @@
     def __init__(self, gateway):
         self._gateway = gateway
         self._requests = set()
+        self._last_request_by_connection = {}
         self._closing_connections = set()
         self._closing = False
 
@@ -81,6 +82,7 @@
             request_conn.stream.close()
         else:
             self._requests.add(request)
+            self._last_request_by_connection[server_conn] = request
         return request
 
     def on_close(self, server_conn):
@@ -92,6 +94,8 @@
             Connection that ended.
         """
         self._closing_connections.discard(server_conn)
+        # A request whose head did not come has no other end.
+        self._requests.discard(self._last_request_by_connection.pop(server_conn, None))
 
     def handle_request_end(self, request, server_conn, sent_close):
         """Handle the end of a request.
@@ -181,6 +185,7 @@
             return
         if not self._client.begin_running():
             self._refuse_body(FULL)
+            self._ingress.handle_request_end(self, self._server_conn, True)
             return
         self._connection.set_close_callback(self._cancel)
         self._gateway.begin()
