A small body costs a request next to nothing in the count of what connections hold

Cause: the tables, the clock and the sizes were asked for each body, also one of a few hundred bytes that came with its head. Change: a request whose body follows is only watched; bodies below 4 KiB, which the memory of a connection includes, are not counted as bodies of running requests.

--- a/peridotcove/connection_memory/memory.py
+++ b/peridotcove/connection_memory/memory.py
@@ -117,6 +117,21 @@
         """Largest sum in bytes."""
         return self._limit_bytes
 
+    def watch(self, holder):
+        """Watch the progress of a holder that holds next to nothing yet.
+
+        Parameters
+        ----------
+        holder : Holder
+            The holder; it is watched until `forget`.
+        """
+        if holder not in self._holders:
+            self._holders[holder] = None
+            # To ask for the time and for what has moved would cost each request more
+            # than it matters: the first check takes what moved before for progress.
+            holder.progress_ms = self._checked_ms
+            holder.seen_bytes = 0
+
     def update(self, holder):
         """Count what a holder holds, and make room if all hold too much.
 
--- a/peridotcove/connection_memory/streams.py
+++ b/peridotcove/connection_memory/streams.py
@@ -95,7 +95,7 @@
         if has_body:
             self.is_receiving = True
             self._refuse = refuse
-            self._memory.update(self)
+            self._memory.watch(self)
         elif self.held_bytes:
             self._memory.forget(self)
 
@@ -121,12 +121,12 @@
             return True
         self.is_receiving = False
         self._refuse = None
-        if not self._memory.admit(self, self._body_bytes):
+        if self._body_bytes < MIN_COUNTED_BYTES:
+            self._memory.forget(self)
+        elif not self._memory.admit(self, self._body_bytes):
             self._group.record_given_up(self, FULL)
             return False
         self._is_running = True
-        if self._body_bytes < MIN_COUNTED_BYTES:
-            self._memory.forget(self)
         return True
 
     def begin_answer(self):
@@ -135,10 +135,10 @@
         self._end_body()
 
     def _end_body(self):
-        if self._body_bytes:
-            self._body_bytes = 0
+        if self._body_bytes >= MIN_COUNTED_BYTES:
             self._memory.dismiss(self)
             self._memory.forget(self)
+        self._body_bytes = 0
 
     def give_up(self, reason):
         """Refuse the request that is arriving, or close the connection.
--- a/tests/connection_memory/test_memory.py
+++ b/tests/connection_memory/test_memory.py
@@ -185,6 +185,15 @@
         self.pass_time(1_000)
         self.assertEqual((stopped.reasons, without_byte.reasons), ([SLOW], [SLOW]))
 
+    def test_a_request_of_which_nothing_comes_is_given_up(self):
+        holder = FakeHolder()
+        holder.moved_bytes = 1_000
+        self.memory.watch(holder)
+        self.pass_time(PATIENCE_MS)
+        self.assertEqual(holder.reasons, [])
+        self.pass_time(2_000)
+        self.assertEqual(holder.reasons, [SLOW])
+
     def test_the_least_rate_is_enough(self):
         holder = self.hold(10)
         for _ in range(60):
