--- a/peridotcove/native_interface.py
+++ b/peridotcove/native_interface.py
@@ -70,7 +70,7 @@
     def wire(self):
         """Create the routers of chats and services, tickets, rate limits and orders."""
         node = self.node
-        self.service_client = ServiceClient()
+        self.service_client = ServiceClient(answer_memory=node.answer_memory)
         self._wire_rate_limits()
         self._wire_tickets()
         self._wire_routers()
@@ -168,7 +168,9 @@
             node.metrics,
             node.timeline,
         )
-        return make_caller_server(gateway, node.settings.limits, node.settings.tls)
+        return make_caller_server(
+            gateway, node.settings.limits, node.settings.tls, node.make_caller_group()
+        )
 
     def background_jobs(self):
         """Return coroutines that report usage, poll engines and watch the instances."""
--- a/peridotcove/node.py
+++ b/peridotcove/node.py
@@ -2,8 +2,13 @@
 
 import logging
 import random
+import resource
 
+from peridotcove.answer_memory import AnswerMemory
 from peridotcove.build import find_build
+from peridotcove.connection_memory.capacity import plan_capacity
+from peridotcove.connection_memory.memory import ConnectionMemory
+from peridotcove.connection_memory.server import ConnectionGroup
 from peridotcove.control_plane import ControlPlane
 from peridotcove.departed_engines import DepartedEngines
 from peridotcove.drain import DrainController
@@ -88,15 +93,42 @@
         self._keeps_lapsed_engines = False
         self._withholds_engines = False
         self._handler_by_type = {}
+        self._wire_connection_memory()
         self._wire_control()
         self._wire_leaving()
         self._wire_links()
         self._wire_leases()
         self._wire_relays()
-        self.streaming_client = StreamingClient(clock, self.relay_client)
+        self.streaming_client = StreamingClient(
+            clock, self.relay_client, self.answer_memory
+        )
         self.interface.wire()
         self._wire_servers()
 
+    def _wire_connection_memory(self):
+        limits = self.settings.limits
+        open_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.capacity = plan_capacity(self.settings.machine, open_files)
+        self.connection_memory = ConnectionMemory(
+            self.clock, self.capacity, limits.least_bytes_per_s, limits.progress_ms
+        )
+        self.answer_memory = AnswerMemory(
+            self.capacity.answer_bytes, self.connection_memory.set_answer_bytes
+        )
+
+    def make_caller_group(self):
+        """Return the group of the connections of callers."""
+        return self._make_group("callers", self.capacity.callers)
+
+    def _make_group(self, port, limit):
+        given_up = self.metrics.connections_given_up
+        return ConnectionGroup(
+            limit,
+            self.connection_memory,
+            self.clock,
+            lambda reason: given_up.labels(port, reason).inc(),
+        )
+
     def _wire_links(self):
         settings = self.settings
         identity = Identity(self.name, settings.zone, self.incarnation, find_build())
@@ -106,6 +138,7 @@
             secret,
             self.clock,
             on_traffic=self.count_control_bytes,
+            max_unknown_peers=self.capacity.unknown_peers,
         )
         self.links.on_message = self._handle_message
         self.control.find_peer_protocol = self.links.peer_builds.find_protocol
@@ -218,6 +251,8 @@
             lambda address: self.drain.ready and not paths.needs_relay(address),
             self.relay_client,
             self.request_counter,
+            self.capacity.relays,
+            self.connection_memory,
         )
         self.links.make_relay_protocol = self.relay_server.make_protocol
         self._handler_by_type |= {
@@ -269,7 +304,9 @@
                 self.engine_notices,
                 self.fleet,
                 self.links,
-            )
+                self.connection_memory,
+            ),
+            self._make_group("operators", self.capacity.operators),
         )
 
     def _handle_message(self, peer, message, revision):
--- a/peridotcove/operators/node_status.py
+++ b/peridotcove/operators/node_status.py
@@ -26,10 +26,12 @@
         The node's view of the fleet.
     links : LinkManager
         Links to the other nodes.
+    memory : ConnectionMemory
+        What connections hold.
     """
 
     def __init__(
-        self, drain, control, leases, metrics, timeline, notices, fleet, links
+        self, drain, control, leases, metrics, timeline, notices, fleet, links, memory
     ):
         self.metrics = metrics
         self.timeline = timeline
@@ -39,6 +41,7 @@
         self._notices = notices
         self._fleet = fleet
         self._links = links
+        self._memory = memory
 
     def find_unready_reason(self):
         """Return why the node is not ready for callers; empty if it is ready."""
@@ -95,6 +98,8 @@
         )
         metrics.draining.set(int(not self._drain.ready))
         self._update_builds()
+        metrics.held_bytes.set(self._memory.total_bytes)
+        metrics.held_bytes_limit.set(self._memory.limit_bytes)
         for name, dispatcher in self._leases.dispatcher_by_shard.items():
             load_by_engine = dispatcher.load_by_engine()
             for engine, load in load_by_engine.items():
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -91,6 +91,7 @@
             node.engine_notices,
             node.engine_notice_sync.handle_answer,
             node.lease_server.stream_origins,
+            node.answer_memory,
         )
         gateway = HostRouteGateway(
             node.fleet,
@@ -103,7 +104,7 @@
             node.timeline,
         )
         self.ingress = Ingress(gateway)
-        return make_server(self.ingress, node.settings.limits)
+        return make_server(self.ingress, node.settings.limits, node.make_caller_group())
 
     def background_jobs(self):
         """Start the metrics port; return the coroutine that polls the settings file."""
