--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -49,6 +49,36 @@
         self.assertEqual(settings.seeds, ("10.0.0.1:8000",))
         self.assertEqual(settings.platform.address, "10.9.0.1:8100")
 
+    def test_zone_traffic(self):
+        cases = {
+            "": {},
+            "[zone_traffic]\non = false": {"zone_traffic": False},
+            "[zone_traffic]\ncrossing_ms = 12\nkilobyte_ms = 0.5\nother = 1": {
+                "zone_crossing_ms": 12.0,
+                "zone_kilobyte_ms": 0.5,
+            },
+        }
+        for text, expected in cases.items():
+            with self.subTest(text=text):
+                found = self.read(TEXT + text).platform.zone_bounds
+                self.assertEqual(found, expected)
+
+    def test_faults_of_zone_traffic(self):
+        cases = {
+            "on = 1": "zone_traffic.on",
+            "crossing_ms = -1": "zone_traffic.crossing_ms",
+            "crossing_ms = true": "zone_traffic.crossing_ms",
+            "crossing_ms = nan": "zone_traffic.crossing_ms",
+            "kilobyte_ms = 10001": "zone_traffic.kilobyte_ms",
+            'kilobyte_ms = "1"': "zone_traffic.kilobyte_ms",
+        }
+        for text, path in cases.items():
+            with self.subTest(text=text):
+                with self.assertRaises(InvalidSettings) as caught:
+                    self.read(f"{TEXT}[zone_traffic]\n{text}")
+                (fault,) = caught.exception.exceptions
+                self.assertIn(path, str(fault))
+
     def test_power(self):
         cases = [
             # CPU share, cores, link in Mbit/s, power
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -5,6 +5,7 @@
 import json
 import unittest
 
+from attrs import evolve
 from hypothesis import given
 
 from peridotcove.cold_engines import MAX_COLD_MS
@@ -46,6 +47,17 @@
 class TranslationTest(unittest.TestCase):
     """The operator's document and the servers' entries become a configuration."""
 
+    def test_bounds_of_zones_are_in_it_only_if_the_settings_have_them(self):
+        names = {"zone_traffic", "zone_crossing_ms", "zone_kilobyte_ms"}
+        for values in ({}, {"zone_traffic": False, "zone_crossing_ms": 9.0}):
+            with self.subTest(values=values):
+                store = evolve(STORE, zone_bounds=values)
+                items = make_items(make_document())
+                document = parse_document(items["op/config"])
+                bounds = translate(document, items, store)["bounds"]
+                found = {name: bounds[name] for name in names & bounds.keys()}
+                self.assertEqual(found, values)
+
     def test_routes(self):
         split = [{"service": "llm", "weight": 90}, {"service": "llm", "weight": 10}]
         document = make_document(
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -5,6 +5,8 @@
 import unittest
 from collections import Counter
 
+from attrs import evolve
+
 from peridotcove.configuration import parse_configuration
 from peridotcove.crash_suspects import (
     CRASH_WINDOW_MS,
@@ -23,7 +25,7 @@
     LeaseClient,
 )
 from peridotcove.lease_server import STANDBY_IDLE_MS, LeaseServer
-from peridotcove.models import Instance, LeaseRequest
+from peridotcove.models import Instance, LeaseRequest, LifecycleStatus
 from peridotcove.nodes.messages import (
     AskLease,
     GiveLease,
@@ -110,6 +112,7 @@
         self.client_by_node = {}
         self.server_by_node = {}
         self.fleet_by_node = {}
+        self.timeline_by_node = {}
         for name in names:
             self.add(name)
         for server in self.server_by_node.values():
@@ -139,6 +142,7 @@
         self.client_by_node[name] = client
         self.server_by_node[name] = server
         self.fleet_by_node[name] = fleet
+        self.timeline_by_node[name] = timeline
 
     def start_request(
         self,
@@ -637,3 +641,70 @@
             await self._assert_refused(fleet)
 
         self._run(case)
+
+
+class ZonesTest(unittest.TestCase):
+    """What owners, and nodes without owners, do with the zone of a request."""
+
+    ZONES = {"a": {"region": "r"}, "b": {"region": "r"}}
+    ENGINES = {
+        f"{zone}{i}": {
+            "url": f"http://127.0.0.1:{i + 10 * (zone == 'b')}",
+            "zone": zone,
+            "model": "m",
+            "capacity": 4 * CAPACITY,
+        }
+        for zone in "ab"
+        for i in range(1, 5)
+    }
+
+    def make_cluster(self, **bounds):
+        customers = {"c": {"concurrency": 1_000}}
+        raw = RAW | {"zones": self.ZONES, "engines": self.ENGINES}
+        return Cluster(raw | {"customers": customers, "bounds": bounds})
+
+    def test_node_without_owners_keeps_requests_in_its_zone(self):
+        async def find_zones(**bounds):
+            cluster = self.make_cluster(**bounds)
+            entry = cluster.entry
+            server = cluster.server_by_node[entry]
+            for number in range(1, 9):
+                request_id = number.to_bytes(8, "big")
+                ask = AskLease(request_id, cluster.shard, "c", "", b"", 0, "", 1_000, 0)
+                server.receive(entry, ask)
+            events = cluster.timeline_by_node[entry].events()
+            return {one.detail[0] for one in events if one.kind == "lease-granted"}
+
+        self.assertEqual(run(find_zones()), {"a"})
+        self.assertEqual(run(find_zones(zone_traffic=False)), {"a", "b"})
+
+    def test_change_of_a_share_is_one_event(self):
+        async def record_changes():
+            cluster = self.make_cluster()
+            owner = cluster.owners[0]
+            server = cluster.server_by_node[owner]
+            dispatcher = server.dispatcher_by_shard[cluster.shard]
+            for one in cluster.names:
+                dispatcher.set_held_leases(one, [])
+            await deliver(LEASE_RECOVERY_MS)
+            engines = [
+                evolve(engine, status=LifecycleStatus.LEAVING)
+                if engine.zone == "a"
+                else engine
+                for engine in dispatcher.engines()
+            ]
+            dispatcher.set_engines(engines)
+            for _ in range(100):
+                await deliver(TICK_MS)
+                server.tick()
+            events = cluster.timeline_by_node[owner].events()
+            kinds = [event.kind for event in events]
+            return kinds.count("zone-share-changed"), dispatcher.zones.describe()
+
+        count, described = run(record_changes())
+        self.assertEqual(count, 1)
+        zone = described["a"]
+        self.assertEqual((zone["may_leave"], zone["reason"]), (1.0, "no-engines"))
+        self.assertEqual(
+            (described["b"]["may_leave"], described["b"]["reason"]), (0, "")
+        )
