Tests of the joined parts: histories of limited requests, plays of a load

Cause: the forwarder takes the account of answers since the count of what connections hold; plays of a load took minutes of a processor. Bounds are the same.

--- a/tests/engine_time/played_load.py
+++ b/tests/engine_time/played_load.py
@@ -1,6 +1,7 @@
 """Plays a load of prompts against a `Dispatcher` and fake engines."""
 
 import heapq
+import os
 import random
 
 from attrs import define, evolve, field
@@ -22,6 +23,8 @@
 from peridotcove.prefix_hashes import hash_prompt_parts
 
 TICK_MS = 20
+# A play takes seconds of a processor; more seeds are played by hand.
+SEEDS = tuple(range(1, 1 + int(os.environ.get("PLAYS", "1"))))
 NOISE_PERIOD_MS = 600
 
 
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -16,6 +16,7 @@
 from hypothesis import HealthCheck, Phase, given, settings, strategies
 from tornado.httputil import HTTPHeaders
 
+from peridotcove.answer_memory import AnswerMemory
 from peridotcove.configuration import parse_configuration
 from peridotcove.engine_notices import NO_NOTICE, EngineNotices
 from peridotcove.exceptions import EndpointFailed, RequestError, RequestRefused
@@ -46,6 +47,7 @@
 from tests.test_leases import Cluster, deliver
 from tests.virtual import VirtualClock, run
 
+ANSWER_BYTES = 1 << 20
 ZONE_BY_NODE = {"n1": "a", "n2": "b", "n3": "c", "n4": "a", "n5": "b"}
 REGION_BY_ZONE = {"a": "east", "b": "west", "c": "north"}
 ENGINES = {"e1": "a", "e2": "a", "e3": "b", "e4": "b", "e5": "c", "e6": "c"}
@@ -305,6 +307,7 @@
             EngineNotices(clock),
             lambda *notice: None,
             server.stream_origins,
+            AnswerMemory(ANSWER_BYTES),
         )
 
     def configure(self, nodes, route_regions, customer_regions, leaving=()):
