Find a second copy of an answer in one pass over its body

What callers saw: one answer without a length, with 4 MB of repeated status lines, and its node answered nothing for 27.5 to 30 s. Cause: find_copy copied the rest of the body at each place where a status line stands, so that its time grew with the square of the size, on the only event loop. Change: a compiled pattern looks for a whole copy; only the last lines of the body, as many as the head has, are looked at for the begin of one. Why it works: the pattern never reads a line twice for a field, and nothing is copied but what a copy is compared with.

--- a/peridotcove/event_splitter.py
+++ b/peridotcove/event_splitter.py
@@ -4,7 +4,7 @@
 the last one.
 """
 
-from peridotcove.answer_copies import HTTP_PREFIX, PartialHead, skip_head
+from peridotcove.answer_copies import HTTP_PREFIX, PartialHead, find_head_end
 
 MAX_EVENT_BYTES = 1 << 20
 EVENT_END = b"\n\n"
@@ -82,10 +82,10 @@
                 return rest
             start += len(EVENT_END)
         try:
-            copied_body = skip_head(rest[start:], self.head_lines)
+            head_end = find_head_end(rest, self.head_lines, start)
         except PartialHead:
             return rest
-        if copied_body is None:
+        if head_end is None:
             raise ValueError("the head of another answer came in place of an event")
         self.ended = True
         return rest[:start]
--- a/tests/test_answer_copies.py
+++ b/tests/test_answer_copies.py
@@ -1,5 +1,6 @@
 """Tests of `peridotcove.answer_copies`."""
 
+import contextlib
 import unittest
 
 from hypothesis import given, strategies
@@ -41,6 +42,18 @@
     return False
 
 
+class CountedBytes(bytes):
+    """Bytes that count how many of them were copied by slices."""
+
+    copied = 0
+
+    def __getitem__(self, key):
+        found = super().__getitem__(key)
+        if isinstance(key, slice):
+            self.copied += len(found)
+        return found
+
+
 class FindCopyTest(unittest.TestCase):
     """Only a second copy of the answer is taken off its body."""
 
@@ -90,3 +103,14 @@
         ):
             with self.subTest(body=body):
                 self.assertIsNone(find_copy(body, HEAD))
+
+    # An answer of 4 MB of status lines held the loop of a node for 30 s.
+    def test_cost_is_linear_where_many_places_begin_like_a_copy(self):
+        for lines in range(1, len(HEAD) + 1):
+            for text in (b"", b".", b"\r", b"\r\n."):
+                repeated = (b"".join(HEAD[:lines]) + text) * 2_000
+                body = CountedBytes(b"body" + repeated)
+                with self.subTest(lines=lines, text=text):
+                    with contextlib.suppress(ValueError):
+                        find_copy(body, HEAD)
+                    self.assertLess(body.copied, 2 * len(body))
