Bound pages of servers' caches by the memory of the machine

What callers saw: nodes that ended again and again, with the requests in progress there. Cause: the reader of servers' caches took pages of up to 16 MiB and decoded them; 15 MB of "[],[],[]" took a node from 51 to over 400 MB. The platform ended it, and the node read the same again after its start. The page on which a server tells of itself had no limit either. Change: the part of the memory for unfinished answers gives the size of the largest page that is decoded; a longer one is given up while it arrives. Pages count in that memory. The page after an unframed answer may have 256 KiB. Why it works: decoding takes 38 times the size of the densest JSON that was found, and the limit reserves 40.

--- a/peridotcove/connection_memory/capacity.py
+++ b/peridotcove/connection_memory/capacity.py
@@ -11,6 +11,9 @@
 # copied. The rest of the free memory is for the connections themselves.
 HELD_SHARE = 2 / 5
 CONNECTIONS_SHARE = 1 / 5
+# Most memory that a byte of JSON takes while it is decoded: small objects become
+# dictionaries, beside the body and its text.
+DECODED_BYTES_PER_BYTE = 40
 # Memory of a connection that holds nothing.
 CONNECTION_BYTES = 16_384
 # Descriptors of files, and of sockets that listen or belong to the event loop.
@@ -36,6 +39,9 @@
         Bytes held for connections: bodies, answers and what is not sent yet.
     answer_bytes : int
         Part of it for unfinished answers of endpoints.
+    page_bytes : int
+        Largest page of JSON from an endpoint that is decoded; its values take no more
+        than `answer_bytes`.
     body_bytes : int
         Part of it for bodies of requests in progress.
     callers, operators : int
@@ -48,6 +54,7 @@
 
     held_bytes: int
     answer_bytes: int
+    page_bytes: int
     body_bytes: int
     callers: int
     operators: int
@@ -74,6 +81,7 @@
     return Capacity(
         held_bytes,
         answer_bytes=held_bytes // 2,
+        page_bytes=held_bytes // 2 // DECODED_BYTES_PER_BYTE,
         body_bytes=held_bytes // 2,
         callers=min(int(sockets * CALLERS_SHARE), connections),
         operators=min(int(sockets * OPERATORS_SHARE), MAX_OPERATORS),
--- a/peridotcove/platform/cache_reader.py
+++ b/peridotcove/platform/cache_reader.py
@@ -25,13 +25,25 @@
 
     Parameters
     ----------
+    page_bytes : int
+        Size of the largest page that is read; a longer one is given up while it
+        arrives, since its values take many times its size.
+    answer_memory : AnswerMemory or None
+        Bounds the pages that arrive, together with other answers.
     on_notice : callable
         Called with the engine and its `Notice`, if an answer has one.
     """
 
-    def __init__(self, on_notice=lambda engine, notice: None):
+    def __init__(
+        self, page_bytes, answer_memory=None, on_notice=lambda engine, notice: None
+    ):
         self._on_notice = on_notice
-        self._http = CurlClient(force_instance=True, max_transfers=MAX_CONCURRENT_CALLS)
+        self._http = CurlClient(
+            force_instance=True,
+            max_transfers=MAX_CONCURRENT_CALLS,
+            max_body_bytes=page_bytes,
+            answer_memory=answer_memory,
+        )
 
     def close(self):
         """Close all connections."""
--- a/peridotcove/platform/dialect.py
+++ b/peridotcove/platform/dialect.py
@@ -51,6 +51,8 @@
 RESUME_AFTER_HEADER = "Last-Event-Id"
 # Id of the request that brought the first event of a stream that a client takes up.
 RESUMES_HEADER = "Resumes"
+# Largest page on which a server tells of itself; its values take many times its size.
+MAX_ABOUT_BYTES = 1 << 18
 LEAVING_HEADER = "Server-Leaving"
 LEAVING_VALUE = "1"
 RETRY_AFTER_HEADER = "Retry-After"
@@ -158,6 +160,8 @@
         """
         if response.headers.get(ID_HEADER, engine.name) != engine.name:
             return False
+        if len(response.body) > MAX_ABOUT_BYTES:
+            return False
         born = _read_born(response.body)
         if engine.incarnation and born is not None and born != engine.incarnation:
             return False
--- a/peridotcove/platform/interface.py
+++ b/peridotcove/platform/interface.py
@@ -56,7 +56,11 @@
         store = node.settings.platform
         self.retry_budgets = RetryBudgets(store.retry_share, store.retry_extra)
         self._cache_reader = ServerCacheReader(
-            lambda engine, notice: node.engine_notice_sync.handle_answer(engine, notice)
+            node.capacity.page_bytes,
+            node.answer_memory,
+            lambda engine, notice: node.engine_notice_sync.handle_answer(
+                engine, notice
+            ),
         )
         self._cache_watcher = CacheWatcher(
             self._cache_reader, self._apply_cache_event, node.clock
--- a/tests/endpoints/test_endless_bytes.py
+++ b/tests/endpoints/test_endless_bytes.py
@@ -17,6 +17,7 @@
 from peridotcove.platform.store import StoreClient
 
 CHUNK = 65_536
+PAGE_BYTES = 1 << 20
 # No head is this long, and a node has this much memory to spare.
 MAX_SENT_BYTES = 8 << 20
 TIMEOUT_MS = 60_000
@@ -101,14 +102,15 @@
         # The system's buffers take some more.
         self.assertLess(server.sent_bytes, limit + MAX_SENT_BYTES)
 
+    # A list of 15 MB took a node past its memory when it was decoded, again and again.
     async def test_lists_of_caches(self):
         for name, head in self.HEADS.items():
             with self.subTest(name):
                 server, url = await self.flood(head)
-                reader = ServerCacheReader()
+                reader = ServerCacheReader(PAGE_BYTES)
                 with self.assertRaises(EndpointFailed):
                     await reader.read_list(Engine("e", url.rstrip("/"), "z", "m"))
-                await self.check_closed(server, MAX_BODY_BYTES)
+                await self.check_closed(server, PAGE_BYTES)
                 reader.close()
 
     async def test_the_store(self):
--- a/tests/platform/test_cache_reader.py
+++ b/tests/platform/test_cache_reader.py
@@ -15,6 +15,7 @@
 from peridotcove.prefix_hashes import hash_prompt_part
 
 ENGINE = Engine("e", "http://127.0.0.1:1", "z", "m")
+PAGE_BYTES = 1 << 20
 DEEP = b"[" * 4_000
 NO_COUNTS = (-1, 1.5, "8", None, True, [8], 10**30)
 
@@ -32,7 +33,9 @@
         with mock.patch(
             "peridotcove.platform.cache_reader.CurlClient", return_value=http
         ):
-            reader = ServerCacheReader(lambda *args: self.notices.append(args))
+            reader = ServerCacheReader(
+                PAGE_BYTES, on_notice=lambda *args: self.notices.append(args)
+            )
         if call == "list":
             return await reader.read_list(ENGINE)
         return await reader.read_events(ENGINE, 1, 0)
--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -11,6 +11,7 @@
 from peridotcove.crash_suspects import SOUND_QUARANTINE_CRASHES
 from peridotcove.node import Node
 from peridotcove.node_lifecycle import close, drain, open_ports, start
+from peridotcove.platform.dialect import MAX_ABOUT_BYTES
 from peridotcove.revision_numbers import get_count, get_epoch
 from peridotcove.settings import Machine
 from tests.platform import fakes
@@ -524,6 +525,8 @@
             (answer_with(404), False),
             (answer_with(400), False),
             (reset, False),
+            # Decoding it would take many times its size.
+            (answer_with(200, same + b" " * MAX_ABOUT_BYTES), False),
             (answer_with(200, same), True),
             (answer_with(503), True),
         ]
