--- a/tests/platform/test_platform_node.py
+++ b/tests/platform/test_platform_node.py
@@ -584,15 +584,19 @@
     # The copy looked like a part of an answer that ends with its connection.
     async def test_a_second_copy_is_no_part_of_an_unframed_answer(self):
         events = b"".join(map(make_event, range(1, 4)))
-        for target, body, content_type in (
-            ("/chat/", events, EVENT_STREAM),
-            ("/chat/", events.replace(b"\n", b"\r\n"), EVENT_STREAM),
-            ("/chat/", b"no events", "text/plain"),
-            ("/booking/", b"ok", ""),
-            ("/lookup/", b"", ""),
+        for target, body, copied_bytes, content_type in (
+            ("/chat/", events, None, EVENT_STREAM),
+            # The head of a copy in place of an event shows the events' end.
+            ("/chat/", events, -1, EVENT_STREAM),
+            ("/chat/", events, -len(events), EVENT_STREAM),
+            ("/chat/", events.replace(b"\n", b"\r\n"), None, EVENT_STREAM),
+            ("/chat/", b"no events", None, "text/plain"),
+            ("/booking/", b"ok", None, ""),
+            ("/lookup/", b"", None, ""),
         ):
-            self.set_answers(make_doubled_answer(body, content_type=content_type))
-            with self.subTest(target=target, body=body):
+            answer = make_doubled_answer(body, copied_bytes, content_type)
+            self.set_answers(answer)
+            with self.subTest(target=target, body=body, copied_bytes=copied_bytes):
                 response = await self.fetch("r1", target)
                 self.assertEqual((response.status, response.body), (200, body))
                 self.assertTrue(response.is_complete)
@@ -615,7 +619,7 @@
         for target, body, content_type, status in cases:
             for length in (1, len("HTTP"), len("HTTP/"), len("HTTP/1.1"), 16, 30, -1):
                 if body == events and length == -1:
-                    # The head of a copy in place of an event shows the events' end.
+                    # With the whole head of a copy, the events are complete.
                     continue
                 answer = make_doubled_answer(body, length, content_type)
                 self.set_answers(answer, answer)
