--- a/tests/platform/odd_values.py
+++ b/tests/platform/odd_values.py
@@ -44,7 +44,11 @@
     *(b"\xf4\x90\x80\x80", b"\xe2\x82"),
 )
 
+# Texts that JSON can escape and UTF-8 can't encode.
+UNENCODABLE_TEXTS = ("\ud800", "v\udfff", "/\udc80/", "127.0.0.1:80\ud800")
+
 odd_values = strategies.sampled_from(ODD_VALUES)
+unencodable_texts = strategies.sampled_from(UNENCODABLE_TEXTS)
 
 
 def encode_entry(entry):
@@ -65,7 +69,8 @@
     """
     names = strategies.sampled_from([*item, "split", "more"])
     changes = strategies.dictionaries(names, odd_values, min_size=1, max_size=3)
-    return changes.map(lambda fields: item | fields) | odd_values
+    unencodable = strategies.dictionaries(names, unencodable_texts, min_size=1)
+    return (changes | unencodable).map(lambda fields: item | fields) | odd_values
 
 
 def spoil_entry(entry, offset, sequence):
@@ -96,6 +101,7 @@
     names = strategies.sampled_from([*entry, "born", "seq", "cold_left_ms", "more"])
     values = odd_values | strategies.just(DEEP_VALUE)
     changed = strategies.dictionaries(names, values, min_size=1, max_size=3)
+    unencodable = strategies.dictionaries(names, unencodable_texts, min_size=1)
     missing = strategies.sampled_from(sorted(entry)).map(
         lambda name: {key: value for key, value in entry.items() if key != name}
     )
@@ -107,7 +113,7 @@
     )
     return (
         spoiled
-        | changed.map(lambda fields: entry | fields)
+        | (changed | unencodable).map(lambda fields: entry | fields)
         | missing
         | odd_values
         | strategies.sampled_from(ODD_BYTES)
