--- a/peridotcove/connection_memory/capacity.py
+++ b/peridotcove/connection_memory/capacity.py
@@ -39,9 +39,6 @@
         Bytes held for connections: bodies, answers and what is not sent yet.
     answer_bytes : int
         Part of it for unfinished answers of endpoints.
-    page_bytes : int
-        Largest page of JSON from an endpoint that is decoded; its values take no more
-        than `answer_bytes`.
     body_bytes : int
         Part of it for bodies of requests in progress.
     callers, operators : int
@@ -54,13 +51,17 @@
 
     held_bytes: int
     answer_bytes: int
-    page_bytes: int
     body_bytes: int
     callers: int
     operators: int
     unknown_peers: int
     relays: int
 
+    @property
+    def page_bytes(self):
+        """Size of the largest page of JSON whose values fit into `answer_bytes`."""
+        return self.answer_bytes // DECODED_BYTES_PER_BYTE
+
 
 def plan_capacity(machine, open_files):
     """Return the `Capacity` of a machine.
@@ -81,7 +82,6 @@
     return Capacity(
         held_bytes,
         answer_bytes=held_bytes // 2,
-        page_bytes=held_bytes // 2 // DECODED_BYTES_PER_BYTE,
         body_bytes=held_bytes // 2,
         callers=min(int(sockets * CALLERS_SHARE), connections),
         operators=min(int(sockets * OPERATORS_SHARE), MAX_OPERATORS),
